--- /dev/null
+++ b/src/core/probing/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.ts';
--- /dev/null
+++ b/src/core/rpc/index.ts
@@ -0,0 +1,2 @@
+export * from './generated/clementinefork/v1/peer_pb.ts';
+export type * from './types.ts';
