Add the transitions of the allocation and its lease

The controller needs changes of an allocation that can be tested without I/O.

A holder that stepped down may take its own lease back at the next epoch without waiting, because no other process can act under it.

--- a/src/core/allocation/consts.ts
+++ b/src/core/allocation/consts.ts
@@ -4,6 +4,9 @@
 /** Kind of the platform objects that name the fabric domain that may hold a VM. */
 export const VM_HOME_KIND = 'vm-home';
 
+/** Kind of the platform objects that name the fabric domain that may hold a replica. */
+export const REPLICA_HOME_KIND = 'replica-home';
+
 export const LEASE_DURATION_MS = 30_000;
 export const LEASE_RENEWAL_MS = 8_000;
 
--- /dev/null
+++ b/src/core/allocation/lease.test.ts
@@ -0,0 +1,103 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { ErrorKind } from '../errors/index.ts';
+import {
+  acquireLease,
+  createAllocation,
+  isLeaseFree,
+  isLeaseHeldBy,
+  releaseLease,
+  renewLease,
+  updateObservation,
+} from './index.ts';
+
+const DURATION_MS = 30_000;
+const FIRST = { holder: 'first', vm: 'entry-a', durationMs: DURATION_MS };
+const SECOND = { holder: 'second', vm: 'entry-b', durationMs: DURATION_MS };
+const HELD = createAllocation('fd-a', FIRST);
+
+interface Case {
+  title: string;
+  /** Times at which the challenger reads, and whether the holder renewed before the read. */
+  reads: { atMs: number; renewed: boolean }[];
+  claimant: string;
+  released?: boolean;
+  decideMs: number;
+  expected: boolean;
+}
+
+// Guards against two holders: a lease is taken too early, or never.
+const cases: Case[] = [
+  {
+    title: 'waits for the full duration from the first read',
+    reads: [{ atMs: 5_000, renewed: false }],
+    claimant: 'second',
+    decideMs: 34_999,
+    expected: false,
+  },
+  {
+    title: 'takes the lease when the counter stood still for the full duration',
+    reads: [
+      { atMs: 5_000, renewed: false },
+      { atMs: 20_000, renewed: false },
+    ],
+    claimant: 'second',
+    decideMs: 35_000,
+    expected: true,
+  },
+  {
+    title: 'starts again after a renewal',
+    reads: [
+      { atMs: 0, renewed: false },
+      { atMs: 29_000, renewed: true },
+    ],
+    claimant: 'second',
+    decideMs: 58_999,
+    expected: false,
+  },
+  {
+    title: 'takes a released lease at once',
+    reads: [{ atMs: 0, renewed: false }],
+    claimant: 'second',
+    released: true,
+    decideMs: 0,
+    expected: true,
+  },
+  {
+    title: 'lets a holder that stepped down take its own lease at once',
+    reads: [{ atMs: 0, renewed: false }],
+    claimant: 'first',
+    decideMs: 0,
+    expected: true,
+  },
+];
+
+describe('isLeaseFree', () => {
+  for (const testCase of cases) {
+    it(testCase.title, () => {
+      let allocation = HELD;
+      let observation = updateObservation(undefined, allocation.lease, -DURATION_MS);
+      observation = { ...observation, renewal: -1 };
+      for (const { atMs, renewed } of testCase.reads) {
+        if (renewed) allocation = renewLease(allocation, 'first', 1);
+        observation = updateObservation(observation, allocation.lease, atMs);
+      }
+      if (testCase.released === true) allocation = releaseLease(allocation, 'first', 1);
+      const { claimant, decideMs } = testCase;
+      const isFree = isLeaseFree(allocation.lease, observation, claimant, decideMs);
+      expect(isFree).toEqual(testCase.expected);
+    });
+  }
+});
+
+describe('acquireLease', () => {
+  // Guards against a fencing number that does not grow at a change of holder.
+  it('raises epoch and renewal counter and ends the right of the old holder', () => {
+    const taken = acquireLease(HELD, SECOND);
+    expect(taken.lease).toEqual({ ...SECOND, epoch: 2, renewal: 2, released: false });
+    expect(isLeaseHeldBy(taken, 'first', 1)).toEqual(false);
+    expect(() => renewLease(taken, 'first', 1)).toThrow(
+      expect.subset({ kind: ErrorKind.LeaseLost }),
+    );
+  });
+});
--- /dev/null
+++ b/src/core/allocation/lease.ts
@@ -0,0 +1,91 @@
+import { createError, ErrorKind } from '../errors/index.ts';
+import type { Allocation, Lease } from './types.ts';
+
+/** A controller that wants the lease of a fabric domain. */
+export interface LeaseClaimant {
+  /** Name of the controller, unique for each start of the process. */
+  holder: string;
+  vm: string;
+  durationMs: number;
+}
+
+/** When a challenger first saw the present state of a lease, on its own monotonic clock. */
+export interface LeaseObservation {
+  epoch: number;
+  renewal: number;
+  sinceMs: number;
+}
+
+function buildLease(claimant: LeaseClaimant, epoch: number, renewal: number): Lease {
+  return { ...claimant, epoch, renewal, released: false };
+}
+
+/** Creates the first allocation of a fabric domain, whose lease the claimant holds. */
+export function createAllocation(fabricDomain: string, claimant: LeaseClaimant): Allocation {
+  return { fabricDomain, lease: buildLease(claimant, 1, 1), groups: [], vms: {} };
+}
+
+/**
+ * Updates an observation with a lease that was just read. `nowMs` is the time at which the answer
+ * arrived, so that the observation starts after the renewal took effect.
+ */
+export function updateObservation(
+  previous: LeaseObservation | undefined,
+  lease: Lease,
+  nowMs: number,
+): LeaseObservation {
+  const isSame = previous?.epoch === lease.epoch && previous.renewal === lease.renewal;
+  if (previous !== undefined && isSame) return previous;
+  return { epoch: lease.epoch, renewal: lease.renewal, sinceMs: nowMs };
+}
+
+/**
+ * Tells whether a claimant may take the lease: it was released, it is the claimant's own, or the
+ * renewal counter did not change for the full duration.
+ */
+export function isLeaseFree(
+  lease: Lease,
+  observation: LeaseObservation,
+  holder: string,
+  nowMs: number,
+): boolean {
+  if (lease.released || lease.holder === holder) return true;
+  const isObserved = observation.epoch === lease.epoch && observation.renewal === lease.renewal;
+  return isObserved && nowMs - observation.sinceMs >= lease.durationMs;
+}
+
+/** Takes the lease at the next epoch; the caller has checked `isLeaseFree`. */
+export function acquireLease(allocation: Allocation, claimant: LeaseClaimant): Allocation {
+  const { epoch, renewal } = allocation.lease;
+  return { ...allocation, lease: buildLease(claimant, epoch + 1, renewal + 1) };
+}
+
+/** Tells whether the allocation names this holder at this epoch. */
+export function isLeaseHeldBy(allocation: Allocation, holder: string, epoch: number): boolean {
+  const { lease } = allocation;
+  return lease.holder === holder && lease.epoch === epoch && !lease.released;
+}
+
+function assertHeld(allocation: Allocation, holder: string, epoch: number): void {
+  if (isLeaseHeldBy(allocation, holder, epoch)) return;
+  const { fabricDomain } = allocation;
+  throw createError(ErrorKind.LeaseLost, { fabricDomain, epoch });
+}
+
+/** Raises the renewal counter; every write of the holder does so. */
+export function renewLease(allocation: Allocation, holder: string, epoch: number): Allocation {
+  assertHeld(allocation, holder, epoch);
+  const { lease } = allocation;
+  return { ...allocation, lease: { ...lease, renewal: lease.renewal + 1 } };
+}
+
+/** Gives up the lease at a planned stop, so that another controller takes it at once. */
+export function releaseLease(allocation: Allocation, holder: string, epoch: number): Allocation {
+  const renewed = renewLease(allocation, holder, epoch);
+  return { ...renewed, lease: { ...renewed.lease, released: true } };
+}
+
+/** Returns when a holder stops acting, from the time at which it sent its last renewal. */
+export function computeLeaseEnd(sentMs: number, durationMs: number, marginMs: number): number {
+  return sentMs + durationMs - marginMs;
+}
--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -8,6 +8,7 @@
   PlatformUnavailable = 'platform-unavailable',
   WriteUndecided = 'write-undecided',
   AllocationTooLarge = 'allocation-too-large',
+  AllocationChangeRefused = 'allocation-change-refused',
   LeaseLost = 'lease-lost',
   OrderRefused = 'order-refused',
   NoTarget = 'no-target',
@@ -82,6 +83,12 @@
       'The allocation of {fabricDomain} takes {bytes} bytes; the limit is {limitBytes} bytes.',
     hint: 'Split the fabric domain in the VM list.',
   },
+  [ErrorKind.AllocationChangeRefused]: {
+    name: 'AllocationChangeRefusedError',
+    title: 'A change of an allocation would break a rule.',
+    message: 'The allocation of {fabricDomain} was not changed: {problem}.',
+    hint: 'The controller plans again from the allocation in force; report the message when it repeats.',
+  },
   [ErrorKind.LeaseLost]: {
     name: 'LeaseLostError',
     title: 'The lease is held by another controller.',
