Add the planner of serving groups

The lease holder of a fabric domain needs one pure function from what it has read to the next actions. The planner keeps whole groups, repairs damaged ones, drains leaving members before it replaces them, forms declared replicas and removes others, and orders members until they report their state.

Within a domain the selection is an exact knapsack.

--- /dev/null
+++ b/src/core/planning/conditions.ts
@@ -0,0 +1,75 @@
+import type { GroupAllocation } from '../allocation/index.ts';
+import { GroupState } from '../allocation/index.ts';
+import type { MemberTable } from './members.ts';
+import { MemberCondition } from './members.ts';
+import type { DeclaredReplica } from './replicas.ts';
+import type { PlanningWorld } from './types.ts';
+
+/** What a group needs. */
+export enum GroupCondition {
+  Whole = 'whole',
+  /** A member has not been probed yet in this term. */
+  Unknown = 'unknown',
+  /** A member is lost. */
+  Damaged = 'damaged',
+  /** A member is leaving; the group is drained before the member is replaced. */
+  Evacuating = 'evacuating',
+  /** Another model version or size is declared, and it is the turn of this replica. */
+  Outdated = 'outdated',
+  /** The configuration no longer declares the replica for this domain. */
+  Unwanted = 'unwanted',
+  /** No longer declared, and a member is lost, so that there is nothing to drain. */
+  Abandoned = 'abandoned',
+}
+
+/** Tells whether a group has the declared model, version and size. */
+export function isCurrent(group: GroupAllocation, replica: DeclaredReplica): boolean {
+  return (
+    group.model === replica.model &&
+    group.modelVersion === replica.modelVersion &&
+    group.members.length === replica.size
+  );
+}
+
+/**
+ * Replicas change version in the order of their number, one at a time over all domains: a replica
+ * waits until all existing replicas with a lower number serve the declared version.
+ */
+function isTurnToUpdate(replica: DeclaredReplica, world: PlanningWorld): boolean {
+  const earlier = [...world.allocation.groups, ...world.peerGroups].filter((group) => {
+    const number = Number(group.name.slice(replica.servingGroup.length + 1));
+    return group.servingGroup === replica.servingGroup && number < replica.number;
+  });
+  return earlier.every((group) => group.state === GroupState.Serving && isCurrent(group, replica));
+}
+
+/** Finds what a group needs. */
+export function findGroupCondition(
+  group: GroupAllocation,
+  replica: DeclaredReplica | undefined,
+  table: MemberTable,
+  world: PlanningWorld,
+): GroupCondition {
+  const conditions = new Set(group.members.map((vm) => table.getCondition(vm)));
+  if (replica === undefined) {
+    const isLost = conditions.has(MemberCondition.Lost);
+    return isLost ? GroupCondition.Abandoned : GroupCondition.Unwanted;
+  }
+  if (conditions.has(MemberCondition.Unknown)) return GroupCondition.Unknown;
+  if (conditions.has(MemberCondition.Lost)) return GroupCondition.Damaged;
+  if (conditions.has(MemberCondition.Leaving)) return GroupCondition.Evacuating;
+  const isOutdated = !isCurrent(group, replica) && isTurnToUpdate(replica, world);
+  return isOutdated ? GroupCondition.Outdated : GroupCondition.Whole;
+}
+
+/** Tells whether a draining group has finished its work or used up its time. */
+export function isDrained(group: GroupAllocation, world: PlanningWorld): boolean {
+  const sinceMs = world.drainingSinceMs.get(group.name);
+  if (group.state !== GroupState.Draining || sinceMs === undefined) return false;
+  const { drainQuietMs, drainTimeoutMs } = world.limits;
+  if (world.nowMs - sinceMs >= drainTimeoutMs) return true;
+  const view = world.views.get(group.members[0] ?? '');
+  if (view?.status === undefined || view.queriedMs < sinceMs + drainQuietMs) return false;
+  const { load } = view.status;
+  return load.running + load.queued === 0;
+}
--- /dev/null
+++ b/src/core/planning/index.ts
@@ -0,0 +1,4 @@
+export { listEngines } from './members.ts';
+export { planGroups } from './plan-groups.ts';
+export { formatReplicaName, listDeclaredReplicas } from './replicas.ts';
+export * from './types.ts';
--- /dev/null
+++ b/src/core/planning/plan-orders.ts
@@ -0,0 +1,103 @@
+import type { GroupAllocation } from '../allocation/index.ts';
+import { GroupState } from '../allocation/index.ts';
+import type { EngineOrder } from '../world/index.ts';
+import { EnginePhase } from '../world/index.ts';
+import type { MemberTable } from './members.ts';
+import { isReadyMember, MemberCondition } from './members.ts';
+import type { DeclaredReplica } from './replicas.ts';
+import type { OrderAction, PlanningWorld, VmView } from './types.ts';
+import { PlanActionKind } from './types.ts';
+
+/** Builds the order of one member. */
+export function buildMemberOrder(
+  world: PlanningWorld,
+  group: GroupAllocation,
+  rank: number,
+): EngineOrder {
+  const { vms, lease } = world.allocation;
+  const leader = vms[group.members[0] ?? ''];
+  return {
+    epoch: lease.epoch,
+    group: group.name,
+    generation: group.generation,
+    rank,
+    size: group.members.length,
+    leader: leader === undefined ? null : `${leader.address}:${leader.port}`,
+    members: group.members,
+    model: group.model,
+    modelVersion: group.modelVersion,
+  };
+}
+
+function buildEmptyOrder(epoch: number): EngineOrder {
+  return {
+    epoch,
+    group: null,
+    generation: 0,
+    rank: 0,
+    size: 0,
+    leader: null,
+    members: [],
+    model: null,
+    modelVersion: null,
+  };
+}
+
+/** A member needs an order when it got none in this term, or when a later answer differs. */
+function hasToOrder(view: VmView | undefined, group: GroupAllocation, rank: number): boolean {
+  const order = view?.order;
+  if (order?.group !== group.name || order.generation !== group.generation) return true;
+  const status = view?.status;
+  if (status === undefined || view === undefined || view.querySequence <= order.sequence) {
+    return false;
+  }
+  if (isReadyMember(view, group, rank)) return false;
+  const isLoading = status.phase === EnginePhase.Loading;
+  const isSame = status.group === group.name && status.generation === group.generation;
+  return !(isLoading && isSame && status.rank === rank);
+}
+
+function planGroupOrders(world: PlanningWorld, group: GroupAllocation): OrderAction[] {
+  return group.members.flatMap((vm, rank) => {
+    if (!hasToOrder(world.views.get(vm), group, rank)) return [];
+    const order = buildMemberOrder(world, group, rank);
+    return [{ kind: PlanActionKind.SendOrder, vm, order }];
+  });
+}
+
+/**
+ * A spare keeps weights that a declared replica may need, so that it can join without a load. A
+ * spare that failed, or holds a model that is no longer declared, is emptied.
+ */
+function planSpareOrders(
+  world: PlanningWorld,
+  replicas: ReadonlyMap<string, DeclaredReplica>,
+): OrderAction[] {
+  const models = new Set([...replicas.values()].map(({ model }) => model));
+  return Object.values(world.allocation.vms).flatMap(({ vm, group }): OrderAction[] => {
+    const status = world.views.get(vm)?.status;
+    if (group !== null || status === undefined || status.phase === EnginePhase.Empty) return [];
+    const isUseful = status.model !== null && models.has(status.model);
+    if (isUseful && status.phase !== EnginePhase.Failed) return [];
+    const order = buildEmptyOrder(world.allocation.lease.epoch);
+    return [{ kind: PlanActionKind.SendOrder, vm, order }];
+  });
+}
+
+/** Plans the orders that bring the VMs to the state in the allocation. */
+export function planOrders(
+  world: PlanningWorld,
+  replicas: ReadonlyMap<string, DeclaredReplica>,
+  table: MemberTable,
+  changedGroups: ReadonlySet<string>,
+): OrderAction[] {
+  const groups = world.allocation.groups.filter(
+    ({ name, state }) => state !== GroupState.Draining && !changedGroups.has(name),
+  );
+  const isComplete = (group: GroupAllocation): boolean =>
+    group.members.every((vm) => table.getCondition(vm) !== MemberCondition.Lost);
+  return [
+    ...groups.filter(isComplete).flatMap((group) => planGroupOrders(world, group)),
+    ...planSpareOrders(world, replicas),
+  ];
+}
--- /dev/null
+++ b/src/core/planning/plan-repairs.ts
@@ -0,0 +1,105 @@
+import type { GroupAllocation } from '../allocation/index.ts';
+import { AllocationEventKind, GroupState } from '../allocation/index.ts';
+import type { Assignment } from './assign-members.ts';
+import { assignMembers } from './assign-members.ts';
+import type { MemberTable } from './members.ts';
+import { MemberCondition } from './members.ts';
+import { buildRemoval, buildStateChange } from './plan-states.ts';
+import type { Repair } from './repairs.ts';
+import { listSpares, selectRepairs } from './repairs.ts';
+import type { PlanAction, PlanningWorld } from './types.ts';
+import { PlanActionKind } from './types.ts';
+
+/** Tells whether every VM of the domain answered, or counts as lost. */
+function isAllProbed(world: PlanningWorld, table: MemberTable): boolean {
+  return Object.keys(world.allocation.vms).every(
+    (vm) => table.getCondition(vm) !== MemberCondition.Unknown,
+  );
+}
+
+/** Counts members of forming groups that do not hold their weights yet. */
+function countLoadsInFlight(groups: readonly GroupAllocation[], table: MemberTable): number {
+  return groups
+    .filter(({ state }) => state === GroupState.Forming)
+    .flatMap(({ members, model, modelVersion }) =>
+      members.filter((vm) => !table.hasWeights(vm, model, modelVersion)),
+    ).length;
+}
+
+function buildAssignment(assignment: Assignment, world: PlanningWorld): PlanAction {
+  const { repair, members } = assignment;
+  const { replica, group, isOwned } = repair;
+  const { name, servingGroup, model, modelVersion } = replica;
+  if (!isOwned) return { kind: PlanActionKind.ClaimReplica, name };
+  if (group !== undefined) {
+    const kind = AllocationEventKind.GroupReformed;
+    const event = { kind, group: name, model, modelVersion, members } as const;
+    return { kind: PlanActionKind.ChangeAllocation, event };
+  }
+  // Versions grow over the whole store, so a replica that moves gets a higher generation.
+  const generation = world.replicaHomes.get(name)?.version ?? 0;
+  const formed = { name, servingGroup, model, modelVersion, generation, members };
+  const event = { kind: AllocationEventKind.GroupFormed, group: formed } as const;
+  return { kind: PlanActionKind.ChangeAllocation, event };
+}
+
+/** A group that waits for its turn to load does not serve while a member is missing. */
+function buildWaiting(repair: Repair): PlanAction[] {
+  const { group } = repair;
+  if (group === undefined || group.state === GroupState.Forming) return [];
+  return [buildStateChange(group, GroupState.Forming)];
+}
+
+/** Splits assignments into those that start now and those that wait for the weight store. */
+function planStarts(
+  assignments: readonly Assignment[],
+  loadsInFlight: number,
+  world: PlanningWorld,
+): PlanAction[] {
+  let loads = loadsInFlight;
+  return assignments.flatMap((assignment) => {
+    const isWithinRate =
+      assignment.loads === 0 ||
+      loads === 0 ||
+      loads + assignment.loads <= world.limits.maxLoadsInFlight;
+    if (!isWithinRate) return buildWaiting(assignment.repair);
+    loads += assignment.loads;
+    return [buildAssignment(assignment, world)];
+  });
+}
+
+/** Actions for repairs, and the replicas that the domain keeps or is about to form. */
+export interface RepairPlan {
+  actions: PlanAction[];
+  kept: ReadonlySet<string>;
+}
+
+/**
+ * Plans which replicas get which VMs. Groups that cannot be completed are removed: their members
+ * become spares that keep their weights, and other domains may claim the replicas. While a VM of
+ * the domain is not probed yet, such groups wait, because the VM may complete them.
+ */
+export function planRepairs(
+  repairs: readonly Repair[],
+  untouched: readonly GroupAllocation[],
+  world: PlanningWorld,
+  table: MemberTable,
+): RepairPlan {
+  const spares = listSpares(world, table);
+  const selected = selectRepairs(repairs, spares, table);
+  const rest = repairs.filter((repair) => !selected.includes(repair));
+  const dissolved = isAllProbed(world, table) ? rest : [];
+  const freeVms = [...spares, ...dissolved.flatMap(({ survivors }) => survivors)];
+  const assignments = assignMembers(selected, freeVms, table, world.memberBytes);
+  const started = new Set(assignments.map(({ repair }) => repair));
+  const waiting = repairs.filter((repair) => !dissolved.includes(repair) && !started.has(repair));
+  const removals = dissolved.flatMap(({ group }) =>
+    group === undefined ? [] : [buildRemoval(group.name)],
+  );
+  const starts = planStarts(assignments, countLoadsInFlight(untouched, table), world);
+  const kept = repairs.filter((repair) => !dissolved.includes(repair));
+  return {
+    actions: [...removals, ...waiting.flatMap(buildWaiting), ...starts],
+    kept: new Set(kept.map(({ replica }) => replica.name)),
+  };
+}
--- /dev/null
+++ b/src/core/planning/plan-states.ts
@@ -0,0 +1,78 @@
+import type { GroupAllocation } from '../allocation/index.ts';
+import { AllocationEventKind, GroupState } from '../allocation/index.ts';
+import { GroupCondition, isDrained } from './conditions.ts';
+import { isConfirmed, isReadyMember } from './members.ts';
+import type { ChangeAction, PlanningWorld } from './types.ts';
+import { PlanActionKind } from './types.ts';
+
+/** Builds the action that sets the state of a group at its present generation. */
+export function buildStateChange(group: GroupAllocation, state: GroupState): ChangeAction {
+  const { name, generation } = group;
+  const kind = AllocationEventKind.GroupStateChanged;
+  const event = { kind, group: name, generation, state } as const;
+  return { kind: PlanActionKind.ChangeAllocation, event };
+}
+
+/** Builds the action that removes a group; its members become spares. */
+export function buildRemoval(group: string): ChangeAction {
+  const event = { kind: AllocationEventKind.GroupRemoved, group } as const;
+  return { kind: PlanActionKind.ChangeAllocation, event };
+}
+
+function changeState(group: GroupAllocation, state: GroupState): ChangeAction[] {
+  return group.state === state ? [] : [buildStateChange(group, state)];
+}
+
+function planWholeGroup(group: GroupAllocation, world: PlanningWorld): ChangeAction[] {
+  switch (group.state) {
+    case GroupState.Draining:
+      // The reason to drain is gone; the group serves again after its members confirm it.
+      return changeState(group, GroupState.Forming);
+    case GroupState.Forming:
+      return isConfirmed(group, world.views) ? changeState(group, GroupState.Serving) : [];
+    default: {
+      const isReady = group.members.every((vm, rank) =>
+        isReadyMember(world.views.get(vm), group, rank),
+      );
+      return isReady ? [] : changeState(group, GroupState.Forming);
+    }
+  }
+}
+
+/** Tells whether a group may get other members now: it serves nothing that a change interrupts. */
+export function isRepairable(
+  group: GroupAllocation,
+  condition: GroupCondition,
+  world: PlanningWorld,
+): boolean {
+  if (condition === GroupCondition.Damaged) return true;
+  const isWaiting =
+    condition === GroupCondition.Evacuating || condition === GroupCondition.Outdated;
+  return isWaiting && (group.state === GroupState.Forming || isDrained(group, world));
+}
+
+/** Plans the next state of a group whose members stay as they are in this plan. */
+export function planGroupState(
+  group: GroupAllocation,
+  condition: GroupCondition,
+  world: PlanningWorld,
+): ChangeAction[] {
+  switch (condition) {
+    case GroupCondition.Whole:
+      return planWholeGroup(group, world);
+    case GroupCondition.Damaged:
+      return changeState(group, GroupState.Forming);
+    case GroupCondition.Abandoned:
+      return [buildRemoval(group.name)];
+    case GroupCondition.Unwanted: {
+      const isStopped = group.state === GroupState.Forming || isDrained(group, world);
+      if (isStopped) return [buildRemoval(group.name)];
+      return changeState(group, GroupState.Draining);
+    }
+    case GroupCondition.Evacuating:
+    case GroupCondition.Outdated:
+      return isRepairable(group, condition, world) ? [] : changeState(group, GroupState.Draining);
+    default:
+      return [];
+  }
+}
--- /dev/null
+++ b/src/core/planning/plan-vms.ts
@@ -0,0 +1,83 @@
+import type { VmEntry } from '../allocation/index.ts';
+import { AllocationEventKind, isHomeOwned, measureAllocation } from '../allocation/index.ts';
+import type { Vm } from '../world/index.ts';
+import { VmState } from '../world/index.ts';
+import type { MemberTable } from './members.ts';
+import { listEngines } from './members.ts';
+import type { PlanAction, PlanningWorld } from './types.ts';
+import { PlanActionKind } from './types.ts';
+
+function buildEntry(vm: Vm): VmEntry {
+  const { name, address, port, availabilityZone, state } = vm;
+  return { vm: name, address, port, availabilityZone, leaving: state === VmState.Leaving };
+}
+
+function isSameEntry(left: VmEntry, right: VmEntry): boolean {
+  return (
+    left.address === right.address &&
+    left.port === right.port &&
+    left.availabilityZone === right.availabilityZone &&
+    left.leaving === right.leaving
+  );
+}
+
+function planAdoptions(world: PlanningWorld): PlanAction[] {
+  const { allocation, vmHomes, limits } = world;
+  const { fabricDomain, lease } = allocation;
+  const wanted = listEngines(world.vms, fabricDomain).filter(
+    (vm) => vm.state === VmState.Live && allocation.vms[vm.name] === undefined,
+  );
+  if (wanted.length === 0) return [];
+  let bytes = measureAllocation(allocation);
+  const actions: PlanAction[] = [];
+  for (const vm of wanted) {
+    const entry = buildEntry(vm);
+    // The entry is a named property: key, colon and comma beside the entry itself.
+    bytes += JSON.stringify({ ...entry, group: null }).length + vm.name.length + 4;
+    if (bytes > limits.maxAllocationBytes) {
+      return [...actions, { kind: PlanActionKind.ReportTooLarge, bytes }];
+    }
+    const isOwned = isHomeOwned(vmHomes.get(vm.name), fabricDomain, lease.epoch);
+    actions.push(
+      isOwned
+        ? {
+            kind: PlanActionKind.ChangeAllocation,
+            event: { kind: AllocationEventKind.VmAdopted, vm: entry },
+          }
+        : { kind: PlanActionKind.ClaimVm, name: vm.name },
+    );
+  }
+  return actions;
+}
+
+function planMembers(world: PlanningWorld, table: MemberTable): PlanAction[] {
+  return Object.values(world.allocation.vms).flatMap((entry): PlanAction[] => {
+    const listed = table.findListed(entry.vm);
+    const isGone = listed === undefined || listed.state === VmState.Leaving;
+    if (isGone && entry.group === null) {
+      const event = { kind: AllocationEventKind.VmRemoved, vm: entry.vm } as const;
+      return [{ kind: PlanActionKind.ChangeAllocation, event }];
+    }
+    if (listed === undefined || isSameEntry(entry, buildEntry(listed))) return [];
+    const event = { kind: AllocationEventKind.VmUpdated, vm: buildEntry(listed) } as const;
+    return [{ kind: PlanActionKind.ChangeAllocation, event }];
+  });
+}
+
+function planReleases(world: PlanningWorld, table: MemberTable): PlanAction[] {
+  const { fabricDomain, vms } = world.allocation;
+  return [...world.vmHomes].flatMap(([name, home]): PlanAction[] => {
+    const isOurs = home.fabricDomain === fabricDomain && vms[name] === undefined;
+    const isWanted = table.findListed(name)?.state === VmState.Live;
+    if (!isOurs || isWanted) return [];
+    return [{ kind: PlanActionKind.ReleaseVm, name, version: home.version }];
+  });
+}
+
+/**
+ * Plans which VMs the domain holds. A VM is adopted after its home was written at this epoch, and
+ * its home is deleted after the VM was removed from the allocation.
+ */
+export function planVms(world: PlanningWorld, table: MemberTable): PlanAction[] {
+  return [...planReleases(world, table), ...planMembers(world, table), ...planAdoptions(world)];
+}
--- /dev/null
+++ b/src/core/planning/repairs.ts
@@ -0,0 +1,97 @@
+import type { GroupAllocation } from '../allocation/index.ts';
+import { isHomeOwned } from '../allocation/index.ts';
+import { isClaimable } from './claims.ts';
+import type { MemberTable } from './members.ts';
+import { MemberCondition } from './members.ts';
+import type { DeclaredReplica } from './replicas.ts';
+import type { ReplicaCandidate } from './select-replicas.ts';
+import { selectReplicas } from './select-replicas.ts';
+import type { PlanningWorld } from './types.ts';
+
+/** A replica that is to be formed, or a group that is to get other members. */
+export interface Repair {
+  replica: DeclaredReplica;
+  /** The group in the allocation; undefined for a new replica. */
+  group: GroupAllocation | undefined;
+  /** Whether the home of the replica names this domain at this epoch. */
+  isOwned: boolean;
+  /** Usable members of the group, in order of their rank. */
+  survivors: string[];
+}
+
+function buildRepair(
+  replica: DeclaredReplica,
+  group: GroupAllocation | undefined,
+  isOwned: boolean,
+  table: MemberTable,
+): Repair {
+  const survivors = (group?.members ?? [])
+    .filter((vm) => table.getCondition(vm) === MemberCondition.Usable)
+    .slice(0, replica.size);
+  return { replica, group, isOwned, survivors };
+}
+
+/** Lists new replicas that this domain owns or may claim. */
+export function listNewReplicas(
+  replicas: ReadonlyMap<string, DeclaredReplica>,
+  world: PlanningWorld,
+  table: MemberTable,
+): Repair[] {
+  const { allocation, replicaHomes } = world;
+  const { fabricDomain, lease } = allocation;
+  const held = new Set(allocation.groups.map(({ name }) => name));
+  return [...replicas.values()].flatMap((replica) => {
+    if (held.has(replica.name)) return [];
+    const home = replicaHomes.get(replica.name);
+    const isOwned = isHomeOwned(home, fabricDomain, lease.epoch);
+    // A home that an earlier holder wrote for this domain is claimed again at this epoch.
+    const isInherited = home?.fabricDomain === fabricDomain;
+    if (!isOwned && !isInherited && !isClaimable(replica, world)) return [];
+    return [buildRepair(replica, undefined, isOwned, table)];
+  });
+}
+
+/** Lists groups whose members are to change now. */
+export function listRepairs(
+  groups: readonly GroupAllocation[],
+  replicas: ReadonlyMap<string, DeclaredReplica>,
+  table: MemberTable,
+): Repair[] {
+  return groups.flatMap((group) => {
+    const replica = replicas.get(group.name);
+    return replica === undefined ? [] : [buildRepair(replica, group, true, table)];
+  });
+}
+
+/** Lists usable VMs that belong to no group. */
+export function listSpares(world: PlanningWorld, table: MemberTable): string[] {
+  return Object.values(world.allocation.vms)
+    .filter(({ vm, group }) => group === null && table.getCondition(vm) === MemberCondition.Usable)
+    .map(({ vm }) => vm)
+    .sort();
+}
+
+/** Counts the members of a repair that must load weights, when it may use these spares. */
+export function countLoads(repair: Repair, spares: readonly string[], table: MemberTable): number {
+  const { model, modelVersion, size } = repair.replica;
+  const hasWeights = (vm: string): boolean => table.hasWeights(vm, model, modelVersion);
+  const loaded = repair.survivors.filter(hasWeights).length;
+  const missing = size - repair.survivors.length;
+  const joining = Math.min(missing, spares.filter(hasWeights).length);
+  return size - loaded - joining;
+}
+
+/** Selects the repairs that return the most served weight from spares and survivors. */
+export function selectRepairs(
+  repairs: readonly Repair[],
+  spares: readonly string[],
+  table: MemberTable,
+): Repair[] {
+  const pool = spares.length + repairs.reduce((sum, { survivors }) => sum + survivors.length, 0);
+  const candidates = repairs.map((repair): ReplicaCandidate => {
+    const { name, size, weight } = repair.replica;
+    return { name, size, weight, loads: countLoads(repair, spares, table) };
+  });
+  const selected = selectReplicas(candidates, pool);
+  return repairs.filter(({ replica }) => selected.has(replica.name));
+}
--- /dev/null
+++ b/src/core/planning/select-replicas.ts
@@ -0,0 +1,64 @@
+/** A replica that could be formed or repaired from the usable VMs of a domain. */
+export interface ReplicaCandidate {
+  name: string;
+  /** VMs that the replica takes from the pool, its own survivors included. */
+  size: number;
+  /** Served weight that returns. */
+  weight: number;
+  /** Members that must load weights. */
+  loads: number;
+}
+
+interface Total {
+  weight: number;
+  replicas: number;
+  loads: number;
+}
+
+const EMPTY_TOTAL: Total = { weight: 0, replicas: 0, loads: 0 };
+
+/** More served weight comes first, then more replicas, then fewer loads. */
+function isBetter(left: Total, right: Total): boolean {
+  if (left.weight !== right.weight) return left.weight > right.weight;
+  if (left.replicas !== right.replicas) return left.replicas > right.replicas;
+  return left.loads < right.loads;
+}
+
+function addCandidate(total: Total, candidate: ReplicaCandidate): Total {
+  return {
+    weight: total.weight + candidate.weight,
+    replicas: total.replicas + 1,
+    loads: total.loads + candidate.loads,
+  };
+}
+
+/**
+ * Selects the replicas with the most served weight that fit into the pool. It is the 0/1 knapsack
+ * problem over VMs, solved exactly: the table has one row for each candidate and one column for
+ * each VM, 2,400 × 600 steps at most.
+ */
+export function selectReplicas(
+  candidates: readonly ReplicaCandidate[],
+  poolSize: number,
+): Set<string> {
+  const best: Total[] = Array.from({ length: poolSize + 1 }, () => EMPTY_TOTAL);
+  const taken = candidates.map((candidate) => {
+    const row = new Uint8Array(poolSize + 1);
+    for (let room = poolSize; room >= candidate.size; room--) {
+      const total = addCandidate(best[room - candidate.size] ?? EMPTY_TOTAL, candidate);
+      if (!isBetter(total, best[room] ?? EMPTY_TOTAL)) continue;
+      best[room] = total;
+      row[room] = 1;
+    }
+    return row;
+  });
+  const selected = new Set<string>();
+  let room = poolSize;
+  for (let index = candidates.length - 1; index >= 0; index--) {
+    const candidate = candidates[index];
+    if (candidate === undefined || taken[index]?.[room] !== 1) continue;
+    selected.add(candidate.name);
+    room -= candidate.size;
+  }
+  return selected;
+}
