Leave homes of a later epoch alone, and delay grants after a release

A holder that lost its lease without noticing could read the home that its successor had just claimed, and delete it by its version; another domain could then adopt the VM while the successor adds it. Only the lease times prevented this. A holder now neither writes nor deletes a home of a later epoch, which needs no clocks.

After a planned release, a request that began at the end of its slot can still be on its way when the new granter asks the target what it runs.

--- a/src/core/allocation/homes.ts
+++ b/src/core/allocation/homes.ts
@@ -21,3 +21,11 @@
 export function isHomeOwned(home: Home | undefined, fabricDomain: string, epoch: number): boolean {
   return home !== undefined && home.fabricDomain === fabricDomain && home.epoch === epoch;
 }
+
+/**
+ * Tells whether the holder at this epoch may write or delete a home. A home of a later epoch shows
+ * that another controller holds the domain, and that it may be about to add what the home names.
+ */
+export function mayWriteHome(home: Home, fabricDomain: string, epoch: number): boolean {
+  return home.fabricDomain === fabricDomain && home.epoch <= epoch;
+}
--- a/src/core/controller/domain-task.ts
+++ b/src/core/controller/domain-task.ts
@@ -180,7 +180,9 @@
       const held = getHeld();
       if (held === undefined) return undefined;
       const nowMs = timers.getMonotonicMs();
-      const grantFromMs = held.acquiredMs + settings.slotLifetimeMs;
+      // After a release, slots of the earlier holder live on, and a request that began just before
+      // the end of its slot may still be on its way; the margin of the lease covers that.
+      const grantFromMs = held.acquiredMs + settings.slotLifetimeMs + settings.lease.marginMs;
       return {
         fabricDomain,
         epoch: held.epoch,
--- a/src/core/planning/plan-groups.test.ts
+++ b/src/core/planning/plan-groups.test.ts
@@ -144,6 +144,19 @@
     },
     expected: ['release-vm vm-9'],
   },
+  {
+    title: 'leaves homes of a later epoch to the next holder',
+    world: {
+      ...SPARE_WORLD,
+      vms: [...SPARE_WORLD.vms, buildVm('vm-9', { fabricDomain: 'fd-b' }), buildVm('vm-8')],
+      vmHomes: new Map([
+        ['vm-9', { ...HOME, epoch: 2 }],
+        ['vm-8', { ...HOME, epoch: 2 }],
+      ]),
+      replicaHomes: new Map([...SPARE_WORLD.replicaHomes, ['assistant-7', { ...HOME, epoch: 2 }]]),
+    },
+    expected: [],
+  },
   {
     title: 'claims the home of a new VM first',
     world: { ...SPARE_WORLD, vms: [...SPARE_WORLD.vms, buildVm('vm-9')] },
--- a/src/core/planning/plan-groups.ts
+++ b/src/core/planning/plan-groups.ts
@@ -1,4 +1,5 @@
 import type { GroupAllocation } from '../allocation/index.ts';
+import { mayWriteHome } from '../allocation/index.ts';
 import { findGroupCondition, GroupCondition } from './conditions.ts';
 import { createMemberTable } from './members.ts';
 import { planOrders } from './plan-orders.ts';
@@ -18,10 +19,10 @@
 
 /** Deletes homes of replicas that the domain neither holds nor is about to form. */
 function planReplicaReleases(world: PlanningWorld, kept: ReadonlySet<string>): PlanAction[] {
-  const { fabricDomain, groups } = world.allocation;
+  const { fabricDomain, groups, lease } = world.allocation;
   const held = new Set(groups.map(({ name }) => name));
   return [...world.replicaHomes].flatMap(([name, home]): PlanAction[] => {
-    const isOurs = home.fabricDomain === fabricDomain && !held.has(name);
+    const isOurs = mayWriteHome(home, fabricDomain, lease.epoch) && !held.has(name);
     if (!isOurs || kept.has(name)) return [];
     return [{ kind: PlanActionKind.ReleaseReplica, name, version: home.version }];
   });
--- a/src/core/planning/plan-vms.ts
+++ b/src/core/planning/plan-vms.ts
@@ -1,5 +1,10 @@
 import type { VmEntry } from '../allocation/index.ts';
-import { AllocationEventKind, isHomeOwned, measureAllocation } from '../allocation/index.ts';
+import {
+  AllocationEventKind,
+  isHomeOwned,
+  mayWriteHome,
+  measureAllocation,
+} from '../allocation/index.ts';
 import type { Vm } from '../world/index.ts';
 import { VmState } from '../world/index.ts';
 import type { MemberTable } from './members.ts';
@@ -26,8 +31,8 @@
   const { fabricDomain, lease } = allocation;
   const wanted = listEngines(world.vms, fabricDomain).filter((vm) => {
     const home = vmHomes.get(vm.name);
-    const isElsewhere = home !== undefined && home.fabricDomain !== fabricDomain;
-    return vm.state === VmState.Live && allocation.vms[vm.name] === undefined && !isElsewhere;
+    const mayAdopt = home === undefined || mayWriteHome(home, fabricDomain, lease.epoch);
+    return vm.state === VmState.Live && allocation.vms[vm.name] === undefined && mayAdopt;
   });
   if (wanted.length === 0) return [];
   let bytes = measureAllocation(allocation);
@@ -68,9 +73,9 @@
 }
 
 function planReleases(world: PlanningWorld, table: MemberTable): PlanAction[] {
-  const { fabricDomain, vms } = world.allocation;
+  const { fabricDomain, vms, lease } = world.allocation;
   return [...world.vmHomes].flatMap(([name, home]): PlanAction[] => {
-    const isOurs = home.fabricDomain === fabricDomain && vms[name] === undefined;
+    const isOurs = mayWriteHome(home, fabricDomain, lease.epoch) && vms[name] === undefined;
     const isWanted = table.findListed(name)?.state === VmState.Live;
     if (!isOurs || isWanted) return [];
     return [{ kind: PlanActionKind.ReleaseVm, name, version: home.version }];
--- a/src/core/planning/repairs.ts
+++ b/src/core/planning/repairs.ts
@@ -1,5 +1,5 @@
 import type { GroupAllocation } from '../allocation/index.ts';
-import { isHomeOwned } from '../allocation/index.ts';
+import { isHomeOwned, mayWriteHome } from '../allocation/index.ts';
 import { isClaimable } from './claims.ts';
 import type { MemberTable } from './members.ts';
 import { MemberCondition } from './members.ts';
@@ -45,7 +45,7 @@
     const home = replicaHomes.get(replica.name);
     const isOwned = isHomeOwned(home, fabricDomain, lease.epoch);
     // A home that an earlier holder wrote for this domain is claimed again at this epoch.
-    const isInherited = home?.fabricDomain === fabricDomain;
+    const isInherited = home !== undefined && mayWriteHome(home, fabricDomain, lease.epoch);
     if (!isOwned && !isInherited && !isClaimable(replica, world)) return [];
     return [buildRepair(replica, undefined, isOwned, table)];
   });
