--- /dev/null
+++ b/models/serving.pml
@@ -0,0 +1,190 @@
+/*
+ * One group of two members under two controllers: lease, epoch, orders, and when the group serves.
+ *
+ * Bounds: one group on two VMs, MAX_GENERATION generations (a change of members is a change of the
+ * generation that both VMs must reach), a holder and one takeover, one order of each controller on
+ * the way to each VM, delayed for any time. Without NO_PAUSE the old holder may be paused between
+ * its lease check and a send, for any time; an outage of the platform is such a pause.
+ *
+ * Steps and the code that they stand for:
+ *   TAKE      acquireLease; actFromMs in src/core/controller/lease-keeper.ts
+ *   REFORM    planRepairs in src/core/planning/plan-repairs.ts, one conditional write
+ *   ORDER     OrderSender.sendOrder in src/core/controller/order-sender.ts
+ *   QUERY     VmWatch.queryVms in src/core/controller/vm-watch.ts
+ *   SERVE     isConfirmed in src/core/planning/members.ts, one conditional write
+ *   deliver   the engine: it refuses an older epoch unless IGNORES_FENCING is set
+ *   ANSWER    an entry daemon drops answers of a generation that is not in force (7.3)
+ *
+ * Properties: while the group serves at a generation, no member is at another one (I1); with paused
+ * holders and targets that ignore fencing, no answer of another generation is used.
+ *
+ * run: pass
+ * run: pass IGNORES_FENCING NO_PAUSE
+ * run: pass IGNORES_FENCING ANSWERS_ONLY
+ * run: fail IGNORES_FENCING                  a paused holder sends a late order
+ * run: fail IGNORES_FENCING NO_PAUSE BREAK_WAIT   a new holder does not wait for old orders
+ * run: fail IGNORES_FENCING ANSWERS_ONLY BREAK_ANSWER   answers are used without a look at the generation
+ * run: fail BREAK_EPOCH      the epoch is not raised at a takeover
+ * run: fail BREAK_CONFIRM    the group serves after the orders, without answers of the members
+ * run: fail BREAK_ONE_ORDER  another order is sent while one without an answer is on the way
+ */
+#define MAX_GENERATION 3
+#define VMS 2
+
+byte version;
+byte epoch = 1;
+byte generation = 1;
+bool serving;
+bool oldMayAct = true;
+
+byte vmGeneration[VMS];
+byte vmEpoch[VMS];
+
+/* Orders on the way: by controller and VM; 0 for none. The second place is used by a variant. */
+byte wayGeneration[8];
+byte wayEpoch[8];
+
+#define WAY(vm) (id * 4 + (vm) * 2)
+#define IS_WAY_FREE(id, vm) (wayGeneration[(id) * 4 + (vm) * 2] == 0)
+
+#ifdef ANSWERS_ONLY
+#define CHECK
+#else
+#define CHECK assert(!serving || (vmGeneration[0] == generation && vmGeneration[1] == generation))
+#endif
+
+#ifdef NO_PAUSE
+#define MAY_ACT (id == 1 || oldMayAct)
+#else
+#define MAY_ACT true
+#endif
+
+#ifdef BREAK_WAIT
+#define HAS_WAITED true
+#else
+#define HAS_WAITED (id == 0 || (IS_WAY_FREE(0, 0) && IS_WAY_FREE(0, 1)))
+#endif
+
+#ifdef NO_PAUSE
+#define MAY_ORDER (MAY_ACT && HAS_WAITED)
+#else
+#define MAY_ORDER true
+#endif
+
+#ifdef BREAK_ONE_ORDER
+#define MAY_SEND(vm) true
+#else
+#define MAY_SEND(vm) (IS_WAY_FREE(id, vm) || wayGeneration[WAY(vm)] == copyGeneration)
+#endif
+
+inline send(vm) {
+  if
+  :: IS_WAY_FREE(id, vm) || wayGeneration[WAY(vm)] == copyGeneration ->
+     wayGeneration[WAY(vm)] = copyGeneration; wayEpoch[WAY(vm)] = mine
+  :: else ->
+     wayGeneration[WAY(vm) + 1] = copyGeneration; wayEpoch[WAY(vm) + 1] = mine
+  fi;
+  ordered[vm] = copyGeneration;
+  answered[0] = 0; answered[1] = 0
+}
+
+#define IS_ORDERED (ordered[0] == copyGeneration && ordered[1] == copyGeneration)
+
+#ifdef BREAK_CONFIRM
+#define IS_ANSWERED true
+#else
+#define IS_ANSWERED (answered[0] == copyGeneration && answered[1] == copyGeneration)
+#endif
+
+proctype Controller(byte id) {
+  byte mine, copyVersion, copyGeneration;
+  byte ordered[VMS];
+  byte answered[VMS];
+
+  if
+  :: id == 0 -> atomic { mine = 1; copyGeneration = 1 }
+  :: else -> atomic {
+       /* The conditional write of the takeover; the old holder may still act when it was paused. */
+       oldMayAct = false;
+       version++;
+#ifndef BREAK_EPOCH
+       epoch++;
+#endif
+       mine = epoch; copyVersion = version; copyGeneration = generation }
+  fi;
+end:
+  do
+  :: atomic { MAY_ACT && version == copyVersion && generation < MAX_GENERATION ->
+       version++; generation++; serving = false;
+       copyVersion = version; copyGeneration = generation;
+       answered[0] = 0; answered[1] = 0 }
+  :: atomic { MAY_ORDER && MAY_SEND(0) && ordered[0] != copyGeneration -> send(0) }
+  :: atomic { MAY_ORDER && MAY_SEND(1) && ordered[1] != copyGeneration -> send(1) }
+  :: atomic { MAY_ACT && answered[0] != vmGeneration[0] -> answered[0] = vmGeneration[0] }
+  :: atomic { MAY_ACT && answered[1] != vmGeneration[1] -> answered[1] = vmGeneration[1] }
+  :: atomic { MAY_ACT && version == copyVersion && !serving && IS_ORDERED && IS_ANSWERED ->
+       version++; serving = true; copyVersion = version;
+       CHECK }
+  od
+}
+
+inline deliver(way, vm) {
+  if
+#ifdef IGNORES_FENCING
+  :: true ->
+#else
+  :: wayEpoch[way] >= vmEpoch[vm] ->
+#endif
+     vmGeneration[vm] = wayGeneration[way];
+     if
+     :: wayEpoch[way] > vmEpoch[vm] -> vmEpoch[vm] = wayEpoch[way]
+     :: else
+     fi
+#ifndef IGNORES_FENCING
+  :: else
+#endif
+  fi;
+  wayGeneration[way] = 0; wayEpoch[way] = 0;
+  CHECK
+}
+
+proctype Network() {
+end:
+  do
+  :: atomic { wayGeneration[0] != 0 -> deliver(0, 0) }
+  :: atomic { wayGeneration[1] != 0 -> deliver(1, 0) }
+  :: atomic { wayGeneration[2] != 0 -> deliver(2, 1) }
+  :: atomic { wayGeneration[3] != 0 -> deliver(3, 1) }
+  :: atomic { wayGeneration[4] != 0 -> deliver(4, 0) }
+  :: atomic { wayGeneration[5] != 0 -> deliver(5, 0) }
+  :: atomic { wayGeneration[6] != 0 -> deliver(6, 1) }
+  :: atomic { wayGeneration[7] != 0 -> deliver(7, 1) }
+  od
+}
+
+/* An entry daemon reads answers of the member with rank 0 while the group serves. */
+proctype Daemon() {
+  byte answer;
+end:
+  do
+  :: atomic { serving -> answer = vmGeneration[0];
+       if
+#ifndef BREAK_ANSWER
+       :: answer != generation -> skip
+#endif
+       :: else -> assert(answer == generation)
+       fi;
+       answer = 0 }
+  od
+}
+
+init {
+  atomic {
+    run Controller(0);
+    run Controller(1);
+    run Network();
+#ifdef ANSWERS_ONLY
+    run Daemon()
+#endif
+  }
+}
--- /dev/null
+++ b/models/slots.pml
@@ -0,0 +1,169 @@
+/*
+ * Slots of a cold target over a change of its granter.
+ *
+ * Bounds: one cold target that takes one request at a time, an old granter whose lease ends at
+ * LEASE_END and one new granter, two requesters with one slot and one request each, LAST_TIME units
+ * of time. A slot lives SLOT units, a request arrives at the target within DELAY units, and a
+ * holder stops granting MARGIN units before the end of its lease. Grants arrive at any time. A
+ * requester looks at its slot and sends in one step.
+ *
+ * Steps and the code that they stand for:
+ *   GRANT      the granter in src/core/slots; HeldLease.valid_ms bounds the life of a slot
+ *   TAKE_OVER  grantDelayMs in buildReport of src/core/controller/domain-task.ts
+ *   QUERY      the granter asks the target what it is running (7.6)
+ *   START      SlotClient.takeSlot in src/core/slots, used by src/core/streams
+ *
+ * Property: the target never holds more requests than it takes (I3).
+ *
+ * run: pass
+ * run: pass RELEASED          the old granter gives the lease up at any time
+ * run: fail BREAK_COUNT       a granter does not count what the target runs
+ * run: fail BREAK_WAIT        the new granter starts before the old lease has ended
+ * run: fail BREAK_MARGIN      the old granter grants until the end of its lease
+ * run: fail BREAK_SENT_TIME   a requester counts the life of a slot from its arrival
+ * run: fail BREAK_EXPIRED     a granter counts an expired slot as free without a query
+ * run: fail RELEASED BREAK_DELAY   after a release the new granter waits only for the slots
+ */
+#define LAST_TIME 9
+#define LEASE_END 4
+#define SLOT 2
+#define DELAY 1
+
+#ifdef BREAK_MARGIN
+#define MARGIN 0
+#else
+#define MARGIN 1
+#endif
+
+#ifdef BREAK_DELAY
+#define GRANT_DELAY SLOT
+#else
+#define GRANT_DELAY (SLOT + DELAY)
+#endif
+
+#define NEVER 99
+
+mtype = { IDLE, ASKED, HELD, SENDING, RUNNING };
+
+byte now;
+byte stopsAt = LEASE_END - MARGIN;
+byte startsAt = LEASE_END;
+
+mtype state[2] = IDLE;
+byte askedAt[2];
+byte until[2];
+byte startedAt[2];
+/* Life of a slot on the way to a requester; 0 for none. */
+byte life[2];
+
+#define HOLDS(r) (state[r] == SENDING || state[r] == RUNNING)
+#define IS_LATE(r) (state[r] == SENDING && now - startedAt[r] >= DELAY)
+
+/* Time passes only when no request has to arrive first. */
+proctype Clock() {
+end:
+  do
+  :: atomic { now < LAST_TIME && !IS_LATE(0) && !IS_LATE(1) -> now++ }
+  od
+}
+
+inline assertLimit() {
+  assert(!(HOLDS(0) && HOLDS(1)))
+}
+
+proctype Requester(byte r) {
+end:
+  do
+  :: atomic { state[r] == IDLE && now < LAST_TIME -> state[r] = ASKED; askedAt[r] = now }
+  :: atomic { state[r] == ASKED && life[r] != 0 ->
+#ifdef BREAK_SENT_TIME
+       until[r] = now + life[r];
+#else
+       until[r] = askedAt[r] + life[r];
+#endif
+       life[r] = 0; state[r] = HELD }
+  :: atomic { state[r] == HELD ->
+       if
+       :: now < until[r] -> state[r] = SENDING; startedAt[r] = now; assertLimit()
+       :: now >= until[r] -> state[r] = IDLE
+       fi;
+       until[r] = 0; askedAt[r] = 0 }
+  :: atomic { state[r] == SENDING -> state[r] = RUNNING; startedAt[r] = 0 }
+  :: atomic { state[r] == RUNNING -> state[r] = IDLE }
+  od
+}
+
+#ifdef BREAK_COUNT
+#define IS_EMPTY true
+#else
+#define IS_EMPTY (state[0] != RUNNING && state[1] != RUNNING)
+#endif
+
+/* A slot counts until it has expired and a request that began just before has arrived. */
+#ifdef BREAK_EXPIRED
+#define IS_SETTLED (now >= expiresAt)
+#define KNOWS_EMPTY true
+#else
+#define IS_SETTLED (now >= expiresAt + DELAY)
+#define KNOWS_EMPTY isEmpty
+#endif
+
+/* The granter looks at the clock and the target first, and may be paused before the slot is sent. */
+inline grant(r) {
+  atomic { isDecided && grantee == r ->
+    if
+    :: state[r] == ASKED && life[r] == 0 && askedAt[r] == asked -> life[r] = granted
+    :: else /* The answer belongs to a request that has ended. */
+    fi;
+    isDecided = false; granted = 0; grantee = 0; asked = 0 }
+}
+
+inline decide(r) {
+  atomic { state[r] == ASKED && life[r] == 0 && !isDecided && IS_SETTLED && KNOWS_EMPTY &&
+      now >= from && now < stop ->
+    grantee = r; asked = askedAt[r]; isDecided = true; isEmpty = false;
+    if
+    :: stop - now < SLOT -> granted = stop - now
+    :: else -> granted = SLOT
+    fi;
+    expiresAt = now + granted }
+}
+
+proctype Granter(bool isOld) {
+  byte from, stop, expiresAt, granted, grantee, asked;
+  bool isDecided, isEmpty;
+  if
+  :: isOld -> from = 0
+#ifdef BREAK_WAIT
+  :: !isOld -> stop = NEVER
+#else
+  :: !isOld -> atomic { now >= startsAt -> from = now; stop = NEVER }
+#endif
+  fi;
+#ifdef BREAK_EXPIRED
+  atomic { IS_EMPTY -> isEmpty = true };
+#endif
+end:
+  do
+  :: atomic { isOld && stop != stopsAt -> stop = stopsAt }
+  :: atomic { !isEmpty && !isDecided && IS_SETTLED && IS_EMPTY && now >= from -> isEmpty = true }
+  :: decide(0)
+  :: decide(1)
+  :: grant(0)
+  :: grant(1)
+#ifdef RELEASED
+  :: atomic { isOld && now < stopsAt && !isDecided ->
+       stopsAt = now; stop = now; startsAt = now + GRANT_DELAY }
+#endif
+  od
+}
+
+init {
+  atomic {
+    run Clock();
+    run Requester(0);
+    run Requester(1);
+    run Granter(true);
+    run Granter(false)
+  }
+}
