Add the stand-in of the object API and the VM list

Ruled out: a mock of the client interface, because lost answers, late writes and closed connections must pass through real sockets to be settled.

The stand-in keeps objects under one version counter with tombstones for watches, lists VMs with a lag, switches faults by POST /faults and counts calls at GET /counters. The VM list is changed at /vm-list.

--- /dev/null
+++ b/src/cli/standin-platform/index.ts
@@ -0,0 +1,32 @@
+import { command, option, run, string } from 'cmd-ts';
+import { createLogger } from '../../core/logs/index.ts';
+import { runDaemon } from '../../core/process/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import {
+  createStandInPlatform,
+  readPlatformStandInSettings,
+} from '../../stand-ins/platform/index.ts';
+
+const logger = createLogger('standin-platform');
+
+const standInPlatform = command({
+  name: 'standin-platform',
+  description: "Stands in for the platform's object API and VM list in tests and demos.",
+  args: {
+    settings: option({ type: string, long: 'settings', description: 'YAML settings file' }),
+  },
+  handler: ({ settings }) =>
+    runDaemon(logger, async () => {
+      const { address, port, vms } = readPlatformStandInSettings(settings);
+      const standIn = await createStandInPlatform({
+        address,
+        port,
+        vms,
+        timers: createTimerService(),
+      });
+      logger.info('listening', { address, port, vms: vms.length });
+      return { stop: standIn.close };
+    }),
+});
+
+await run(standInPlatform, process.argv.slice(2));
--- a/src/core/platform/index.ts
+++ b/src/core/platform/index.ts
@@ -1,1 +1,2 @@
+export * from './schemas.ts';
 export * from './types.ts';
--- /dev/null
+++ b/src/stand-ins/platform/control-routes.ts
@@ -0,0 +1,43 @@
+import type { FastifyInstance } from 'fastify';
+import { vmListSchema, vmSchema } from '../../core/platform/index.ts';
+import { faultsSchema } from './faults.ts';
+import type { PlatformParts } from './object-routes.ts';
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+
+/** Routes that tests and demos use; they work while the object API is down. */
+export const CONTROL_PATHS: ReadonlySet<string> = new Set(['/faults', '/counters', '/vm-list']);
+
+/** Tells whether a path belongs to the controls and not to the platform. */
+export function isControlPath(path: string): boolean {
+  return CONTROL_PATHS.has(`/${path.split('?')[0]?.split('/')[1] ?? ''}`);
+}
+
+/** Adds the routes that switch faults, change the VM list and read the counters. */
+export function addControlRoutes(server: FastifyInstance, parts: PlatformParts): void {
+  const { faults, counters, vms } = parts;
+  server.get('/faults', async () => faults);
+  server.post('/faults', async (request, reply) => {
+    const body = faultsSchema.safeParse(request.body);
+    if (!body.success) return reply.code(HTTP_BAD_REQUEST).send({ problem: body.error.message });
+    return Object.assign(faults, body.data);
+  });
+  server.get('/counters', async () => counters);
+  server.put('/vm-list', async (request, reply) => {
+    const body = vmListSchema.safeParse(request.body);
+    if (!body.success) return reply.code(HTTP_BAD_REQUEST).send({ problem: body.error.message });
+    vms.setVms(body.data.vms);
+    return { vms: vms.listVms(0) };
+  });
+  server.patch<{ Params: { name: string } }>('/vm-list/:name', async (request, reply) => {
+    const body = vmSchema.partial().safeParse(request.body);
+    if (!body.success) return reply.code(HTTP_BAD_REQUEST).send({ problem: body.error.message });
+    if (vms.updateVm(request.params.name, body.data)) return { vms: vms.listVms(0) };
+    return reply.code(HTTP_NOT_FOUND).send({ problem: 'no such VM' });
+  });
+  server.delete<{ Params: { name: string } }>('/vm-list/:name', async (request, reply) => {
+    if (vms.removeVm(request.params.name)) return { vms: vms.listVms(0) };
+    return reply.code(HTTP_NOT_FOUND).send({ problem: 'no such VM' });
+  });
+}
--- /dev/null
+++ b/src/stand-ins/platform/object-routes.ts
@@ -0,0 +1,122 @@
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { z } from 'zod';
+import type { WriteResult } from '../../core/platform/index.ts';
+import { WriteOutcome } from '../../core/platform/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { ObjectStore, PlatformCounters, PlatformFaults } from './types.ts';
+import type { VmList } from './vm-list.ts';
+import { waitForChanges } from './watches.ts';
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+
+const writeParametersSchema = z.object({
+  baseVersion: z.coerce.number().int().min(0),
+  writeId: z.string().min(1),
+});
+const writeBodySchema = writeParametersSchema.extend({ value: z.unknown() });
+const watchQuerySchema = z.object({
+  since: z.coerce.number().int().min(0).default(0),
+  timeoutMs: z.coerce.number().int().min(0).default(0),
+});
+
+interface ObjectPath {
+  kind: string;
+  name: string;
+}
+
+/** What the routes work on. */
+export interface PlatformParts {
+  store: ObjectStore;
+  vms: VmList;
+  faults: PlatformFaults;
+  counters: PlatformCounters;
+  timers: Pick<TimerService, 'waitFor' | 'scheduleOnce'>;
+}
+
+/** Closes the connection without an answer. */
+export function closeUnanswered(counters: PlatformCounters, reply: FastifyReply): FastifyReply {
+  counters.unanswered += 1;
+  reply.hijack();
+  reply.raw.socket?.destroy();
+  return reply;
+}
+
+async function sendWriteResult(
+  parts: PlatformParts,
+  reply: FastifyReply,
+  write: () => WriteResult,
+): Promise<FastifyReply> {
+  const { counters, faults, timers } = parts;
+  counters.writes += 1;
+  if (faults.lateWrites > 0) {
+    faults.lateWrites -= 1;
+    timers.scheduleOnce(faults.lateWriteMs, write);
+    return closeUnanswered(counters, reply);
+  }
+  const result = write();
+  if (result.outcome === WriteOutcome.Conflict) {
+    counters.conflicts += 1;
+    return reply.code(HTTP_CONFLICT).send({ current: result.current ?? null });
+  }
+  if (faults.loseWriteAnswers > 0) {
+    faults.loseWriteAnswers -= 1;
+    return closeUnanswered(counters, reply);
+  }
+  return reply.send({ version: result.version });
+}
+
+function createAbortSignal(request: FastifyRequest): AbortSignal {
+  const controller = new AbortController();
+  request.raw.socket.once('close', () => controller.abort());
+  return controller.signal;
+}
+
+/** Adds the routes that write objects. */
+export function addWriteRoutes(server: FastifyInstance, parts: PlatformParts): void {
+  server.put<{ Params: ObjectPath }>('/objects/:kind/:name', async (request, reply) => {
+    const body = writeBodySchema.safeParse(request.body);
+    if (!body.success) return reply.code(HTTP_BAD_REQUEST).send({ problem: body.error.message });
+    return sendWriteResult(parts, reply, () =>
+      parts.store.writeObject({ ...request.params, ...body.data }),
+    );
+  });
+  server.delete<{ Params: ObjectPath }>('/objects/:kind/:name', async (request, reply) => {
+    const query = writeParametersSchema.safeParse(request.query);
+    if (!query.success) return reply.code(HTTP_BAD_REQUEST).send({ problem: query.error.message });
+    return sendWriteResult(parts, reply, () =>
+      parts.store.deleteObject({ ...request.params, ...query.data }),
+    );
+  });
+}
+
+/** Adds the routes that read objects and the VM list. */
+export function addReadRoutes(server: FastifyInstance, parts: PlatformParts): void {
+  const { store, counters } = parts;
+  server.get<{ Params: ObjectPath }>('/objects/:kind/:name', async (request, reply) => {
+    counters.reads += 1;
+    const object = store.getObject(request.params.kind, request.params.name);
+    if (object === undefined) return reply.code(HTTP_NOT_FOUND).send({ problem: 'no such object' });
+    return object;
+  });
+  server.get<{ Params: { kind: string } }>('/objects/:kind', async (request) => {
+    counters.reads += 1;
+    return { objects: store.listObjects(request.params.kind) };
+  });
+  server.get<{ Params: { kind: string } }>('/watch/:kind', async (request, reply) => {
+    const query = watchQuerySchema.safeParse(request.query);
+    if (!query.success) return reply.code(HTTP_BAD_REQUEST).send({ problem: query.error.message });
+    counters.watches += 1;
+    return waitForChanges(store, parts.timers, counters, {
+      kind: request.params.kind,
+      sinceVersion: query.data.since,
+      timeoutMs: query.data.timeoutMs,
+      signal: createAbortSignal(request),
+    });
+  });
+  server.get('/vms', async () => {
+    counters.vmLists += 1;
+    return { vms: parts.vms.listVms(parts.faults.vmListLagMs) };
+  });
+}
--- /dev/null
+++ b/src/stand-ins/platform/server.ts
@@ -0,0 +1,77 @@
+import type { AddressInfo } from 'node:net';
+import fastify from 'fastify';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { Vm } from '../../core/world/index.ts';
+import { addControlRoutes, isControlPath } from './control-routes.ts';
+import { createCounters, createFaults } from './faults.ts';
+import type { PlatformParts } from './object-routes.ts';
+import { addReadRoutes, addWriteRoutes, closeUnanswered } from './object-routes.ts';
+import { createObjectStore } from './object-store.ts';
+import { createVmList } from './vm-list.ts';
+
+/** Largest value of an object, in bytes of JSON. */
+const MAX_VALUE_BYTES = 1_000_000;
+/** Room for base version and write id beside the value. */
+const MAX_ENVELOPE_BYTES = 1_024;
+
+/** What a platform stand-in needs. */
+export interface PlatformStandInOptions {
+  address: string;
+  /** 0 chooses a free port. */
+  port: number;
+  timers: TimerService;
+  vms?: readonly Vm[];
+}
+
+/** A running platform stand-in; tests in the same process may use its parts directly. */
+export interface PlatformStandIn extends Pick<
+  PlatformParts,
+  'store' | 'vms' | 'faults' | 'counters'
+> {
+  address: string;
+  port: number;
+  close(): Promise<void>;
+}
+
+/** Starts a stand-in of the platform's object API and VM list. */
+export async function createStandInPlatform(
+  options: PlatformStandInOptions,
+): Promise<PlatformStandIn> {
+  const { timers } = options;
+  const cancels: (() => void)[] = [];
+  const parts: PlatformParts = {
+    store: createObjectStore(),
+    vms: createVmList(options.vms ?? [], timers),
+    faults: createFaults(),
+    counters: createCounters(),
+    timers: {
+      waitFor: timers.waitFor,
+      scheduleOnce(delayMs, listener) {
+        const cancel = timers.scheduleOnce(delayMs, listener);
+        cancels.push(cancel);
+        return cancel;
+      },
+    },
+  };
+  const server = fastify({
+    bodyLimit: MAX_VALUE_BYTES + MAX_ENVELOPE_BYTES,
+    forceCloseConnections: true,
+  });
+  server.addHook('onRequest', async (request, reply) => {
+    if (isControlPath(request.url)) return;
+    if (parts.faults.delayMs > 0) await timers.waitFor(parts.faults.delayMs);
+    if (parts.faults.down) closeUnanswered(parts.counters, reply);
+  });
+  addReadRoutes(server, parts);
+  addWriteRoutes(server, parts);
+  addControlRoutes(server, parts);
+  await server.listen({ host: options.address, port: options.port });
+  const { port } = server.server.address() as AddressInfo;
+  const { store, vms, faults, counters } = parts;
+  const close = async (): Promise<void> => {
+    // Late writes that are still due must not keep the process alive.
+    cancels.forEach((cancel) => cancel());
+    await server.close();
+  };
+  return { store, vms, faults, counters, address: options.address, port, close };
+}
--- /dev/null
+++ b/src/stand-ins/platform/watches.ts
@@ -0,0 +1,24 @@
+import type { WatchResult } from '../../core/platform/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { ObjectStore, PlatformCounters } from './types.ts';
+
+/** Resolves with the changes of a kind, or without any when the time is over. */
+export async function waitForChanges(
+  store: ObjectStore,
+  timers: Pick<TimerService, 'waitFor'>,
+  counters: PlatformCounters,
+  watch: { kind: string; sinceVersion: number; timeoutMs: number; signal: AbortSignal },
+): Promise<WatchResult> {
+  const { kind, sinceVersion, timeoutMs } = watch;
+  if (store.listChanges(kind, sinceVersion).length === 0) {
+    const change = new AbortController();
+    const unsubscribe = store.subscribe((changed) => {
+      if (changed.kind === kind) change.abort();
+    });
+    counters.waitingWatches += 1;
+    await timers.waitFor(timeoutMs, AbortSignal.any([change.signal, watch.signal]));
+    counters.waitingWatches -= 1;
+    unsubscribe();
+  }
+  return { version: store.getVersion(), objects: store.listChanges(kind, sinceVersion) };
+}
