--- a/src/core/platform/settlement.test.ts
+++ b/src/core/platform/settlement.test.ts
@@ -51,7 +51,7 @@
   expected: SettlementAction;
 }
 
-function finish(
+function buildFinish(
   outcome: WriteOutcome,
   version: number,
   current?: PlatformObject,
@@ -70,12 +70,12 @@
   {
     title: 'finishes at an answer',
     events: [{ kind: SettlementEventKind.Accepted, version: 6 }],
-    expected: finish(WriteOutcome.Applied, 6),
+    expected: buildFinish(WriteOutcome.Applied, 6),
   },
   {
     title: 'reports a conflict with the object in force',
     events: [createRefused(theirs)],
-    expected: finish(WriteOutcome.Conflict, 6, theirs),
+    expected: buildFinish(WriteOutcome.Conflict, 6, theirs),
   },
   {
     title: 'reads back after a lost answer',
@@ -85,7 +85,7 @@
   {
     title: 'finds its id on the object',
     events: [LOST, createReadBack(createObject(6, 'ours'))],
-    expected: finish(WriteOutcome.Applied, 6),
+    expected: buildFinish(WriteOutcome.Applied, 6),
   },
   {
     title: 'finds its id in the change records under a later change',
@@ -98,7 +98,7 @@
         ]),
       ),
     ],
-    expected: finish(WriteOutcome.Applied, 7),
+    expected: buildFinish(WriteOutcome.Applied, 7),
   },
   {
     title: 'sends the same write again while the base version is in force',
@@ -116,12 +116,12 @@
       createReadBack(createObject(5, 'before')),
       createRefused(createObject(6, 'ours')),
     ],
-    expected: finish(WriteOutcome.Applied, 6),
+    expected: buildFinish(WriteOutcome.Applied, 6),
   },
   {
     title: 'reports a conflict when another change replaced the base version',
     events: [LOST, createReadBack(theirs)],
-    expected: finish(WriteOutcome.Conflict, 6, theirs),
+    expected: buildFinish(WriteOutcome.Conflict, 6, theirs),
   },
   {
     title: 'does not decide when the records were trimmed past the base version',
@@ -155,7 +155,7 @@
     title: 'settles a delete whose object is gone',
     events: [LOST, createReadBack(undefined)],
     isDelete: true,
-    expected: finish(WriteOutcome.Applied, 0),
+    expected: buildFinish(WriteOutcome.Applied, 0),
   },
   {
     title: 'reports a conflict when the object was deleted under a write',
--- a/src/core/platform/settlement.ts
+++ b/src/core/platform/settlement.ts
@@ -101,7 +101,7 @@
   };
 }
 
-function failUndecided(state: Settlement, problem: string): SettlementStep {
+function buildUndecidedStep(state: Settlement, problem: string): SettlementStep {
   return { state, action: { kind: SettlementActionKind.FailUndecided, problem } };
 }
 
@@ -116,7 +116,7 @@
     return settle(state, { outcome: WriteOutcome.Applied, version });
   }
   if (mayHaveRun && current !== undefined && isChangeHistoryTrimmed(current, write.baseVersion)) {
-    return failUndecided(state, 'the change records no longer reach back to the base version');
+    return buildUndecidedStep(state, 'the change records no longer reach back to the base version');
   }
   return settle(state, { outcome: WriteOutcome.Conflict, version, current });
 }
@@ -129,7 +129,7 @@
 }
 
 function handleDeadline(state: Settlement): SettlementStep {
-  if (state.mayHaveRun) return failUndecided(state, state.problem);
+  if (state.mayHaveRun) return buildUndecidedStep(state, state.problem);
   const { problem } = state;
   return { state, action: { kind: SettlementActionKind.FailUnavailable, problem } };
 }
