Add declarations: checks, differences and application

Operators declare serving groups, routes, weights, limits and availability zones in one file; a change must be in force as a whole or not at all, and the second of two operators must see what the first one did.

Ruled out: merging the changes of two operators by row, because rows depend on each other, and the merged declaration was reviewed by neither.

A declaration file names its base version; a change is one conditional write against it. A customer is a name with a row in limits.

--- /dev/null
+++ b/src/core/declarations/apply.ts
@@ -0,0 +1,158 @@
+import { createError, ErrorKind } from '../errors/index.ts';
+import type { PlatformClient } from '../platform/index.ts';
+import { WriteOutcome } from '../platform/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import type { ConfigurationInForce, VersionedChange } from './configuration.ts';
+import {
+  buildConfiguration,
+  fetchConfiguration,
+  getDeclaration,
+  hasChangedRow,
+  listChanges,
+  listRecordedRows,
+  parseConfiguration,
+} from './configuration.ts';
+import { CONFIG_KIND, CONFIG_NAME } from './consts.ts';
+import type { RowChange } from './diff.ts';
+import { diffDeclarations } from './diff.ts';
+import { checkDeclarationSize } from './parse.ts';
+import type { Declaration } from './types.ts';
+
+/** Who changes the configuration, and the id under which a lost answer is settled. */
+export interface ChangeAuthor {
+  operator: string;
+  note: string;
+  /** Unique id of the write; a repetition after a lost answer uses the same id. */
+  writeId: string;
+}
+
+/** A declaration to put in force in place of a version. */
+export interface DeclarationChange extends ChangeAuthor {
+  declaration: Declaration;
+  /** Version that the operator made the change against. */
+  baseVersion: number;
+}
+
+/** How an application ended. */
+export enum ApplyOutcome {
+  Applied = 'applied',
+  /** The declaration is already in force; nothing was written. */
+  Unchanged = 'unchanged',
+  /** Another change came first; nothing was written. */
+  Conflict = 'conflict',
+}
+
+/** A row on which the configuration in force and the refused declaration differ. */
+export interface ConflictRow {
+  /** Change from the row in force to the row of the refused declaration. */
+  change: RowChange;
+  /** Changes of other operators to this row since the base version. */
+  otherChanges: VersionedChange[];
+}
+
+/** Both sides of a refused change. */
+export interface ApplyConflict {
+  baseVersion: number;
+  /** Version in force. */
+  version: number;
+  /** Changes of other operators since the base version, oldest first. */
+  otherChanges: VersionedChange[];
+  /** False when the records no longer reach back to the base version. */
+  isHistoryComplete: boolean;
+  rows: ConflictRow[];
+}
+
+export type ApplyResult =
+  | { outcome: ApplyOutcome.Unchanged; version: number }
+  | {
+      outcome: ApplyOutcome.Applied;
+      /** Version in force, which holds the change. */
+      version: number;
+      /** Empty when an earlier run with the same write id had made the change. */
+      changes: RowChange[];
+    }
+  | { outcome: ApplyOutcome.Conflict; conflict: ApplyConflict };
+
+/** How one conditional write of the configuration ended. */
+export type ConfigurationWrite =
+  | Exclude<ApplyResult, { outcome: ApplyOutcome.Conflict }>
+  | { outcome: ApplyOutcome.Conflict; inForce: ConfigurationInForce };
+
+/** Builds the report of a refused change from the configuration that came first. */
+export function buildConflict(
+  inForce: ConfigurationInForce,
+  change: Pick<DeclarationChange, 'baseVersion' | 'declaration'>,
+): ApplyConflict {
+  const { baseVersion } = change;
+  const otherChanges = listChanges(inForce).filter((record) => record.baseVersion >= baseVersion);
+  const before = getDeclaration(inForce.configuration);
+  return {
+    baseVersion,
+    version: inForce.version,
+    otherChanges,
+    isHistoryComplete: otherChanges.some((record) => record.baseVersion === baseVersion),
+    rows: diffDeclarations(before, change.declaration).map((row) => ({
+      change: row,
+      otherChanges: otherChanges.filter((record) => hasChangedRow(record, row.path)),
+    })),
+  };
+}
+
+/** Tells whether an earlier run with the same write id made its change. */
+export function isChangeApplied({ configuration }: ConfigurationInForce, writeId: string): boolean {
+  return configuration.changes.some((record) => record.writeId === writeId);
+}
+
+/** Writes a declaration in place of the configuration that was read. */
+export async function writeConfiguration(
+  client: PlatformClient,
+  timers: Pick<TimerService, 'getWallMs'>,
+  inForce: ConfigurationInForce,
+  declaration: Declaration,
+  { operator, note, writeId }: ChangeAuthor,
+): Promise<ConfigurationWrite> {
+  const { version: baseVersion, configuration } = inForce;
+  const changes = diffDeclarations(getDeclaration(configuration), declaration);
+  if (changes.length === 0) return { outcome: ApplyOutcome.Unchanged, version: baseVersion };
+  checkDeclarationSize(declaration);
+  const wallMs = Math.floor(timers.getWallMs());
+  const changedRows = listRecordedRows(changes);
+  const record = { writeId, baseVersion, operator, wallMs, note, changedRows };
+  const result = await client.writeObject({
+    kind: CONFIG_KIND,
+    name: CONFIG_NAME,
+    baseVersion,
+    writeId,
+    value: buildConfiguration(declaration, configuration, record),
+  });
+  if (result.outcome === WriteOutcome.Conflict) {
+    return { outcome: ApplyOutcome.Conflict, inForce: parseConfiguration(result.current) };
+  }
+  return { outcome: ApplyOutcome.Applied, version: result.version, changes };
+}
+
+/**
+ * Puts a declaration in force by one conditional write against the base version of the change.
+ * Fails with `WriteUndecided` when a lost answer could not be settled.
+ */
+export async function applyDeclaration(
+  client: PlatformClient,
+  timers: Pick<TimerService, 'getWallMs'>,
+  change: DeclarationChange,
+): Promise<ApplyResult> {
+  const inForce = await fetchConfiguration(client);
+  if (isChangeApplied(inForce, change.writeId)) {
+    return { outcome: ApplyOutcome.Applied, version: inForce.version, changes: [] };
+  }
+  if (inForce.version !== change.baseVersion) {
+    return { outcome: ApplyOutcome.Conflict, conflict: buildConflict(inForce, change) };
+  }
+  const result = await writeConfiguration(client, timers, inForce, change.declaration, change);
+  if (result.outcome !== ApplyOutcome.Conflict) return result;
+  return { outcome: ApplyOutcome.Conflict, conflict: buildConflict(result.inForce, change) };
+}
+
+/** Creates the error for a refused change. */
+export function createConflictError({ baseVersion, version }: ApplyConflict): Error {
+  return createError(ErrorKind.DeclarationConflict, { baseVersion, version });
+}
--- /dev/null
+++ b/src/core/declarations/parse.ts
@@ -0,0 +1,113 @@
+import type { Document } from 'yaml';
+import { isNode, LineCounter, parseDocument } from 'yaml';
+import { z } from 'zod';
+import { createError, ErrorKind } from '../errors/index.ts';
+import { formatPath, parseYaml } from '../settings/index.ts';
+import { formatSuggestion } from '../suggestions/index.ts';
+import { MAX_CONFIGURATION_BYTES } from './consts.ts';
+import type { DeclarationProblem } from './references.ts';
+import { listReferenceProblems } from './references.ts';
+import { declarationSchema } from './schema.ts';
+import type { Declaration } from './types.ts';
+
+/** A declaration as operators keep it in a file. */
+const declarationFileSchema = declarationSchema.extend({
+  /** Version in force that the file was made from; `clementinefork get` writes it. */
+  baseVersion: z.number().int().min(0).optional(),
+});
+
+/** A declaration and the version that its file was made from. */
+export interface DeclarationFile {
+  declaration: Declaration;
+  baseVersion: number | undefined;
+}
+
+type Shape = Readonly<Record<string, unknown>>;
+
+function listKeys(schema: unknown): string[] {
+  if (schema instanceof z.ZodObject) return Object.keys(schema.shape);
+  return [];
+}
+
+function findSchema(path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>((schema, key) => {
+    if (schema instanceof z.ZodDefault) return findInner(schema.def.innerType, key);
+    return findInner(schema, key);
+  }, declarationFileSchema);
+}
+
+function findInner(schema: unknown, key: PropertyKey): unknown {
+  if (schema instanceof z.ZodObject) return (schema.shape as Shape)[String(key)];
+  if (schema instanceof z.ZodArray) return schema.element;
+  return undefined;
+}
+
+function toProblems(issue: z.core.$ZodIssue): DeclarationProblem[] {
+  if (issue.code !== 'unrecognized_keys') return [{ path: issue.path, problem: issue.message }];
+  const known = listKeys(findSchema(issue.path));
+  return issue.keys.map((key) => ({
+    path: [...issue.path, key],
+    problem: `unknown key${formatSuggestion(key, known)}`,
+  }));
+}
+
+function findLine(
+  document: Document,
+  counter: LineCounter,
+  path: readonly PropertyKey[],
+): number | undefined {
+  for (let { length } = path; length > 0; length--) {
+    const node = document.getIn(path.slice(0, length), true);
+    if (isNode(node) && node.range) return counter.linePos(node.range[0]).line;
+  }
+  return undefined;
+}
+
+/** Creates the error that names all problems with their paths and lines. */
+function createProblemsError(
+  file: string,
+  text: string,
+  problems: readonly DeclarationProblem[],
+): Error {
+  const lineCounter = new LineCounter();
+  const document = parseDocument(text, { lineCounter });
+  const format = ({ path }: DeclarationProblem): string => {
+    const line = findLine(document, lineCounter, path);
+    return `${formatPath(path)}${line === undefined ? '' : ` (line ${line})`}`;
+  };
+  const [first, ...others] = problems;
+  if (first === undefined) throw new TypeError('An error needs a problem.');
+  const lines = others.map((other) => `\n${file}: ${format(other)}: ${other.problem}.`);
+  return createError(ErrorKind.DeclarationInvalid, {
+    file,
+    path: format(first),
+    problem: `${first.problem}.${lines.join('')}${lines.length > 0 ? '\n' : ''}`,
+  });
+}
+
+/** Refuses a declaration that does not fit into the object that holds the configuration. */
+export function checkDeclarationSize(declaration: Declaration): void {
+  const bytes = Buffer.byteLength(JSON.stringify(declaration));
+  if (bytes <= MAX_CONFIGURATION_BYTES) return;
+  const limitBytes = MAX_CONFIGURATION_BYTES;
+  throw createError(ErrorKind.DeclarationTooLarge, { bytes, limitBytes });
+}
+
+/** Parses and checks a declaration file with the version that it was made from. */
+export function parseDeclarationFile(file: string, text: string): DeclarationFile {
+  const value = parseYaml(file, text, ErrorKind.DeclarationInvalid);
+  const result = declarationFileSchema.safeParse(value);
+  if (!result.success) {
+    throw createProblemsError(file, text, result.error.issues.flatMap(toProblems));
+  }
+  const { baseVersion, ...declaration } = result.data;
+  const problems = listReferenceProblems(declaration);
+  if (problems.length > 0) throw createProblemsError(file, text, problems);
+  checkDeclarationSize(declaration);
+  return { declaration, baseVersion };
+}
+
+/** Parses and checks a declaration; the error names every problem with its path and line. */
+export function parseDeclaration(file: string, text: string): Declaration {
+  return parseDeclarationFile(file, text).declaration;
+}
--- /dev/null
+++ b/src/core/declarations/rows.ts
@@ -0,0 +1,51 @@
+import type { Declaration } from './types.ts';
+
+/** Sections of a declaration, in the order in which changes are listed. */
+export const SECTIONS = [
+  'servingGroups',
+  'services',
+  'routes',
+  'weights',
+  'limits',
+  'availabilityZones',
+] as const satisfies readonly (keyof Declaration)[];
+
+export type Section = (typeof SECTIONS)[number];
+
+/** Any row of a declaration. */
+export type DeclarationRow = Declaration[Section][number];
+
+/** A row with its path, such as `limits/orchard`, and its place in the section. */
+export interface PlacedRow {
+  path: string;
+  section: Section;
+  index: number;
+  row: DeclarationRow;
+}
+
+const KEY_BUILDERS: {
+  [Name in Section]: (row: Declaration[Name][number]) => string;
+} = {
+  servingGroups: (row) => row.name,
+  services: (row) => row.name,
+  routes: (row) => `${row.customer}/${row.name}`,
+  weights: (row) => `${row.customer}/${row.route}/${row.servingGroup}`,
+  limits: (row) => row.customer,
+  availabilityZones: (row) => row.name,
+};
+
+function listSectionRows<Name extends Section>(
+  declaration: Declaration,
+  section: Name,
+): PlacedRow[] {
+  const rows: readonly Declaration[Name][number][] = declaration[section];
+  return rows.map((row, index) => {
+    const path = `${section}/${KEY_BUILDERS[section](row)}`;
+    return { path, section, index, row };
+  });
+}
+
+/** Lists all rows of a declaration with their paths. */
+export function listRows(declaration: Declaration): PlacedRow[] {
+  return SECTIONS.flatMap((section) => listSectionRows(declaration, section));
+}
