Add the server and the links between daemons

The server speaks cleartext HTTP/2 and drains at close: streams see the shutdown signal, unary calls finish. Links ping connections with open streams every 2 s with a 2 s deadline, give unary calls a deadline of 5 s and reopen a broken connection at the next call. Idle connections are verified by a ping before they are used again and closed after 60 s.

Ruled out: pings on idle connections, whose cost grows with the number of peers; one shutdown signal for all calls, which would interrupt a forwarded call during a planned stop.

A call made in the same turn of the event loop in which the streams of a broken connection fail can still fail once; the session drops the connection one turn later. Six tests cover deadline, reconnect, silent connection and drain.

--- /dev/null
+++ b/src/core/rpc/peer-links.test.ts
@@ -0,0 +1,158 @@
+import type { Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { Code, ConnectError } from '@connectrpc/connect';
+import { expect } from 'earl';
+import { createTimerService } from '../timers/index.ts';
+import type { PeerHandlers, PeerServer } from './index.ts';
+import { createPeerLinks, createPeerServer } from './index.ts';
+
+const ADDRESS = '127.0.0.1';
+const FAST = { pingPeriodMs: 50, pingDeadlineMs: 100, callDeadlineMs: 500 };
+
+const timers = createTimerService();
+const cleanups: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+async function startServer(handlers: PeerHandlers, port = 0): Promise<PeerServer> {
+  const server = await createPeerServer({ address: ADDRESS, port, handlers, timers });
+  cleanups.push(() => server.close());
+  return server;
+}
+
+function openLinks(options = FAST): ReturnType<typeof createPeerLinks> {
+  const links = createPeerLinks(options);
+  cleanups.push(() => links.close());
+  return links;
+}
+
+async function fetchCode(call: Promise<unknown>): Promise<Code | undefined> {
+  try {
+    await call;
+    return undefined;
+  } catch (error) {
+    return ConnectError.from(error).code;
+  }
+}
+
+interface Forwarder {
+  port: number;
+  /** Stops passing bytes and keeps the connections open. */
+  freeze(): void;
+}
+
+/** Forwards TCP connections until it is frozen; new connections still pass. */
+async function startForwarder(targetPort: number): Promise<Forwarder> {
+  const pairs: [Socket, Socket][] = [];
+  const server = createServer((incoming) => {
+    const outgoing = connect(targetPort, ADDRESS);
+    [incoming, outgoing].forEach((socket) => socket.on('error', () => undefined));
+    incoming.pipe(outgoing).pipe(incoming);
+    pairs.push([incoming, outgoing]);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, ADDRESS, resolve);
+  });
+  cleanups.push(() => {
+    pairs.flat().forEach((socket) => socket.destroy());
+    server.close();
+  });
+  const { port } = server.address() as { port: number };
+  return {
+    port,
+    freeze() {
+      pairs.forEach(([incoming, outgoing]) => {
+        incoming.unpipe();
+        outgoing.unpipe();
+      });
+    },
+  };
+}
+
+describe('createPeerLinks', () => {
+  it('answers a unary call', async () => {
+    const server = await startServer({ getStatus: () => ({ daemon: 'entry-1' }) });
+    const answer = await openLinks().getClient(ADDRESS, server.port).getStatus({});
+    expect(answer.daemon).toEqual('entry-1');
+  });
+
+  // Guards against a caller that waits without bound for a stuck daemon.
+  it('fails a unary call at its deadline', async () => {
+    const server = await startServer({ getStatus: () => timers.waitFor(2_000).then(() => ({})) });
+    const call = openLinks().getClient(ADDRESS, server.port).getStatus({});
+    expect(await fetchCode(call)).toEqual(Code.DeadlineExceeded);
+  });
+
+  // Guards against links that stay broken after the other daemon was restarted.
+  it('reconnects after a restart of the server', async () => {
+    const first = await startServer({ getStatus: () => ({ daemon: 'first' }) });
+    const client = openLinks().getClient(ADDRESS, first.port);
+    await client.getStatus({});
+    await first.close();
+    await startServer({ getStatus: () => ({ daemon: 'second' }) }, first.port);
+    expect((await client.getStatus({})).daemon).toEqual('second');
+  });
+
+  // Guards against a stream that waits forever on a connection that went silent.
+  it('breaks a stream on a silent connection and calls over a new one', async () => {
+    const server = await startServer({
+      getStatus: () => ({ daemon: 'entry-1' }),
+      async *watchTargets(_request, context) {
+        yield {};
+        await timers.waitFor(10_000, context.signal);
+      },
+    });
+    const forwarder = await startForwarder(server.port);
+    const client = openLinks().getClient(ADDRESS, forwarder.port);
+    const stream = client.watchTargets({})[Symbol.asyncIterator]();
+    await stream.next();
+    const startMs = timers.getMonotonicMs();
+    forwarder.freeze();
+    const code = await fetchCode(stream.next());
+    const elapsedMs = timers.getMonotonicMs() - startMs;
+    expect(code === undefined).toEqual(false);
+    expect(elapsedMs < 2_000).toEqual(true);
+    // The session drops the broken connection one turn of the event loop after its streams fail.
+    await timers.waitFor(1);
+    expect((await client.getStatus({})).daemon).toEqual('entry-1');
+  });
+});
+
+describe('createPeerServer', () => {
+  // Guards against a planned stop that interrupts a call in flight.
+  it('lets a unary call finish and ends streams at close', async () => {
+    let markStarted = (): void => undefined;
+    const started = new Promise<void>((resolve) => {
+      markStarted = resolve;
+    });
+    const server = await startServer({
+      async getStatus(_request, context) {
+        markStarted();
+        await timers.waitFor(200, context.signal);
+        return { daemon: context.signal.aborted ? 'interrupted' : 'finished' };
+      },
+      async *watchTargets(_request, context) {
+        yield {};
+        await timers.waitFor(60_000, context.signal);
+      },
+    });
+    const client = openLinks().getClient(ADDRESS, server.port);
+    const stream = client.watchTargets({})[Symbol.asyncIterator]();
+    await stream.next();
+    const call = client.getStatus({});
+    await started;
+    const closed = server.close();
+    expect((await call).daemon).toEqual('finished');
+    await fetchCode(stream.next());
+    await closed;
+  });
+
+  it('answers unimplemented for a call without a handler', async () => {
+    const server = await startServer({});
+    const call = openLinks().getClient(ADDRESS, server.port).getStatus({});
+    expect(await fetchCode(call)).toEqual(Code.Unimplemented);
+  });
+});
--- /dev/null
+++ b/src/core/rpc/peer-links.ts
@@ -0,0 +1,78 @@
+import type { Transport } from '@connectrpc/connect';
+import { createClient } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import {
+  DEFAULT_CALL_DEADLINE_MS,
+  IDLE_CONNECTION_MS,
+  MAX_MESSAGE_BYTES,
+  PEER_PING_DEADLINE_MS,
+  PEER_PING_PERIOD_MS,
+} from './consts.ts';
+import { PeerService } from './generated/clementinefork/v1/peer_pb.ts';
+import type { PeerClient, PeerLinks } from './types.ts';
+
+/** Deadlines of the links; the defaults are those of the design page. */
+export interface PeerLinksOptions {
+  pingPeriodMs?: number;
+  pingDeadlineMs?: number;
+  callDeadlineMs?: number;
+  idleConnectionMs?: number;
+}
+
+interface Link {
+  sessions: Http2SessionManager;
+  client: PeerClient;
+}
+
+function formatBaseUrl(address: string, port: number): string {
+  const host = address.includes(':') ? `[${address}]` : address;
+  return `http://${host}:${port}`;
+}
+
+/** Gives unary calls a deadline; streams stay open until one side ends them. */
+function addCallDeadline(transport: Transport, callDeadlineMs: number): Transport {
+  return {
+    unary: (method, signal, timeoutMs, header, input, contextValues) =>
+      transport.unary(method, signal, timeoutMs ?? callDeadlineMs, header, input, contextValues),
+    stream: (...parameters) => transport.stream(...parameters),
+  };
+}
+
+/**
+ * Creates links to other daemons. Each address has one HTTP/2 connection, which is opened at the
+ * first call and reopened at the next call after it broke.
+ */
+export function createPeerLinks(options: PeerLinksOptions = {}): PeerLinks {
+  const links = new Map<string, Link>();
+  let isClosed = false;
+
+  const openLink = (baseUrl: string): Link => {
+    const sessions = new Http2SessionManager(baseUrl, {
+      pingIntervalMs: options.pingPeriodMs ?? PEER_PING_PERIOD_MS,
+      pingTimeoutMs: options.pingDeadlineMs ?? PEER_PING_DEADLINE_MS,
+      idleConnectionTimeoutMs: options.idleConnectionMs ?? IDLE_CONNECTION_MS,
+    });
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: sessions,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const deadlineMs = options.callDeadlineMs ?? DEFAULT_CALL_DEADLINE_MS;
+    return { sessions, client: createClient(PeerService, addCallDeadline(transport, deadlineMs)) };
+  };
+
+  return {
+    getClient(address, port) {
+      const baseUrl = formatBaseUrl(address, port);
+      const link = links.get(baseUrl) ?? openLink(baseUrl);
+      if (!isClosed) links.set(baseUrl, link);
+      return link.client;
+    },
+    close() {
+      isClosed = true;
+      links.forEach(({ sessions }) => sessions.abort());
+      links.clear();
+    },
+  };
+}
