Add membership by SWIM-like probing over UDP

The protocol is a pure transition function over ticks and packets; a task owns the socket.

- A daemon that closes says so itself, so the others need not wait for pings.

Ruled out: instances ordered by start time, which fail when a wall clock goes back; a periodic exchange as the only way to spread joins, which costs more at 410 daemons.

--- /dev/null
+++ b/src/core/membership/piggyback.ts
@@ -0,0 +1,89 @@
+import { toBinary } from '@bufbuild/protobuf';
+import type { Member } from '../rpc/index.ts';
+import { MemberSchema, MemberState } from '../rpc/index.ts';
+import { GOSSIP_FACTOR, MAX_DATAGRAM_BYTES, PACKET_HEADER_BYTES } from './consts.ts';
+import { findRecord } from './records.ts';
+import type { MembershipState, QueuedUpdate } from './state.ts';
+
+/** Field tag and length prefix of one update in a packet. */
+const UPDATE_FRAME_BYTES = 4;
+
+const UPDATES_BUDGET_BYTES = MAX_DATAGRAM_BYTES - PACKET_HEADER_BYTES;
+
+function computeUpdateBytes(member: Member): number {
+  return toBinary(MemberSchema, member).length + UPDATE_FRAME_BYTES;
+}
+
+/** Puts an update in front of the queue. */
+export function addUpdate(updates: readonly QueuedUpdate[], name: string): QueuedUpdate[] {
+  return [{ name, sends: 0 }, ...updates.filter((update) => update.name !== name)];
+}
+
+/** Returns how often an update is sent. */
+export function computeSendLimit(memberCount: number): number {
+  return GOSSIP_FACTOR * Math.ceil(Math.log2(memberCount + 1));
+}
+
+/**
+ * Orders the queue: members that must get no new work first, because many joins at once would
+ * delay them, and then fewest sends first.
+ */
+function sortByUrgency(state: MembershipState): QueuedUpdate[] {
+  const isRoutine = (update: QueuedUpdate): number =>
+    findRecord(state, update.name)?.state === MemberState.ALIVE ? 1 : 0;
+  return state.updates
+    .map((update) => ({ update, routine: isRoutine(update) }))
+    .sort((left, right) => left.routine - right.routine || left.update.sends - right.update.sends)
+    .map(({ update }) => update);
+}
+
+/** Updates of one packet and the queue after it. */
+interface SelectedUpdates {
+  updates: Member[];
+  queue: QueuedUpdate[];
+}
+
+/**
+ * Selects the updates of one packet: this daemon's own record, the given records, and then queued
+ * updates, as far as they fit.
+ */
+export function selectUpdates(state: MembershipState, first: readonly Member[]): SelectedUpdates {
+  const selected = new Map<string, Member>();
+  let bytes = 0;
+  const addMember = (member: Member): boolean => {
+    if (selected.has(member.name)) return true;
+    const memberBytes = computeUpdateBytes(member);
+    if (bytes + memberBytes > UPDATES_BUDGET_BYTES) return false;
+    bytes += memberBytes;
+    selected.set(member.name, member);
+    return true;
+  };
+  [state.self, ...first].forEach(addMember);
+  const limit = computeSendLimit(state.entries.size + 1);
+  const sent: QueuedUpdate[] = [];
+  const kept: QueuedUpdate[] = [];
+  for (const update of sortByUrgency(state)) {
+    const member = findRecord(state, update.name);
+    if (member === undefined) continue;
+    if (addMember(member)) sent.push({ name: update.name, sends: update.sends + 1 });
+    else kept.push(update);
+  }
+  const rest = sent.filter((update) => update.sends < limit);
+  return { updates: [...selected.values()], queue: [...kept, ...rest] };
+}
+
+/** Splits records into groups that fit one packet each. */
+export function splitUpdates(members: readonly Member[]): Member[][] {
+  const groups: Member[][] = [];
+  let bytes = UPDATES_BUDGET_BYTES;
+  for (const member of members) {
+    const memberBytes = computeUpdateBytes(member);
+    if (bytes + memberBytes > UPDATES_BUDGET_BYTES) {
+      groups.push([]);
+      bytes = 0;
+    }
+    bytes += memberBytes;
+    groups.at(-1)?.push(member);
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/core/membership/transition.ts
@@ -0,0 +1,39 @@
+import { MemberState } from '../rpc/index.ts';
+import { createDraft, formatStep } from './draft.ts';
+import { handlePacket, publishOwnState } from './packets.ts';
+import type {
+  MembershipContext,
+  MembershipMessage,
+  MembershipState,
+  MembershipStep,
+} from './state.ts';
+import { MembershipMessageKind } from './state.ts';
+import { handleTick } from './tick.ts';
+
+/**
+ * Applies one message to the membership state. Returns the next state, the packets to send and the
+ * members that changed; the given state stays unchanged.
+ */
+export function applyMembershipMessage(
+  state: MembershipState,
+  message: MembershipMessage,
+  context: MembershipContext,
+): MembershipStep {
+  const draft = createDraft(state, context);
+  switch (message.kind) {
+    case MembershipMessageKind.Tick:
+      handleTick(draft);
+      break;
+    case MembershipMessageKind.Packet:
+      handlePacket(draft, message);
+      break;
+    case MembershipMessageKind.Leave:
+      if (state.self.state === MemberState.ALIVE) publishOwnState(draft, MemberState.LEAVING);
+      break;
+    default:
+      // The last record says dead, so that the others do not wait for failed pings.
+      publishOwnState(draft, MemberState.DEAD);
+      break;
+  }
+  return formatStep(draft);
+}
