Add the clients of engines and plain services

The request path needs to read, resume and cancel engine streams, and to know for each service call whether a byte may have left.

Ruled out: pooled connections for engine streams and non-idempotent calls. A pooled connection may have gone silent, and a request on it costs the 3 s deadline or leaves the outcome of a call unknown; a new connection costs about one round trip. Also ruled out: reading "not sent" from error codes alone for non-idempotent calls; the connector records the moment of establishment.

--- /dev/null
+++ b/src/core/targets/index.ts
@@ -0,0 +1,4 @@
+export * from './consts.ts';
+export { createEngineClient } from './engine-client.ts';
+export { createServiceClient } from './service-client.ts';
+export * from './types.ts';
--- /dev/null
+++ b/src/core/targets/service-client.ts
@@ -0,0 +1,161 @@
+import type { Dispatcher } from 'undici';
+import { Agent, buildConnector, Client } from 'undici';
+import { formatProblem } from '../errors/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { isNotConnected } from './connect-errors.ts';
+import { CONNECT_DEADLINE_MS, MAX_SERVICE_ANSWER_BYTES } from './consts.ts';
+import { formatOrigin } from './format-origin.ts';
+import type {
+  CallHeader,
+  ServiceAnswer,
+  ServiceCall,
+  ServiceClient,
+  ServiceResult,
+  TargetEndpoint,
+} from './types.ts';
+import { TargetFailureKind } from './types.ts';
+
+/** A dispatcher and what is known of its connection. */
+interface Connection {
+  dispatcher: Dispatcher;
+  /** Tells whether a byte may have left through this connection. */
+  wasEstablished(error: unknown): boolean;
+  close(): Promise<void>;
+}
+
+/** The deadlines of the timer service replace those of undici. */
+const NO_TIMEOUTS = { headersTimeout: 0, bodyTimeout: 0 };
+
+/** Headers that belong to one connection and are not passed on. */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+function buildHeaders(call: ServiceCall): Record<string, string> {
+  const kept = call.headers.filter(({ name }) => !CONNECTION_HEADERS.has(name.toLowerCase()));
+  const headers = Object.fromEntries(kept.map(({ name, value }) => [name.toLowerCase(), value]));
+  return { ...headers, 'x-request-id': call.requestId };
+}
+
+function parseHeaders(headers: Dispatcher.ResponseData['headers']): CallHeader[] {
+  return Object.entries(headers)
+    .filter(([name]) => !CONNECTION_HEADERS.has(name))
+    .flatMap(([name, value]) => [value ?? []].flat().map((text) => ({ name, value: text })));
+}
+
+async function readBody(body: Dispatcher.ResponseData['body']): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += (chunk as Uint8Array).byteLength;
+    if (bytes > MAX_SERVICE_ANSWER_BYTES) {
+      throw new Error(`the answer is larger than ${MAX_SERVICE_ANSWER_BYTES} bytes`);
+    }
+    chunks.push(chunk as Uint8Array);
+  }
+  return Buffer.concat(chunks);
+}
+
+/**
+ * Opens a connection for a single call. The connector records the moment at which the connection
+ * is established, and refuses one that is established after the call was given up.
+ */
+function openSingleConnection(endpoint: TargetEndpoint): Connection {
+  const connect = buildConnector({ timeout: CONNECT_DEADLINE_MS });
+  let isEstablished = false;
+  let isClosed = false;
+  const client = new Client(formatOrigin(endpoint), {
+    ...NO_TIMEOUTS,
+    connect: (options, callback) => {
+      if (isClosed || isEstablished) {
+        callback(new Error('the connection of this call is closed'), null);
+        return;
+      }
+      connect(options, (...result) => {
+        const [error, socket] = result;
+        if (error !== null) {
+          callback(error, null);
+        } else if (isClosed) {
+          socket.destroy();
+          callback(new Error('the connection of this call is closed'), null);
+        } else {
+          isEstablished = true;
+          callback(null, socket);
+        }
+      });
+    },
+  });
+  return {
+    dispatcher: client,
+    wasEstablished: () => {
+      // From here on no connection is used, so the answer stays true.
+      isClosed = true;
+      return isEstablished;
+    },
+    close: () => client.destroy(),
+  };
+}
+
+/** Creates the client of all plain services. */
+export function createServiceClient({ timers }: { timers: TimerService }): ServiceClient {
+  const agent = new Agent({ ...NO_TIMEOUTS, connect: { timeout: CONNECT_DEADLINE_MS } });
+
+  const openConnection = (endpoint: TargetEndpoint, call: ServiceCall): Connection => {
+    if (!call.idempotent) return openSingleConnection(endpoint);
+    return {
+      dispatcher: agent,
+      wasEstablished: (error) => !isNotConnected(error),
+      close: () => Promise.resolve(),
+    };
+  };
+
+  const runCall = async (
+    dispatcher: Dispatcher,
+    endpoint: TargetEndpoint,
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> => {
+    const answer = await dispatcher.request({
+      origin: formatOrigin(endpoint),
+      method: call.method,
+      path: call.path,
+      headers: buildHeaders(call),
+      body: call.body.byteLength > 0 ? call.body : null,
+      // undici repeats idempotent methods by itself only when this is set.
+      idempotent: false,
+      signal,
+    });
+    const body = await readBody(answer.body);
+    return { status: answer.statusCode, headers: parseHeaders(answer.headers), body };
+  };
+
+  const sendCall = async (endpoint: TargetEndpoint, call: ServiceCall): Promise<ServiceResult> => {
+    const connection = openConnection(endpoint, call);
+    const abort = new AbortController();
+    const cancelDeadline = timers.scheduleOnce(call.timeoutMs, () => abort.abort());
+    try {
+      return { answer: await runCall(connection.dispatcher, endpoint, call, abort.signal) };
+    } catch (error) {
+      const sent = connection.wasEstablished(error);
+      const late = abort.signal.aborted ? TargetFailureKind.Silent : TargetFailureKind.Broken;
+      const kind = sent ? late : TargetFailureKind.NotConnected;
+      const problem = abort.signal.aborted
+        ? `no answer within ${call.timeoutMs} ms`
+        : formatProblem(error);
+      return { failure: { kind, problem }, sent };
+    } finally {
+      cancelDeadline();
+      await connection.close();
+    }
+  };
+
+  return { sendCall, close: () => agent.close() };
+}
