Add routing and admission

A request needs a target that holds it without exceeding its memory, and a customer must not take the share of the others.

Memory is bounded by the fixed share of the daemon, capped by the reported free memory.

Ruled out: the least loaded of all targets, because the daemons would all choose the same one until the next load report; weighting each replica instead of the serving group, because the loss of a replica would change the shares that operators set; one queue for all customers.

Admission refuses a request over the request rate at once, lets the others wait in a start-time fair queue (5 s, 256 of a flow, 1,024 of a daemon), and gives tokens back that an answer did not use. A continuation goes first.

--- /dev/null
+++ b/src/core/admission/admission.test.ts
@@ -0,0 +1,240 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { LimitRow } from '../declarations/index.ts';
+import type { RoutableTarget } from '../probing/index.ts';
+import { NoTargetReason } from '../routing/index.ts';
+import { createManualTimers } from '../timers/index.ts';
+import type { ManualTimers } from '../timers/index.ts';
+import { Priority } from '../world/index.ts';
+import { createAdmission, createFairQueue, MAX_QUEUED_OF_FLOW } from './index.ts';
+import type { Admission, AdmissionRequest, Ticket } from './index.ts';
+
+const LIMITS: LimitRow = {
+  customer: 'orchard',
+  requestsPerSecond: 400,
+  concurrentRequests: 400,
+  tokensPerSecond: 400_000,
+  shareWeight: 1,
+};
+
+/** A daemon with a number of free places at its only target. */
+function createSetup(limits: Partial<LimitRow> = {}, places = 100) {
+  const timers = createManualTimers();
+  const log: string[] = [];
+  const tickets: Ticket[] = [];
+  const state = { places };
+  const admission = createAdmission({
+    timers,
+    getLimits: (customer) => ({ ...LIMITS, customer, ...limits }),
+    countDaemons: () => 4,
+  });
+  const takeTarget: AdmissionRequest['takeTarget'] = () => {
+    if (state.places <= 0) return NoTargetReason.NoRoom;
+    state.places--;
+    return { target: {} as RoutableTarget, release: () => state.places++ };
+  };
+  const send = (name: string, request: Partial<AdmissionRequest> = {}): void => {
+    const whole: AdmissionRequest = {
+      customer: 'orchard',
+      route: 'assistant',
+      priority: Priority.Normal,
+      tokens: 10,
+      takeTarget,
+      ...request,
+    };
+    void admission.acquire(whole).then(({ ticket, refusal }) => {
+      if (ticket !== undefined) tickets.push(ticket);
+      const text = refusal?.limit ?? refusal?.reason ?? 'admitted';
+      log.push(
+        refusal === undefined ? `${name} ${text}` : `${name} ${text} ${refusal.retryAfterMs}`,
+      );
+    });
+  };
+  return { timers, log, tickets, state, admission, send };
+}
+
+interface Setup {
+  timers: ManualTimers;
+  log: string[];
+  tickets: Ticket[];
+  state: { places: number };
+  admission: Admission;
+  send(name: string, request?: Partial<AdmissionRequest>): void;
+}
+
+interface Case {
+  title: string;
+  limits?: Partial<LimitRow>;
+  places?: number;
+  run: (setup: Setup) => void | Promise<void>;
+  expected: string[];
+}
+
+const cases: Case[] = [
+  {
+    title: 'divides the requests per second by the daemons of the customer',
+    limits: { requestsPerSecond: 8 },
+    run: ({ send }) => ['a', 'b', 'c'].forEach((name) => send(name)),
+    expected: ['a admitted', 'b admitted', 'c requests per second 500'],
+  },
+  {
+    title: 'lets a request wait for the end of another when the customer has too many at once',
+    limits: { concurrentRequests: 4 },
+    async run({ timers, send, tickets }) {
+      send('a');
+      send('b');
+      await timers.runForAsync(100);
+      tickets[0]?.release(10);
+    },
+    expected: ['a admitted', 'b admitted'],
+  },
+  {
+    title: 'refuses a request that waited for its customer until the deadline',
+    limits: { concurrentRequests: 4 },
+    run({ send }) {
+      send('a');
+      send('b');
+    },
+    expected: ['a admitted', 'b concurrent requests 1000'],
+  },
+  {
+    title: 'lets a large request start and pays it off before the next',
+    limits: { tokensPerSecond: 400 },
+    run({ send }) {
+      send('a', { tokens: 300 });
+      send('b');
+      send('c', { waitMs: 1_000 });
+    },
+    expected: ['a admitted', 'c tokens per second 1010', 'b admitted'],
+  },
+  {
+    title: 'gives tokens back that the request did not use',
+    limits: { tokensPerSecond: 400 },
+    async run({ timers, send, tickets }) {
+      send('a', { tokens: 300 });
+      await timers.runForAsync(10);
+      tickets[0]?.release(20);
+      send('b', { waitMs: 100 });
+    },
+    expected: ['a admitted', 'b admitted'],
+  },
+  {
+    title: 'refuses a request for which no target got room before the deadline',
+    places: 0,
+    run: ({ send }) => send('a'),
+    expected: ['a no target has room 1000'],
+  },
+  {
+    title: 'refuses a request that no target can ever hold at once',
+    run: ({ send }) => send('a', { takeTarget: () => NoTargetReason.TooLarge, waitMs: 60_000 }),
+    expected: ['a the request is larger than the memory share of every target 1000'],
+  },
+  {
+    // Guards against one customer that fills the queue of the daemon.
+    title: 'bounds the queue of a flow and leaves room for others',
+    limits: { requestsPerSecond: 4_000 },
+    places: 0,
+    run({ send, state }) {
+      for (let index = 0; index < MAX_QUEUED_OF_FLOW; index++) {
+        send(`a${index}`, { waitMs: 60_000 });
+      }
+      send('b');
+      state.places = 2;
+      send('c', { customer: 'kennel' });
+    },
+    expected: ['b queued requests 1000', 'a0 admitted', 'c admitted'],
+  },
+  {
+    title: 'starts requests of high priority first',
+    places: 0,
+    run({ send, state, admission }) {
+      send('low', { priority: Priority.Low });
+      send('normal');
+      send('high', { priority: Priority.High });
+      state.places = 3;
+      admission.runQueue();
+    },
+    expected: ['high admitted', 'normal admitted', 'low admitted'],
+  },
+  {
+    title: 'starts a continuation before new requests and without a second ticket',
+    places: 1,
+    async run({ timers, send, state, admission, tickets }) {
+      send('first');
+      await timers.runForAsync(10);
+      send('high', { priority: Priority.High });
+      const [ticket] = tickets;
+      if (ticket !== undefined) send('again', { ticket, customer: 'orchard' });
+      state.places = 1;
+      admission.runQueue();
+    },
+    expected: ['first admitted', 'high admitted', 'again no target has room 1000'],
+  },
+];
+
+describe('createAdmission', () => {
+  for (const testCase of cases) {
+    it(testCase.title, async () => {
+      const setup = createSetup(testCase.limits, testCase.places);
+      await testCase.run(setup);
+      await setup.timers.runForAsync(6_000);
+      expect(setup.log).toEqual(testCase.expected);
+    });
+  }
+});
+
+interface FlowCase {
+  title: string;
+  weights: Record<string, number>;
+  costs: Record<string, number>;
+  starts: number;
+  expected: Record<string, number>;
+}
+
+// Guards against a customer with many requests that leaves none of the daemon to the others.
+const flowCases: FlowCase[] = [
+  {
+    title: 'shares equally between equal flows',
+    weights: { a: 1, b: 1 },
+    costs: { a: 10, b: 10 },
+    starts: 20,
+    expected: { a: 10, b: 10 },
+  },
+  {
+    title: 'shares by weight',
+    weights: { a: 3, b: 1 },
+    costs: { a: 10, b: 10 },
+    starts: 40,
+    expected: { a: 30, b: 10 },
+  },
+  {
+    title: 'shares tokens, not requests',
+    weights: { a: 1, b: 1 },
+    costs: { a: 30, b: 10 },
+    starts: 40,
+    expected: { a: 10, b: 30 },
+  },
+];
+
+describe('createFairQueue', () => {
+  for (const { title, weights, costs, starts, expected } of flowCases) {
+    it(title, () => {
+      const queue = createFairQueue();
+      const started: string[] = [];
+      const tryStart = (flow: string): boolean => started.length < starts && started.push(flow) > 0;
+      Object.entries(weights).forEach(([flow, shareWeight]) => {
+        const cost = costs[flow] ?? 1;
+        const entry = { flow, shareWeight, cost, priority: Priority.Normal };
+        for (let index = 0; index < 100; index++) {
+          queue.add({ ...entry, tryStart: () => tryStart(flow) });
+        }
+      });
+      queue.run();
+      const counts = Object.keys(weights).map((flow) => [
+        flow,
+        started.filter((name) => name === flow).length,
+      ]);
+      expect(Object.fromEntries(counts)).toEqual(expected);
+    });
+  }
+});
--- /dev/null
+++ b/src/core/admission/admission.ts
@@ -0,0 +1,151 @@
+import { NoTargetReason } from '../routing/index.ts';
+import type { Reservation } from '../routing/index.ts';
+import type { Unsubscribe } from '../timers/index.ts';
+import { Priority } from '../world/index.ts';
+import { createCustomerLimits } from './customer-limits.ts';
+import { createFairQueue } from './fair-queue.ts';
+import type { QueueEntry } from './fair-queue.ts';
+import type {
+  Admission,
+  AdmissionOptions,
+  AdmissionRefusal,
+  AdmissionRequest,
+  AdmissionResult,
+  Ticket,
+} from './types.ts';
+import { CustomerLimit } from './types.ts';
+
+/** Longest wait of a request for a target; callers expect the first token within 1 s. */
+export const QUEUE_DEADLINE_MS = 5_000;
+
+/** Requests that wait at a daemon, and of one flow, so that one customer can't fill the queue. */
+export const MAX_QUEUED_REQUESTS = 1_024;
+export const MAX_QUEUED_OF_FLOW = 256;
+
+/** Period at which waiting requests are tried again; limits refill and load reports change. */
+const QUEUE_RETRY_MS = 50;
+
+const NO_TARGET_RETRY_MS = 1_000;
+
+interface Waiting {
+  request: AdmissionRequest;
+  /** Why the request could not start when it was last tried. */
+  refusal: AdmissionRefusal;
+  settle(result: AdmissionResult): void;
+}
+
+/** Creates the admission of a daemon. */
+export function createAdmission(options: AdmissionOptions): Admission {
+  const { timers } = options;
+  const limits = createCustomerLimits(options);
+  const queue = createFairQueue();
+  let stopRetries: Unsubscribe | undefined;
+  let isRunning = false;
+
+  const runQueue = (): void => {
+    // A request that ends while the queue runs asks for another run; the loop covers it.
+    if (isRunning) return;
+    isRunning = true;
+    queue.run();
+    isRunning = false;
+    if (queue.count() > 0) {
+      stopRetries ??= timers.subscribe(QUEUE_RETRY_MS, runQueue);
+      return;
+    }
+    stopRetries?.();
+    stopRetries = undefined;
+  };
+
+  const startTicket = (request: AdmissionRequest): Ticket => {
+    const ticket = limits.startRequest(request.customer, request.tokens);
+    return {
+      ...ticket,
+      release(usedTokens) {
+        ticket.release(usedTokens);
+        runQueue();
+      },
+    };
+  };
+
+  const watchRelease = ({ target, release }: Reservation): Reservation => ({
+    target,
+    release() {
+      release();
+      runQueue();
+    },
+  });
+
+  const tryStart = (waiting: Waiting): boolean => {
+    const { request } = waiting;
+    const blocking =
+      request.ticket === undefined ? limits.findBlockingLimit(request.customer) : undefined;
+    if (blocking !== undefined) {
+      waiting.refusal = blocking;
+      return false;
+    }
+    const reservation = request.takeTarget();
+    if (typeof reservation === 'string') {
+      waiting.refusal = { reason: reservation, retryAfterMs: NO_TARGET_RETRY_MS };
+      // No wait makes room for a request that is larger than every share.
+      if (reservation !== NoTargetReason.TooLarge) return false;
+      waiting.settle({ refusal: waiting.refusal });
+      return true;
+    }
+    const ticket = request.ticket ?? startTicket(request);
+    waiting.settle({ ticket, reservation: watchRelease(reservation) });
+    return true;
+  };
+
+  const findRefusal = (request: AdmissionRequest, flow: string): AdmissionRefusal | undefined => {
+    if (request.ticket !== undefined) return undefined;
+    const isFull =
+      queue.count() >= MAX_QUEUED_REQUESTS || queue.countFlow(flow) >= MAX_QUEUED_OF_FLOW;
+    if (isFull) return { limit: CustomerLimit.QueuedRequests, retryAfterMs: NO_TARGET_RETRY_MS };
+    return limits.takeRequest(request.customer);
+  };
+
+  const waitForTurn = (request: AdmissionRequest, flow: string): Promise<AdmissionResult> =>
+    new Promise((resolve) => {
+      const isContinuation = request.ticket !== undefined;
+      const waiting: Waiting = {
+        request,
+        refusal: { reason: NoTargetReason.NoRoom, retryAfterMs: NO_TARGET_RETRY_MS },
+        settle: resolve,
+      };
+      const entry: QueueEntry = {
+        flow,
+        shareWeight: limits.getShareWeight(request.customer),
+        // A continuation goes first, because its caller already reads the answer.
+        priority: isContinuation ? Priority.High : request.priority,
+        cost: isContinuation ? 0 : request.tokens,
+        tryStart: () => tryStart(waiting),
+      };
+      const giveUp = (): void => {
+        queue.remove(entry);
+        // A request behind others of its flow was never tried itself.
+        const blocking = isContinuation ? undefined : limits.findBlockingLimit(request.customer);
+        waiting.settle({ refusal: blocking ?? waiting.refusal });
+      };
+      const cancelDeadline = timers.scheduleOnce(request.waitMs ?? QUEUE_DEADLINE_MS, giveUp);
+      waiting.settle = (result) => {
+        cancelDeadline();
+        request.signal?.removeEventListener('abort', giveUp);
+        resolve(result);
+      };
+      request.signal?.addEventListener('abort', giveUp, { once: true });
+      queue.add(entry);
+      if (request.signal?.aborted === true) giveUp();
+      runQueue();
+    });
+
+  return {
+    acquire(request) {
+      const flow = `${request.customer}/${request.route}`;
+      const refusal = findRefusal(request, flow);
+      if (refusal !== undefined) return Promise.resolve({ refusal });
+      return waitForTurn(request, flow);
+    },
+    runQueue,
+    countQueued: () => queue.count(),
+  };
+}
--- /dev/null
+++ b/src/core/admission/customer-limits.ts
@@ -0,0 +1,101 @@
+import type { LimitRow } from '../declarations/index.ts';
+import { createTokenBucket } from './token-bucket.ts';
+import type { TokenBucket } from './token-bucket.ts';
+import type { AdmissionOptions, AdmissionRefusal, Ticket } from './types.ts';
+import { CustomerLimit } from './types.ts';
+
+/** Limits of all customers at this daemon. */
+export interface CustomerLimits {
+  /** Counts one request, or refuses it when the customer sends too many a second. */
+  takeRequest(customer: string): AdmissionRefusal | undefined;
+  /** Returns the limit that keeps a waiting request from starting. */
+  findBlockingLimit(customer: string): AdmissionRefusal | undefined;
+  /** Counts a started request until its ticket is released. */
+  startRequest(customer: string, tokens: number): Ticket;
+  getShareWeight(customer: string): number;
+}
+
+interface CustomerState {
+  requests: TokenBucket;
+  tokens: TokenBucket;
+  running: number;
+}
+
+const MS_PER_SECOND = 1_000;
+const CONCURRENCY_RETRY_MS = 1_000;
+
+function computeWaitMs(missing: number, ratePerSecond: number): number {
+  return Math.ceil((missing / ratePerSecond) * MS_PER_SECOND);
+}
+
+/** Creates the limits of a daemon: each limit is divided by the daemons of the customer. */
+export function createCustomerLimits(options: AdmissionOptions): CustomerLimits {
+  const states = new Map<string, CustomerState>();
+
+  const getState = (customer: string): CustomerState => {
+    const known = states.get(customer);
+    if (known !== undefined) return known;
+    const state = { requests: createTokenBucket(), tokens: createTokenBucket(), running: 0 };
+    states.set(customer, state);
+    return state;
+  };
+
+  const divide = (customer: string, limit: number): number =>
+    limit / Math.max(1, options.countDaemons(customer));
+
+  const findRequestRefusal = (customer: string, limits: LimitRow): AdmissionRefusal | undefined => {
+    const rate = divide(customer, limits.requestsPerSecond);
+    const balance = getState(customer).requests.getBalance(options.timers.getMonotonicMs(), rate);
+    if (balance >= 1) return undefined;
+    return {
+      limit: CustomerLimit.RequestsPerSecond,
+      retryAfterMs: computeWaitMs(1 - balance, rate),
+    };
+  };
+
+  const findTokenRefusal = (customer: string, limits: LimitRow): AdmissionRefusal | undefined => {
+    const rate = divide(customer, limits.tokensPerSecond);
+    const balance = getState(customer).tokens.getBalance(options.timers.getMonotonicMs(), rate);
+    // A request larger than one second of the rate starts on a full balance and leaves a debt.
+    if (balance > 0) return undefined;
+    return { limit: CustomerLimit.TokensPerSecond, retryAfterMs: computeWaitMs(1 - balance, rate) };
+  };
+
+  return {
+    takeRequest(customer) {
+      const limits = options.getLimits(customer);
+      if (limits === undefined) return undefined;
+      const refusal = findRequestRefusal(customer, limits);
+      if (refusal === undefined) getState(customer).requests.take(1);
+      return refusal;
+    },
+    findBlockingLimit(customer) {
+      const limits = options.getLimits(customer);
+      if (limits === undefined) return undefined;
+      const most = Math.max(1, Math.floor(divide(customer, limits.concurrentRequests)));
+      if (getState(customer).running >= most) {
+        return {
+          limit: CustomerLimit.ConcurrentRequests,
+          retryAfterMs: CONCURRENCY_RETRY_MS,
+        };
+      }
+      return findTokenRefusal(customer, limits);
+    },
+    startRequest(customer, tokens) {
+      const state = getState(customer);
+      state.running++;
+      state.tokens.take(tokens);
+      let isHeld = true;
+      return {
+        customer,
+        release(usedTokens) {
+          if (!isHeld) return;
+          isHeld = false;
+          state.running--;
+          state.tokens.take(usedTokens - tokens);
+        },
+      };
+    },
+    getShareWeight: (customer) => options.getLimits(customer)?.shareWeight ?? 1,
+  };
+}
--- /dev/null
+++ b/src/core/admission/index.ts
@@ -0,0 +1,10 @@
+export {
+  createAdmission,
+  MAX_QUEUED_OF_FLOW,
+  MAX_QUEUED_REQUESTS,
+  QUEUE_DEADLINE_MS,
+} from './admission.ts';
+export { createFairQueue } from './fair-queue.ts';
+export { createTokenBucket } from './token-bucket.ts';
+export type { TokenBucket } from './token-bucket.ts';
+export * from './types.ts';
--- /dev/null
+++ b/src/core/routing/load.ts
@@ -0,0 +1,52 @@
+import type { TargetCandidate } from './types.ts';
+
+/** Age at which a load report no longer counts. Targets report with a lag of up to seconds. */
+export const LOAD_REPORT_LIFETIME_MS = 5_000;
+
+/** Weight of a load report: 1 when it is new, falling linearly to 0 at 5 s. */
+export function computeReportWeight(ageMs: number): number {
+  return Math.min(1, Math.max(0, 1 - ageMs / LOAD_REPORT_LIFETIME_MS));
+}
+
+function computeAgeMs({ target }: TargetCandidate): number {
+  return target.loadAgeMs + target.load.ageMs;
+}
+
+/** Estimates the requests at a target: own work exactly, plus the reported work of others. */
+export function computeRequests(candidate: TargetCandidate): number {
+  const { load } = candidate.target;
+  const others = Math.max(0, load.running + load.queued - candidate.own.requests);
+  return candidate.own.requests + others * computeReportWeight(computeAgeMs(candidate));
+}
+
+/** Returns the tokens of a target that this daemon may use at most. */
+export function computeShare({ target }: TargetCandidate): number {
+  return Math.floor(target.load.capacityTokens / Math.max(1, target.sharingDaemons));
+}
+
+function computeFreeTokens(candidate: TargetCandidate): number {
+  const { load } = candidate.target;
+  const others = Math.max(0, load.heldTokens - candidate.own.tokens);
+  const reported = others * computeReportWeight(computeAgeMs(candidate));
+  return load.capacityTokens - candidate.own.tokens - reported;
+}
+
+/** Tells whether a plain service leaves the bound on its calls open. */
+function isUnbounded({ target }: TargetCandidate): boolean {
+  return target.group === null && target.load.capacityTokens === 0;
+}
+
+/**
+ * Tells whether the request fits the fixed share of this daemon, capped by the reported free
+ * memory. The share needs no message between daemons, so that their sum never exceeds the memory.
+ */
+export function hasRoom(candidate: TargetCandidate, tokens: number): boolean {
+  if (isUnbounded(candidate)) return true;
+  const shareLeft = computeShare(candidate) - candidate.own.tokens;
+  return tokens <= Math.min(shareLeft, computeFreeTokens(candidate));
+}
+
+/** Tells whether the request would fit a target that holds nothing. */
+export function canEverHold(candidate: TargetCandidate, tokens: number): boolean {
+  return isUnbounded(candidate) || tokens <= computeShare(candidate);
+}
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -24,7 +24,7 @@
   priority: string;
   model: string;
   prompt: string;
-  /** New tokens that the engine may produce, not counting the continuation. */
+  /** Tokens of the whole answer, those of the continuation included. */
   maxTokens: number;
   /** Tokens of the answer that earlier attempts produced; offsets start after them. */
   continuation: readonly string[];
