Compare declaration errors in full and name the line of a key

The cases of parse.test.ts passed for any error: toThrow of earl 2.0 takes a matcher for an error class and does not compare it. With the error captured and compared, 8 of 20 tests failed: 7 expected wrong line numbers of the example, and one showed that an unknown section was reported on the line of its first row.

Ruled out: toThrow with a pattern, because the kind of the error would not be checked.

An unknown key is now reported on its own line, and a question at the end of a problem is not followed by a full stop. The expected line numbers are those of the example.

After: the 20 tests pass with the full comparison.

--- a/src/core/declarations/parse.test.ts
+++ b/src/core/declarations/parse.test.ts
@@ -24,18 +24,18 @@
     title: 'an unknown serving group',
     replace: [ROUTE, ROUTE.replace('assistant-small', 'asistant-small')],
     expected:
-      'routes[2].servingGroups[0] (line 35): unknown serving group "asistant-small"; did you mean "assistant-small"?',
+      'routes[2].servingGroups[0] (line 31): unknown serving group "asistant-small"; did you mean "assistant-small"?',
   },
   {
     title: 'an unknown service',
     replace: ['service: order-app }', 'service: orderapp }'],
-    expected: 'routes[1].service (line 34): unknown service "orderapp"; did you mean "order-app"?',
+    expected: 'routes[1].service (line 30): unknown service "orderapp"; did you mean "order-app"?',
   },
   {
     title: 'an unknown customer of a route',
     replace: [ROUTE, ROUTE.replace('nursery', 'nursary')],
     expected:
-      'routes[2].customer (line 35): unknown customer "nursary" without a row in limits; did you mean "nursery"?',
+      'routes[2].customer (line 31): unknown customer "nursary" without a row in limits; did you mean "nursery"?',
   },
   {
     title: 'an unknown customer that resembles no other',
@@ -55,7 +55,7 @@
   {
     title: 'an unknown availability zone',
     replace: ['port: 9100, availabilityZone: sofia-c', 'port: 9100, availabilityZone: sofia-d'],
-    expected: 'services[0].targets[2].availabilityZone (line 28): unknown availability zone',
+    expected: 'services[0].targets[2].availabilityZone (line 26): unknown availability zone',
   },
   {
     title: 'a duplicate serving group',
@@ -66,7 +66,7 @@
   {
     title: 'a duplicate target',
     replace: ['vm: order-2', 'vm: order-1'],
-    expected: 'services[0].targets[1] (line 27): duplicate target "order-1"',
+    expected: 'services[0].targets[1] (line 25): duplicate target "order-1"',
   },
   {
     title: 'a duplicate availability zone',
@@ -76,12 +76,12 @@
   {
     title: 'a route without targets',
     replace: [ROUTE, '{ customer: nursery, name: assistant }'],
-    expected: 'routes[2] (line 35): needs either serving groups or a service',
+    expected: 'routes[2] (line 31): needs either serving groups or a service',
   },
   {
     title: 'a route whose weights are all 0',
     replace: ['weight: 80 }', 'weight: 0 }'],
-    expected: 'routes[0] (line 33): all its serving groups have weight 0',
+    expected: 'routes[0] (line 29): all its serving groups have weight 0',
   },
   {
     title: 'an unknown key',
@@ -91,7 +91,7 @@
   {
     title: 'an unknown section',
     replace: ['limits:', 'limts:'],
-    expected: 'limts (line 41): unknown key; did you mean "limits"?',
+    expected: 'limts (line 37): unknown key; did you mean "limits"?',
   },
   {
     title: 'a value of the wrong type',
@@ -108,10 +108,13 @@
 // The last weight of the route is 0 as well when the first one is set to 0.
 const TEXT = EXAMPLE.replace('weight: 20 }', 'weight: 0 }');
 
-function parseChanged([from, to]: [string, string]): unknown {
-  const text = TEXT.replace(from, to);
-  expect(text === TEXT).toEqual(false);
-  return parseDeclaration('site.yaml', text);
+function getParseError(text: string): unknown {
+  try {
+    parseDeclaration('site.yaml', text);
+  } catch (error) {
+    return error;
+  }
+  return undefined;
 }
 
 describe('parseDeclaration', () => {
@@ -121,12 +124,12 @@
 
   for (const { title, replace, expected } of cases) {
     it(`refuses ${title}`, () => {
-      expect(() => parseChanged(replace)).toThrow(
-        expect.subset({
-          kind: ErrorKind.DeclarationInvalid,
-          message: expect.includes(expected),
-        }),
-      );
+      const text = TEXT.replace(...replace);
+      expect(text === TEXT).toEqual(false);
+      const message = expect.includes(expected);
+      const kind = ErrorKind.DeclarationInvalid;
+      // toThrow of earl 2.0 accepts any error when it is given a matcher.
+      expect(getParseError(text)).toEqual(expect.subset({ kind, message }));
     });
   }
 
@@ -136,12 +139,7 @@
       'name: assistant-smal\n',
       'name: assistant-small\n',
     );
-    let message = '';
-    try {
-      parseDeclaration('site.yaml', text);
-    } catch (error) {
-      message = String(error);
-    }
+    const message = String(getParseError(text));
     expect(message.split('did you mean "assistant-small"')).toHaveLength(3);
   });
 
@@ -150,9 +148,8 @@
     const row = (index: number): string =>
       `  - { customer: customer-${index}, requestsPerSecond: 1, concurrentRequests: 1, tokensPerSecond: 1 }\n`;
     const rows = Array.from({ length: 9_500 }, (_, index) => row(index));
-    expect(() => parseDeclaration('site.yaml', `limits:\n${rows.join('')}`)).toThrow(
-      expect.subset({ kind: ErrorKind.DeclarationTooLarge }),
-    );
+    const error = getParseError(`limits:\n${rows.join('')}`);
+    expect(error).toEqual(expect.subset({ kind: ErrorKind.DeclarationTooLarge }));
   });
 });
 
--- a/src/core/declarations/parse.ts
+++ b/src/core/declarations/parse.ts
@@ -1,5 +1,5 @@
 import type { Document } from 'yaml';
-import { isNode, LineCounter, parseDocument } from 'yaml';
+import { isMap, isNode, isScalar, LineCounter, parseDocument } from 'yaml';
 import { z } from 'zod';
 import { createError, ErrorKind } from '../errors/index.ts';
 import { formatPath, parseYaml } from '../settings/index.ts';
@@ -51,13 +51,20 @@
   }));
 }
 
+/** Returns the node of a key, or of an item of a list; a value may begin on a later line. */
+function findNode(document: Document, path: readonly PropertyKey[]): unknown {
+  const parent = path.length === 1 ? document.contents : document.getIn(path.slice(0, -1), true);
+  if (!isMap(parent)) return document.getIn(path, true);
+  return parent.items.find(({ key }) => isScalar(key) && key.value === path.at(-1))?.key;
+}
+
 function findLine(
   document: Document,
   counter: LineCounter,
   path: readonly PropertyKey[],
 ): number | undefined {
   for (let { length } = path; length > 0; length--) {
-    const node = document.getIn(path.slice(0, length), true);
+    const node = findNode(document, path.slice(0, length));
     if (isNode(node) && node.range) return counter.linePos(node.range[0]).line;
   }
   return undefined;
@@ -77,11 +84,12 @@
   };
   const [first, ...others] = problems;
   if (first === undefined) throw new TypeError('An error needs a problem.');
-  const lines = others.map((other) => `\n${file}: ${format(other)}: ${other.problem}.`);
+  const close = (problem: string): string => (problem.endsWith('?') ? problem : `${problem}.`);
+  const lines = others.map((other) => `\n${file}: ${format(other)}: ${close(other.problem)}`);
   return createError(ErrorKind.DeclarationInvalid, {
     file,
     path: format(first),
-    problem: `${first.problem}.${lines.join('')}${lines.length > 0 ? '\n' : ''}`,
+    problem: `${close(first.problem)}${lines.join('')}${lines.length > 0 ? '\n' : ''}`,
   });
 }
 
