Name the version that a change made, also under later changes

A lost answer can be settled when a later change is already in force. An operator who takes that version as the base of the next change would revert the later one unseen.

Ruled out: reading the configuration once more after each write, because the object that settled the write is already at hand.

WriteResult carries the object that settled a lost answer; applyDeclaration returns the version that the change made beside the version in force. A change that another operator already made, row by row, is no longer a conflict.

--- a/src/core/declarations/apply.test.ts
+++ b/src/core/declarations/apply.test.ts
@@ -82,6 +82,12 @@
       expected: ApplyOutcome.Conflict,
       records: 0,
     },
+    {
+      title: 'writes nothing when another operator came first with the same rows',
+      prepare: () => applyChange({ declaration: MORNING }),
+      expected: ApplyOutcome.Unchanged,
+      records: 0,
+    },
     {
       title: 'settles a lost answer',
       prepare: () => Object.assign(fixture.standIn.faults, { loseWriteAnswers: 1 }),
@@ -176,6 +182,19 @@
     }
   });
 
+  // Guards against an operator whose next change silently reverts a later one.
+  it('names the version that the change of an earlier run made', async () => {
+    await applyChange({ writeId: 'ours' });
+    await applyChange({ declaration: AFTERNOON, baseVersion: 2 });
+    const result = await applyChange({ writeId: 'ours' });
+    expect(result).toEqual({
+      outcome: ApplyOutcome.Applied,
+      version: 3,
+      appliedVersion: 2,
+      changes: [],
+    });
+  });
+
   it('keeps the records of the last changes', async () => {
     for (let index = 0; index < MAX_CHANGE_RECORDS + 2; index++) {
       await applyChange({ declaration: setLimit(EXAMPLE, index + 1), baseVersion: index + 1 });
--- a/src/core/declarations/apply.ts
+++ b/src/core/declarations/apply.ts
@@ -1,5 +1,5 @@
 import { createError, ErrorKind } from '../errors/index.ts';
-import type { PlatformClient } from '../platform/index.ts';
+import type { PlatformClient, WriteResult } from '../platform/index.ts';
 import { WriteOutcome } from '../platform/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { ConfigurationInForce, VersionedChange } from './configuration.ts';
@@ -66,8 +66,10 @@
   | { outcome: ApplyOutcome.Unchanged; version: number }
   | {
       outcome: ApplyOutcome.Applied;
-      /** Version in force, which holds the change. */
+      /** Version in force; a later change may have made it. */
       version: number;
+      /** Version that the change made. */
+      appliedVersion: number;
       /** Empty when an earlier run with the same write id had made the change. */
       changes: RowChange[];
     }
@@ -98,9 +100,23 @@
   };
 }
 
-/** Tells whether an earlier run with the same write id made its change. */
-export function isChangeApplied({ configuration }: ConfigurationInForce, writeId: string): boolean {
-  return configuration.changes.some((record) => record.writeId === writeId);
+/** Returns the result of an earlier run with the same write id if it made its change. */
+export function findEarlierResult(
+  inForce: ConfigurationInForce,
+  writeId: string,
+): ApplyResult | undefined {
+  const { version } = inForce;
+  const record = listChanges(inForce).find((change) => change.writeId === writeId);
+  if (record === undefined) return undefined;
+  const appliedVersion = record.version;
+  return { outcome: ApplyOutcome.Applied, version, appliedVersion, changes: [] };
+}
+
+/** Returns the version that a write made, also when a later write has replaced it. */
+function getAppliedVersion({ version, current }: WriteResult, writeId: string): number {
+  if (current === undefined) return version;
+  const changes = listChanges(parseConfiguration(current));
+  return changes.find((change) => change.writeId === writeId)?.version ?? version;
 }
 
 /** Writes a declaration in place of the configuration that was read. */
@@ -128,7 +144,15 @@
   if (result.outcome === WriteOutcome.Conflict) {
     return { outcome: ApplyOutcome.Conflict, inForce: parseConfiguration(result.current) };
   }
-  return { outcome: ApplyOutcome.Applied, version: result.version, changes };
+  const appliedVersion = getAppliedVersion(result, writeId);
+  return { outcome: ApplyOutcome.Applied, version: result.version, appliedVersion, changes };
+}
+
+/** Two operators who ask for the same rows do not contradict each other. */
+function buildRefusal(inForce: ConfigurationInForce, change: DeclarationChange): ApplyResult {
+  const conflict = buildConflict(inForce, change);
+  if (conflict.rows.length > 0) return { outcome: ApplyOutcome.Conflict, conflict };
+  return { outcome: ApplyOutcome.Unchanged, version: inForce.version };
 }
 
 /**
@@ -141,15 +165,12 @@
   change: DeclarationChange,
 ): Promise<ApplyResult> {
   const inForce = await fetchConfiguration(client);
-  if (isChangeApplied(inForce, change.writeId)) {
-    return { outcome: ApplyOutcome.Applied, version: inForce.version, changes: [] };
-  }
-  if (inForce.version !== change.baseVersion) {
-    return { outcome: ApplyOutcome.Conflict, conflict: buildConflict(inForce, change) };
-  }
+  const earlier = findEarlierResult(inForce, change.writeId);
+  if (earlier !== undefined) return earlier;
+  if (inForce.version !== change.baseVersion) return buildRefusal(inForce, change);
   const result = await writeConfiguration(client, timers, inForce, change.declaration, change);
   if (result.outcome !== ApplyOutcome.Conflict) return result;
-  return { outcome: ApplyOutcome.Conflict, conflict: buildConflict(result.inForce, change) };
+  return buildRefusal(result.inForce, change);
 }
 
 /** Creates the error for a refused change. */
--- a/src/core/declarations/zone-state.ts
+++ b/src/core/declarations/zone-state.ts
@@ -5,7 +5,7 @@
 import type { TimerService } from '../timers/index.ts';
 import type { AvailabilityZoneState } from '../world/index.ts';
 import type { ApplyResult, ChangeAuthor } from './apply.ts';
-import { ApplyOutcome, buildConflict, isChangeApplied, writeConfiguration } from './apply.ts';
+import { ApplyOutcome, buildConflict, findEarlierResult, writeConfiguration } from './apply.ts';
 import type { ConfigurationInForce } from './configuration.ts';
 import { fetchConfiguration, getDeclaration } from './configuration.ts';
 import type { AvailabilityZoneRow, Declaration } from './types.ts';
@@ -47,9 +47,8 @@
   createWriteId: () => string,
 ): Promise<ApplyResult> {
   let inForce: ConfigurationInForce = await fetchConfiguration(client);
-  if (isChangeApplied(inForce, change.writeId)) {
-    return { outcome: ApplyOutcome.Applied, version: inForce.version, changes: [] };
-  }
+  const earlier = findEarlierResult(inForce, change.writeId);
+  if (earlier !== undefined) return earlier;
   const seen = findZone(getDeclaration(inForce.configuration), change.availabilityZone);
   const wanted = { ...seen, state: change.state };
   let author: ChangeAuthor = change;
--- a/src/core/platform/settlement.test.ts
+++ b/src/core/platform/settlement.test.ts
@@ -43,6 +43,10 @@
 }
 
 const theirs = createObject(6, 'theirs', [['theirs', 5]]);
+const later = createObject(7, 'theirs', [
+  ['ours', 5],
+  ['theirs', 6],
+]);
 
 interface Case {
   title: string;
@@ -85,20 +89,12 @@
   {
     title: 'finds its id on the object',
     events: [LOST, createReadBack(createObject(6, 'ours'))],
-    expected: buildFinish(WriteOutcome.Applied, 6),
+    expected: buildFinish(WriteOutcome.Applied, 6, createObject(6, 'ours')),
   },
   {
     title: 'finds its id in the change records under a later change',
-    events: [
-      LOST,
-      createReadBack(
-        createObject(7, 'theirs', [
-          ['ours', 5],
-          ['theirs', 6],
-        ]),
-      ),
-    ],
-    expected: buildFinish(WriteOutcome.Applied, 7),
+    events: [LOST, createReadBack(later)],
+    expected: buildFinish(WriteOutcome.Applied, 7, later),
   },
   {
     title: 'sends the same write again while the base version is in force',
@@ -116,7 +112,7 @@
       createReadBack(createObject(5, 'before')),
       createRefused(createObject(6, 'ours')),
     ],
-    expected: buildFinish(WriteOutcome.Applied, 6),
+    expected: buildFinish(WriteOutcome.Applied, 6, createObject(6, 'ours')),
   },
   {
     title: 'reports a conflict when another change replaced the base version',
--- a/src/core/platform/settlement.ts
+++ b/src/core/platform/settlement.ts
@@ -110,7 +110,7 @@
   const { write, isDelete, mayHaveRun } = state;
   const version = current?.version ?? 0;
   if (current !== undefined && isWriteRecorded(current, write.writeId)) {
-    return settle(state, { outcome: WriteOutcome.Applied, version });
+    return settle(state, { outcome: WriteOutcome.Applied, version, current });
   }
   if (isDelete && mayHaveRun && current === undefined) {
     return settle(state, { outcome: WriteOutcome.Applied, version });
--- a/src/core/platform/types.ts
+++ b/src/core/platform/types.ts
@@ -49,7 +49,10 @@
   outcome: WriteOutcome;
   /** Version in force after the write. */
   version: number;
-  /** The object in force after a conflict; undefined when it does not exist. */
+  /**
+   * The object in force after a conflict, undefined when it does not exist, or the object that
+   * settled a lost answer. A later write may have made it.
+   */
   current?: PlatformObject | undefined;
 }
 
