Add whole answers: streams that survive lost targets and slow readers

A caller must get every token once and in order, then the end or an explicit error, whatever happens to targets and connections.

A pure state machine decides which engine events belong to the answer. On a gap or a silent or broken connection the stream is resumed at the engine through a new connection; after that it continues on another target with the tokens held so far. Each SSE id names target, stream, attempt and offset. Text past 48 KiB for a caller that does not read cancels the stream at the engine; it continues at a quarter of that. The bound with the socket buffer is 64 KiB.

Ruled out: an array of strings for the tokens (about 30 bytes for a token of 4; the log takes one byte more than the text); cancelling at once when a caller leaves, because the caller may resume through another daemon, which would lose its stream (2 s of grace); continuing a resumed answer whose earlier tokens are not held here, because another engine would produce other ones.

Found by the tests: a cancelled stream with nothing left to deliver did not continue when another stream freed the budget of the daemon.

--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -8,3 +8,10 @@
 export { createTokenBucket } from './token-bucket.ts';
 export type { TokenBucket } from './token-bucket.ts';
 export * from './types.ts';
+export { createPlacementSource } from './placement-source.ts';
+export type {
+  PlacedRequest,
+  PlacedResult,
+  PlacementSource,
+  PlacementSourceOptions,
+} from './placement-source.ts';
--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -16,6 +16,7 @@
   OwnerUnreachable = 'owner-unreachable',
   OutcomeUnknown = 'outcome-unknown',
   StreamBroken = 'stream-broken',
+  StreamLost = 'stream-lost',
   ResumeTokenInvalid = 'resume-token-invalid',
   RequestInvalid = 'request-invalid',
   PeerUnreachable = 'peer-unreachable',
@@ -130,6 +131,12 @@
     message: 'The answer to {requestId} stopped at offset {offset}: {problem}',
     hint: 'Resume with the last event id in the last-event-id header.',
   },
+  [ErrorKind.StreamLost]: {
+    name: 'StreamLostError',
+    title: 'The answer cannot be resumed.',
+    message: 'The answer to {requestId} stopped at offset {offset}: {problem}',
+    hint: 'Start the request again under a new id and without the last-event-id header.',
+  },
   [ErrorKind.ResumeTokenInvalid]: {
     name: 'ResumeTokenInvalidError',
     title: 'The resume token is invalid.',
--- a/src/core/routing/routing.test.ts
+++ b/src/core/routing/routing.test.ts
@@ -105,6 +105,12 @@
     request: { excludedVms: new Set(['vm-a-0']) },
     expected: ['a-1'],
   },
+  {
+    title: 'uses a VM again at which an attempt failed when it is the only routable one',
+    targets: [createTarget('a-0')],
+    request: { excludedVms: new Set(['vm-a-0']) },
+    expected: ['a-0'],
+  },
   {
     title: 'prefers the own availability zone',
     targets: [createTarget('a-0', { availabilityZone: 'sofia-b' }), createTarget('a-1')],
--- a/src/core/routing/select-target.ts
+++ b/src/core/routing/select-target.ts
@@ -110,9 +110,10 @@
   request: TargetRequest,
   random: () => number,
 ): TargetSelection {
-  const routable = candidates.filter(
-    ({ target }) => target.weight > 0 && !request.excludedVms.has(target.vm),
-  );
+  const weighted = candidates.filter(({ target }) => target.weight > 0);
+  const others = weighted.filter(({ target }) => !request.excludedVms.has(target.vm));
+  // A target that is listed again after a failure is better than none.
+  const routable = others.length > 0 ? others : weighted;
   const fitting = routable.filter((candidate) => hasRoom(candidate, request.tokens));
   const warm = fitting.filter(({ target }) => target.warm);
   const group = selectServingGroup(warm.length > 0 ? warm : fitting, random);
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -21,7 +21,7 @@
   prefixKey?: string | undefined;
   /** Availability zone of this daemon. */
   availabilityZone: string;
-  /** VMs that must not be chosen, because an attempt failed there. */
+  /** VMs at which an attempt failed; they are chosen only when no other target is routable. */
   excludedVms: ReadonlySet<string>;
 }
 
--- /dev/null
+++ b/src/core/streams/attempt.ts
@@ -0,0 +1,196 @@
+import type { TimerService } from '../timers/index.ts';
+import { TargetFailureKind } from '../targets/index.ts';
+import type {
+  EndEvent,
+  EngineClient,
+  EngineCompletion,
+  EngineEndpoint,
+  EngineOpening,
+  EngineStream,
+  EngineStreamHandlers,
+  TargetFailure,
+  TokenEvent,
+} from '../targets/index.ts';
+import {
+  CALLER_GRACE_MS,
+  MAX_RESUMES_WITHOUT_PROGRESS,
+  MAX_STOP_TRIES,
+  STOP_RETRY_MS,
+} from './consts.ts';
+
+/** How an attempt ended without an end event. */
+export interface AttemptLoss {
+  problem: string;
+  /** True when the target itself is at fault, so that it gets no new work. */
+  targetFailed: boolean;
+  /** True when every target would refuse the request. */
+  isFinal: boolean;
+}
+
+/** Attempt to get an answer, or the rest of it, from one target. */
+export interface AttemptOptions {
+  timers: TimerService;
+  engine: EngineClient;
+  endpoint: EngineEndpoint;
+  completion: EngineCompletion;
+  /** Stream that another reader began. */
+  streamId?: string;
+  /** Offset from which the stream is resumed. */
+  getNextOffset(): number;
+  handleOpen(opening: EngineOpening): void;
+  handleToken(event: TokenEvent): void;
+  handleEnd(event: EndEvent): void;
+  handleResume(problem: string): void;
+  handleLost(loss: AttemptLoss): void;
+}
+
+/** A running attempt. */
+export interface Attempt {
+  getStreamId(): string;
+  /** Reads again from the next offset through a new connection. */
+  resume(problem: string): void;
+  /** Closes the connection while the engine holds the stream. */
+  stopReading(): void;
+  /** Reads again after `stopReading`. */
+  startReading(): void;
+  /** Closes the connection; the engine has ended the stream by itself. */
+  close(): void;
+  /** Cancels the stream at the engine and resolves when it has confirmed. */
+  stop(): Promise<void>;
+  /** Waits for another daemon to take the stream over, and cancels it otherwise. */
+  release(): Promise<void>;
+}
+
+const STATUS_CONFLICT = 409;
+const STATUS_TOO_MANY = 429;
+const STATUS_SERVER_ERROR = 500;
+
+/** A refusal of the request itself, which every target would repeat. */
+function isFinalStatus(status: number): boolean {
+  const isOfTarget = status === STATUS_CONFLICT || status === STATUS_TOO_MANY;
+  return status < STATUS_SERVER_ERROR && !isOfTarget;
+}
+
+function buildLoss({ kind, problem, status = 0 }: TargetFailure): AttemptLoss {
+  const isRefused = kind === TargetFailureKind.Refused;
+  const isFinal = isRefused && isFinalStatus(status);
+  const isOfStream =
+    kind === TargetFailureKind.StreamUnknown || kind === TargetFailureKind.WrongGeneration;
+  const isKept = isOfStream || (isRefused && status < STATUS_SERVER_ERROR);
+  return { problem: `${kind}: ${problem}`, targetFailed: !isKept, isFinal };
+}
+
+/** Starts an attempt. */
+export function startAttempt(options: AttemptOptions): Attempt {
+  const { timers, engine, endpoint, completion } = options;
+  let streamId = options.streamId ?? '';
+  let resumesWithoutProgress = 0;
+  let isOver = false;
+  let isReleased = false;
+  let connection: EngineStream | undefined;
+  let handleOpening: () => void = () => undefined;
+
+  const closeConnection = (): void => {
+    connection?.close();
+    connection = undefined;
+  };
+
+  const lose = (failure: TargetFailure): void => {
+    closeConnection();
+    if (isOver) return;
+    isOver = true;
+    options.handleLost(buildLoss(failure));
+  };
+
+  const canResume = (kind: TargetFailureKind): boolean => {
+    const isOfConnection = kind === TargetFailureKind.Silent || kind === TargetFailureKind.Broken;
+    return (
+      isOfConnection &&
+      streamId !== '' &&
+      !isReleased &&
+      resumesWithoutProgress < MAX_RESUMES_WITHOUT_PROGRESS
+    );
+  };
+
+  const handlers: EngineStreamHandlers = {
+    handleOpen(opening) {
+      streamId = opening.streamId;
+      handleOpening();
+      if (!isOver) options.handleOpen(opening);
+    },
+    handleToken(event) {
+      if (isOver || isReleased) return;
+      const before = options.getNextOffset();
+      options.handleToken(event);
+      if (options.getNextOffset() > before) resumesWithoutProgress = 0;
+    },
+    handleEnd(event) {
+      if (!isOver && !isReleased) options.handleEnd(event);
+    },
+    handleFailure(failure) {
+      connection = undefined;
+      handleOpening();
+      if (isOver) return;
+      if (canResume(failure.kind)) reopen(failure.problem);
+      else lose(failure);
+    },
+  };
+
+  function openAgain(): void {
+    closeConnection();
+    const { request, attempt } = completion;
+    const offset = options.getNextOffset();
+    connection = engine.resumeStream(endpoint, { request, attempt, streamId, offset }, handlers);
+  }
+
+  function reopen(problem: string): void {
+    resumesWithoutProgress++;
+    options.handleResume(problem);
+    openAgain();
+  }
+
+  /** A stream can be cancelled only after the engine has named it. */
+  const waitForOpening = (): Promise<void> =>
+    new Promise((resolve) => {
+      handleOpening = resolve;
+      if (streamId !== '' || connection === undefined) resolve();
+    });
+
+  const stopAtEngine = async (): Promise<void> => {
+    isOver = true;
+    await waitForOpening();
+    closeConnection();
+    if (streamId === '') return;
+    for (let tries = 0; tries < MAX_STOP_TRIES; tries++) {
+      if (await engine.stopStream(endpoint, streamId)) return;
+      await timers.waitFor(STOP_RETRY_MS);
+    }
+  };
+
+  if (options.streamId !== undefined) openAgain();
+  else connection = engine.startStream(endpoint, completion, handlers);
+
+  return {
+    getStreamId: () => streamId,
+    resume(problem) {
+      if (isOver) return;
+      if (canResume(TargetFailureKind.Broken)) reopen(problem);
+      else lose({ kind: TargetFailureKind.Broken, problem });
+    },
+    stopReading: closeConnection,
+    startReading() {
+      if (!isOver) openAgain();
+    },
+    close() {
+      isOver = true;
+      closeConnection();
+    },
+    stop: stopAtEngine,
+    async release() {
+      isReleased = true;
+      await timers.waitFor(CALLER_GRACE_MS);
+      // The engine closes the connection when another reader takes over.
+      if (!isOver) await stopAtEngine();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/streams/buffer-budget.ts
@@ -0,0 +1,33 @@
+import { CONTINUE_DAEMON_SHARE, MAX_DAEMON_BYTES } from './consts.ts';
+
+/** Undelivered text of all streams of a daemon. */
+export interface BufferBudget {
+  /** Adds bytes, or removes them with a negative amount. */
+  add(bytes: number): void;
+  getBytes(): number;
+  isExceeded(): boolean;
+  /** Tells whether cancelled streams may continue. */
+  hasRoom(): boolean;
+  /** Calls the listener whenever bytes were removed and cancelled streams may continue. */
+  subscribe(listener: () => void): () => void;
+}
+
+/** Creates the budget of a daemon. */
+export function createBufferBudget(maxBytes = MAX_DAEMON_BYTES): BufferBudget {
+  const listeners = new Set<() => void>();
+  let held = 0;
+  const hasRoom = (): boolean => held <= maxBytes * CONTINUE_DAEMON_SHARE;
+  return {
+    add(bytes) {
+      held += bytes;
+      if (bytes < 0 && hasRoom()) listeners.forEach((listener) => listener());
+    },
+    getBytes: () => held,
+    isExceeded: () => held > maxBytes,
+    hasRoom,
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/streams/delivery.ts
@@ -0,0 +1,127 @@
+import type { ServingErrorInstance } from '../errors/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { CALLER_HEARTBEAT_MS, CALLER_WRITE_DEADLINE_MS, MAX_BATCH_BYTES } from './consts.ts';
+import type { BufferBudget } from './buffer-budget.ts';
+import type { TokenLog } from './token-log.ts';
+import type { AnswerSink } from './types.ts';
+
+/** What delivery needs. */
+export interface DeliveryOptions {
+  timers: TimerService;
+  budget: BufferBudget;
+  log: TokenLog;
+  sink: AnswerSink;
+  /** Offset of the first token to deliver. */
+  firstOffset: number;
+  formatResumeToken(offset: number): string;
+  /** Called after tokens were delivered. */
+  handleProgress(): void;
+  /** Called once, after the end or error was written, or when the caller is gone. */
+  handleFinished(isCallerGone: boolean): void;
+}
+
+/** Passes the tokens of a log to a caller as fast as the caller reads them. */
+export interface Delivery {
+  /** Counts a token added to the log, and delivers what the caller takes. */
+  handleAdded(offset: number, bytes: number): void;
+  getUndeliveredBytes(): number;
+  isBlocked(): boolean;
+  /** Delivers the rest and then the end. */
+  finish(total: number): void;
+  /** Delivers the rest and then the error. */
+  fail(error: ServingErrorInstance): void;
+}
+
+/** Starts the delivery of one answer. */
+export function startDelivery(options: DeliveryOptions): Delivery {
+  const { timers, budget, log, sink } = options;
+  let cursor = options.firstOffset;
+  let undelivered = 0;
+  let isBlocked = false;
+  let isOpen = true;
+  let hasWritten = false;
+  let writeLast: (() => void) | undefined;
+  let progressMs = timers.getMonotonicMs();
+  let latestBuffered = 0;
+
+  const addUndelivered = (bytes: number): void => {
+    undelivered += bytes;
+    budget.add(bytes);
+  };
+
+  const close = (isCallerGone: boolean): void => {
+    if (!isOpen) return;
+    isOpen = false;
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- Runs later.
+    stopHeartbeat();
+    addUndelivered(-undelivered);
+    options.handleFinished(isCallerGone);
+  };
+
+  const writeBatch = (): boolean => {
+    const batch = log.readBatch(cursor, MAX_BATCH_BYTES);
+    if (batch === undefined) return false;
+    const offset = batch.endOffset - 1;
+    isBlocked = !sink.writeTokens(batch.text, offset, options.formatResumeToken(offset));
+    hasWritten = true;
+    cursor = batch.endOffset;
+    addUndelivered(-batch.bytes);
+    return true;
+  };
+
+  const run = (): void => {
+    let hasProgress = false;
+    while (isOpen && !isBlocked && writeBatch()) hasProgress = true;
+    if (isOpen && !isBlocked && writeLast !== undefined && cursor >= log.getEndOffset()) {
+      writeLast();
+      close(false);
+      return;
+    }
+    if (hasProgress) options.handleProgress();
+  };
+
+  /** Any byte that the caller read is progress, even when its buffer is still full. */
+  const checkDeadline = (): void => {
+    const nowMs = timers.getMonotonicMs();
+    const buffered = sink.getBufferedBytes();
+    if (!isBlocked || buffered < latestBuffered) progressMs = nowMs;
+    latestBuffered = buffered;
+    if (nowMs - progressMs < CALLER_WRITE_DEADLINE_MS) return;
+    sink.close();
+    close(true);
+  };
+
+  const stopHeartbeat = timers.subscribe(CALLER_HEARTBEAT_MS, () => {
+    checkDeadline();
+    if (isOpen && !isBlocked && !hasWritten) isBlocked = !sink.writeHeartbeat();
+    hasWritten = false;
+  });
+
+  sink.subscribe({
+    handleDrain() {
+      isBlocked = false;
+      progressMs = timers.getMonotonicMs();
+      run();
+    },
+    handleClosed: () => close(true),
+  });
+
+  const setLast = (write: () => void): void => {
+    if (writeLast !== undefined) return;
+    writeLast = write;
+    run();
+  };
+
+  return {
+    handleAdded(offset, bytes) {
+      // A resumed stream starts with tokens that the caller already has.
+      if (!isOpen || offset < cursor) return;
+      addUndelivered(bytes);
+      run();
+    },
+    getUndeliveredBytes: () => undelivered,
+    isBlocked: () => isBlocked,
+    finish: (total) => setLast(() => sink.writeEnd(total)),
+    fail: (error) => setLast(() => sink.writeError(error)),
+  };
+}
--- a/src/core/targets/engine-stream.ts
+++ b/src/core/targets/engine-stream.ts
@@ -37,10 +37,10 @@
     options.handleClosed?.();
   };
 
-  const fail = (kind: TargetFailureKind, problem: string): void => {
+  const fail = (kind: TargetFailureKind, problem: string, status?: number): void => {
     if (!isOpen) return;
     close();
-    handlers.handleFailure({ kind, problem });
+    handlers.handleFailure({ kind, problem, ...(status !== undefined && { status }) });
   };
 
   const renewDeadline = (): void => {
@@ -69,7 +69,7 @@
       return false;
     }
     if (statusCode !== STATUS_OK) {
-      fail(TargetFailureKind.Refused, `the engine answered ${statusCode}`);
+      fail(TargetFailureKind.Refused, `the engine answered ${statusCode}`, statusCode);
       return false;
     }
     if (!isOfGeneration(headers, endpoint)) {
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -75,6 +75,8 @@
 export interface TargetFailure {
   kind: TargetFailureKind;
   problem: string;
+  /** HTTP status of a refusal. */
+  status?: number;
 }
 
 /** Receives what an engine sends; nothing is called after a failure or after `close`. */
