Add at-most-once calls and idempotent calls

A call that must not be repeated runs at most once, and a refusal that says not-run is true, with no shared state.

applyCallEvent is the pure transition function of one request id. The ledger holds the ids that this daemon incarnation issued, up to 10,000, with answers up to 64 KiB each and 16 MiB together. Calls with the id of another daemon are forwarded to it; no answer from there means unknown.

A full ledger cannot close one id, so it closes all ids issued so far in one number: the refusal stays true for the 10 minutes of the prefix. Ruled out: dropping old records (a late copy would run again) and saying unknown (the caller could never repeat a call that did not run).

Idempotent calls go to up to 3 targets, and retries are at most a tenth of the calls.

--- /dev/null
+++ b/src/core/calls/call-owner.ts
@@ -0,0 +1,146 @@
+import { formatProblem } from '../errors/index.ts';
+import type { CallResult, ForwardCallRequest } from '../rpc/index.ts';
+import { CallOutcome } from '../rpc/index.ts';
+import type { CallLedger } from './call-ledger.ts';
+import { IdStatus } from './call-ledger.ts';
+import { CallAction, CallEventKind } from './call-state.ts';
+import { MAX_CALL_TARGETS } from './consts.ts';
+import {
+  buildDone,
+  buildNotRun,
+  buildRunning,
+  buildUnknown,
+  createRefusalError,
+  STATUS_LIMIT,
+} from './results.ts';
+import { sendCall } from './send-call.ts';
+import type { CallParts } from './types.ts';
+
+/** Runs the non-idempotent calls whose ids this daemon issued. */
+export interface CallOwner {
+  runCall(call: ForwardCallRequest): Promise<CallResult>;
+  /** Settles an outcome; an id that was never seen is closed. */
+  settleCall(requestId: string): CallResult;
+  /** Calls that have not ended. */
+  countRunning(): number;
+}
+
+const OUTCOME_NAMES: Partial<Record<CallOutcome, string>> = {
+  [CallOutcome.DONE]: 'done',
+  [CallOutcome.NOT_RUN]: 'not-run',
+  [CallOutcome.UNKNOWN]: 'unknown',
+};
+
+const REASON_FULL =
+  'The ledger of the daemon is full. Ids with this prefix never run; take a new one.';
+const REASON_EXPIRED = 'The prefix of the id has expired; the call may have run before.';
+const REASON_UNSEEN = 'The call had not arrived. Its id is closed; use a new one.';
+
+/** Creates the owner of a daemon's ids. */
+export function createCallOwner(parts: CallParts, ledger: CallLedger): CallOwner {
+  let running = 0;
+
+  const record = (kind: string, request: string, details: Record<string, string> = {}): void => {
+    parts.metrics.increment(`calls.${kind}`);
+    parts.events.record('calls', kind, { request, ...details });
+  };
+
+  const buildRefusal = (
+    call: ForwardCallRequest,
+    refusal: Parameters<typeof createRefusalError>[0],
+  ): CallResult => {
+    const { message } = createRefusalError(refusal, call.customer, call.service);
+    const status = refusal.limit === undefined ? undefined : STATUS_LIMIT;
+    return buildNotRun(call.requestId, message, refusal.retryAfterMs, status);
+  };
+
+  const end = (kind: CallEventKind.Refused | CallEventKind.Answered | CallEventKind.Lost) =>
+    function applyEnd(result: CallResult): CallResult {
+      ledger.applyEvent(result.requestId, { kind, result });
+      record('ended', result.requestId, { outcome: OUTCOME_NAMES[result.outcome] ?? '' });
+      return result;
+    };
+
+  const endRefused = end(CallEventKind.Refused);
+  const endAnswered = end(CallEventKind.Answered);
+  const endLost = end(CallEventKind.Lost);
+
+  /** Tries targets until a byte may have left; after that the call is never sent again. */
+  const runAtTargets = async (call: ForwardCallRequest): Promise<CallResult> => {
+    const { requestId } = call;
+    const excludedVms = new Set<string>();
+    let problem = '';
+    for (let tries = 0; tries < MAX_CALL_TARGETS; tries++) {
+      const sent = await sendCall(parts, call, excludedVms, {
+        idempotent: false,
+        handleSendStarted(vm) {
+          ledger.applyEvent(requestId, { kind: CallEventKind.SendStarted });
+          record('send-started', requestId, { target: vm });
+        },
+      });
+      if (sent.refusal !== undefined) return endRefused(buildRefusal(call, sent.refusal));
+      const { vm, result } = sent;
+      if (result.answer !== undefined) return endAnswered(buildDone(requestId, result.answer));
+      problem = `${vm}: ${result.failure.problem}`;
+      if (result.sent) {
+        return endLost(
+          buildUnknown(requestId, `The call was sent, and no answer came (${problem})`),
+        );
+      }
+      ledger.applyEvent(requestId, { kind: CallEventKind.NotSent });
+      record('not-sent', requestId, { target: vm, problem });
+      excludedVms.add(vm);
+    }
+    return endRefused(buildNotRun(requestId, `No target could be reached (${problem})`));
+  };
+
+  const runNew = async (call: ForwardCallRequest): Promise<CallResult> => {
+    running++;
+    record('accepted', call.requestId, { customer: call.customer });
+    try {
+      return await runAtTargets(call);
+    } catch (error) {
+      // Whether a byte left isn't known here, so the call counts as sent.
+      ledger.applyEvent(call.requestId, { kind: CallEventKind.SendStarted });
+      return endLost(buildUnknown(call.requestId, formatProblem(error)));
+    } finally {
+      running--;
+    }
+  };
+
+  /** Answers for ids that the ledger does not decide about; undefined for the others. */
+  const findFixedResult = (requestId: string): CallResult | undefined => {
+    const status = ledger.checkId(requestId);
+    if (status === IdStatus.Own) return undefined;
+    if (status === IdStatus.Expired) return buildUnknown(requestId, REASON_EXPIRED);
+    return buildUnknown(requestId, 'This daemon incarnation did not issue the id.');
+  };
+
+  return {
+    async runCall(call) {
+      const { requestId } = call;
+      const fixed = findFixedResult(requestId);
+      if (fixed !== undefined) return fixed;
+      const { action, result, isFull } = ledger.applyEvent(requestId, {
+        kind: CallEventKind.Order,
+      });
+      if (isFull === true) return buildNotRun(requestId, REASON_FULL);
+      if (action === CallAction.Run) return runNew(call);
+      if (action === CallAction.Wait) return ledger.waitForResult(requestId);
+      return result ?? buildUnknown(requestId, 'The outcome was not recorded.');
+    },
+    settleCall(requestId) {
+      const fixed = findFixedResult(requestId);
+      if (fixed !== undefined) return fixed;
+      const { action, result, isFull } = ledger.applyEvent(requestId, {
+        kind: CallEventKind.Lookup,
+        result: buildNotRun(requestId, REASON_UNSEEN),
+      });
+      record('looked-up', requestId, { action });
+      if (isFull === true) return buildNotRun(requestId, REASON_FULL);
+      if (action === CallAction.ReplyRunning) return buildRunning(requestId);
+      return result ?? buildUnknown(requestId, 'The outcome was not recorded.');
+    },
+    countRunning: () => running,
+  };
+}
--- /dev/null
+++ b/src/core/calls/index.ts
@@ -0,0 +1,14 @@
+export { createCallLedger, IdStatus } from './call-ledger.ts';
+export type { CallLedger, CallLedgerOptions, LedgerReply } from './call-ledger.ts';
+export { createCallOwner } from './call-owner.ts';
+export type { CallOwner } from './call-owner.ts';
+export { createCallRouter } from './call-router.ts';
+export type { CallRouter, CallRouterOptions } from './call-router.ts';
+export * from './call-state.ts';
+export * from './consts.ts';
+export { createIdempotentCalls, createRetryBudget } from './idempotent-calls.ts';
+export type { IdempotentCalls, RetryBudget } from './idempotent-calls.ts';
+export { parseRequestId } from './request-id.ts';
+export type { IssuedRequestId } from './request-id.ts';
+export { createRefusalError } from './results.ts';
+export type { CallOwners, CallParts } from './types.ts';
--- /dev/null
+++ b/src/core/calls/send-call.ts
@@ -0,0 +1,85 @@
+import type { AdmissionRefusal } from '../admission/index.ts';
+import type { ForwardCallRequest } from '../rpc/index.ts';
+import type { ServiceAnswer, ServiceResult } from '../targets/index.ts';
+import { parseLoad, TargetFailureKind } from '../targets/index.ts';
+import { Priority } from '../world/index.ts';
+import type { CallParts } from './types.ts';
+
+/** Result of one try of a call at one target. */
+export interface SentCall {
+  vm: string;
+  result: ServiceResult;
+  refusal?: undefined;
+}
+
+/** The call found no target. */
+export interface UnplacedCall {
+  refusal: AdmissionRefusal;
+}
+
+/** Headers by which a target reports its state; they are not for callers. */
+const SIGN_HEADERS = new Set(['x-instance-id', 'x-load', 'x-warm']);
+
+function getHeader({ headers }: ServiceAnswer, wanted: string): string | undefined {
+  return headers.find(({ name }) => name === wanted)?.value;
+}
+
+function getPriority({ headers }: ForwardCallRequest): Priority {
+  const text = headers.find(({ name }) => name === 'x-priority')?.value;
+  return Object.values(Priority).find((priority) => priority === text) ?? Priority.Normal;
+}
+
+function reportSign(parts: CallParts, vm: string, { answer, failure }: ServiceResult): void {
+  if (answer === undefined) {
+    // A call that takes long says nothing about the target.
+    const failed = failure.kind !== TargetFailureKind.Silent;
+    if (failed) parts.handleSign({ vm, failed });
+    return;
+  }
+  const instanceId = getHeader(answer, 'x-instance-id');
+  const warm = getHeader(answer, 'x-warm');
+  const load = parseLoad(getHeader(answer, 'x-load'));
+  parts.handleSign({
+    vm,
+    ...(instanceId !== undefined && { instanceId }),
+    ...(warm !== undefined && { warm: warm !== 'false' }),
+    ...(load !== undefined && { load }),
+  });
+}
+
+function removeSignHeaders(result: ServiceResult): ServiceResult {
+  if (result.answer === undefined) return result;
+  const headers = result.answer.headers.filter(({ name }) => !SIGN_HEADERS.has(name));
+  return { answer: { ...result.answer, headers } };
+}
+
+/** Finds a target and sends the call there once. */
+export async function sendCall(
+  parts: CallParts,
+  call: ForwardCallRequest,
+  excludedVms: ReadonlySet<string>,
+  options: { idempotent: boolean; handleSendStarted?(vm: string): void },
+): Promise<SentCall | UnplacedCall> {
+  const { customer, service, requestId, method, path, headers, body, timeoutMs } = call;
+  const { ticket, placement, refusal } = await parts.source.acquire({
+    customer,
+    route: service,
+    priority: getPriority(call),
+    tokens: 1,
+    excludedVms,
+    listTargets: () => parts.listServiceTargets(customer, service),
+  });
+  if (refusal !== undefined) return { refusal };
+  const { target } = placement;
+  try {
+    options.handleSendStarted?.(target.vm);
+    const { idempotent } = options;
+    const request = { requestId, method, path, headers, body, timeoutMs, idempotent };
+    const result = await parts.services.sendCall(target, request);
+    reportSign(parts, target.vm, result);
+    return { vm: target.vm, result: removeSignHeaders(result) };
+  } finally {
+    placement.release();
+    ticket.release(1);
+  }
+}
--- /dev/null
+++ b/src/core/calls/types.ts
@@ -0,0 +1,24 @@
+import type { PlacementSource } from '../admission/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { Metrics } from '../metrics/index.ts';
+import type { RoutableTarget, TargetSign } from '../probing/index.ts';
+import type { CallResult, ForwardCallRequest } from '../rpc/index.ts';
+import type { ServiceClient } from '../targets/index.ts';
+import type { TimerService } from '../timers/index.ts';
+
+/** Parts that all calls of a daemon share. */
+export interface CallParts {
+  timers: TimerService;
+  events: Pick<EventRecorder, 'record'>;
+  metrics: Pick<Metrics, 'increment'>;
+  services: ServiceClient;
+  source: PlacementSource;
+  listServiceTargets(customer: string, route: string): RoutableTarget[];
+  handleSign(sign: TargetSign): void;
+}
+
+/** Ways to the daemons that own request ids; both reject when the daemon can't be reached. */
+export interface CallOwners {
+  forwardCall(owner: string, incarnation: string, call: ForwardCallRequest): Promise<CallResult>;
+  lookupCall(owner: string, incarnation: string, requestId: string): Promise<CallResult>;
+}
