Add the stand-ins for engines, services and the weight store

Tests and demos need targets that load, turn cold, overload, lose members and go silent on demand.

Ruled out: one process for each engine member, because a demo with 60 members would need 60 processes; members of one process listen on several ports instead. Also ruled out: ending a stream when its reader goes away, because daemons resume streams on new connections.

`POST /faults` sets faults; a control port stays up while a member is down. `max_tokens` counts the whole answer, and the offsets of a continuation start at the number of its tokens. Ready members report to the member with rank 0, so an order needs no addresses but that of the leader.

--- /dev/null
+++ b/src/cli/standin-engine/index.ts
@@ -0,0 +1,24 @@
+import { command, option, optional, run, string } from 'cmd-ts';
+import { createLogger } from '../../core/logs/index.ts';
+import { getSettingsFile, runDaemon } from '../../core/process/index.ts';
+import { readSettings } from '../../core/settings/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import { createStandInEngine, engineSettingsSchema } from '../../stand-ins/engine/index.ts';
+
+const logger = createLogger('standin-engine');
+
+const standIn = command({
+  name: 'standin-engine',
+  description: 'Stand-in for engine members, for tests and demos.',
+  args: { settings: option({ type: optional(string), long: 'settings' }) },
+  handler: ({ settings: file }) =>
+    runDaemon(logger, async () => {
+      const settings = readSettings(getSettingsFile(file), engineSettingsSchema);
+      const server = createStandInEngine(settings, createTimerService());
+      await server.start();
+      logger.info('started', { members: server.members.length });
+      return server;
+    }),
+});
+
+await run(standIn, process.argv.slice(2));
--- /dev/null
+++ b/src/cli/standin-service/index.ts
@@ -0,0 +1,24 @@
+import { command, option, optional, run, string } from 'cmd-ts';
+import { createLogger } from '../../core/logs/index.ts';
+import { getSettingsFile, runDaemon } from '../../core/process/index.ts';
+import { readSettings } from '../../core/settings/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import { createStandInService, serviceSettingsSchema } from '../../stand-ins/service/index.ts';
+
+const logger = createLogger('standin-service');
+
+const standIn = command({
+  name: 'standin-service',
+  description: 'Stand-in for the targets of a plain service, for tests and demos.',
+  args: { settings: option({ type: optional(string), long: 'settings' }) },
+  handler: ({ settings: file }) =>
+    runDaemon(logger, async () => {
+      const settings = readSettings(getSettingsFile(file), serviceSettingsSchema);
+      const server = createStandInService(settings, createTimerService());
+      await server.start();
+      logger.info('started', { targets: server.targets.length });
+      return server;
+    }),
+});
+
+await run(standIn, process.argv.slice(2));
--- /dev/null
+++ b/src/cli/standin-weights/index.ts
@@ -0,0 +1,24 @@
+import { command, option, optional, run, string } from 'cmd-ts';
+import { createLogger } from '../../core/logs/index.ts';
+import { getSettingsFile, runDaemon } from '../../core/process/index.ts';
+import { readSettings } from '../../core/settings/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import { createStandInWeights, weightsSettingsSchema } from '../../stand-ins/weights/index.ts';
+
+const logger = createLogger('standin-weights');
+
+const standIn = command({
+  name: 'standin-weights',
+  description: 'Stand-in for the weight store, for tests and demos.',
+  args: { settings: option({ type: optional(string), long: 'settings' }) },
+  handler: ({ settings: file }) =>
+    runDaemon(logger, async () => {
+      const settings = readSettings(getSettingsFile(file), weightsSettingsSchema);
+      const server = createStandInWeights(settings, createTimerService());
+      await server.start();
+      logger.info('started', { port: server.port });
+      return server;
+    }),
+});
+
+await run(standIn, process.argv.slice(2));
--- /dev/null
+++ b/src/stand-ins/engine/batch.ts
@@ -0,0 +1,146 @@
+import type { TimerService, Unsubscribe } from '../../core/timers/index.ts';
+import { Priority } from '../../core/world/index.ts';
+import type { EngineBehaviour } from './settings.ts';
+import { countPromptTokens, createAnswerText } from './text.ts';
+import { StreamState } from './types.ts';
+import type { CompletionRequest, EngineStream } from './types.ts';
+
+const PRIORITY_ORDER: readonly string[] = [Priority.High, Priority.Normal, Priority.Low];
+
+/** What the batch asks of the member that owns it. */
+export interface BatchOptions {
+  behaviour: EngineBehaviour;
+  timers: TimerService;
+  createId: () => string;
+  isFrozen: () => boolean;
+  getSlowMs: () => number;
+  handleFinished: () => void;
+  handleMemoryExceeded: () => void;
+}
+
+/** Streams that an engine member generates. */
+export interface Batch {
+  addRequest(request: CompletionRequest): EngineStream;
+  findStream(id: string): EngineStream | undefined;
+  cancelStream(stream: EngineStream): void;
+  countRunning(): number;
+  countQueued(): number;
+  countHeldTokens(): number;
+  /** Breaks all streams, as a crash does, and forgets them. */
+  reset(): void;
+}
+
+function isOpen(stream: EngineStream): boolean {
+  return stream.state === StreamState.Queued || stream.state === StreamState.Running;
+}
+
+function computePriority(stream: EngineStream): number {
+  const index = PRIORITY_ORDER.indexOf(stream.request.priority);
+  return index === -1 ? PRIORITY_ORDER.indexOf(Priority.Normal) : index;
+}
+
+/** Creates the batch of an engine member: one token for each running stream at a fixed period. */
+export function createBatch(options: BatchOptions): Batch {
+  const { behaviour, timers } = options;
+  const streams = new Map<string, EngineStream>();
+  const expiries = new Set<Unsubscribe>();
+  let stopSteps: Unsubscribe | undefined;
+  let blockedUntilMs = 0;
+
+  const listOpen = (state: StreamState): EngineStream[] =>
+    [...streams.values()].filter((stream) => stream.state === state);
+
+  const countHeldTokens = (): number =>
+    [...streams.values()]
+      .filter(isOpen)
+      .reduce((sum, { promptTokens, endOffset }) => sum + promptTokens + endOffset, 0);
+
+  const setState = (stream: EngineStream, state: StreamState): void => {
+    stream.state = state;
+    stream.listener?.();
+  };
+
+  const setFinished = (stream: EngineStream): void => {
+    setState(stream, StreamState.Finished);
+    const cancel = timers.scheduleOnce(behaviour.keepFinishedMs, () => {
+      expiries.delete(cancel);
+      streams.delete(stream.id);
+    });
+    expiries.add(cancel);
+    options.handleFinished();
+  };
+
+  const startQueued = (): void => {
+    const queued = listOpen(StreamState.Queued).sort(
+      (left, right) => computePriority(left) - computePriority(right),
+    );
+    const free = behaviour.batchRequests - listOpen(StreamState.Running).length;
+    queued.slice(0, Math.max(0, free)).forEach((stream) => {
+      stream.state = StreamState.Running;
+      stream.readyMs = timers.getMonotonicMs() + behaviour.firstTokenMs;
+    });
+  };
+
+  const addToken = (stream: EngineStream): void => {
+    const unread = stream.endOffset - (stream.readOffset ?? stream.endOffset);
+    if (stream.readyMs > timers.getMonotonicMs() || unread >= behaviour.unreadTokens) return;
+    if (stream.endOffset >= stream.request.maxTokens) {
+      setFinished(stream);
+      return;
+    }
+    stream.endOffset++;
+    if (stream.endOffset >= stream.request.maxTokens) setFinished(stream);
+    else stream.listener?.();
+  };
+
+  const runStep = (): void => {
+    const nowMs = timers.getMonotonicMs();
+    if (options.isFrozen() || nowMs < blockedUntilMs) return;
+    if (options.getSlowMs() > 0) blockedUntilMs = nowMs + options.getSlowMs();
+    startQueued();
+    listOpen(StreamState.Running).forEach(addToken);
+    if (countHeldTokens() > behaviour.capacityTokens) options.handleMemoryExceeded();
+    if ([...streams.values()].some(isOpen)) return;
+    stopSteps?.();
+    stopSteps = undefined;
+  };
+
+  return {
+    addRequest(request) {
+      const stream: EngineStream = {
+        id: options.createId(),
+        request,
+        state: StreamState.Queued,
+        firstOffset: request.continuation.length,
+        endOffset: request.continuation.length,
+        readOffset: undefined,
+        promptTokens: countPromptTokens(request.prompt),
+        readyMs: 0,
+        getText: createAnswerText(request.model, request.prompt),
+        listener: undefined,
+      };
+      streams.set(stream.id, stream);
+      startQueued();
+      stopSteps ??= timers.subscribe(behaviour.tokenMs, runStep);
+      if (countHeldTokens() > behaviour.capacityTokens) options.handleMemoryExceeded();
+      return stream;
+    },
+    findStream: (id) => streams.get(id),
+    cancelStream(stream) {
+      if (isOpen(stream)) setState(stream, StreamState.Cancelled);
+      streams.delete(stream.id);
+    },
+    countRunning: () => listOpen(StreamState.Running).length,
+    countQueued: () => listOpen(StreamState.Queued).length,
+    countHeldTokens,
+    reset() {
+      const broken = [...streams.values()].filter(isOpen);
+      streams.clear();
+      expiries.forEach((cancel) => cancel());
+      expiries.clear();
+      broken.forEach((stream) => setState(stream, StreamState.Broken));
+      stopSteps?.();
+      stopSteps = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/engine/index.ts
@@ -0,0 +1,100 @@
+import { randomUUID } from 'node:crypto';
+import type { TimerService } from '../../core/timers/index.ts';
+import { createControlServer, createFaultServer } from '../faults/index.ts';
+import type { FaultListeners, FaultOrder } from '../faults/index.ts';
+import { createEngineMember } from './member.ts';
+import type { EngineMember } from './member.ts';
+import { addEngineRoutes } from './routes.ts';
+import type { EngineMemberSettings, EngineSettings } from './settings.ts';
+
+export { engineSettingsSchema } from './settings.ts';
+export type { EngineBehaviour, EngineMemberSettings, EngineSettings } from './settings.ts';
+export { countPromptTokens, createAnswerText } from './text.ts';
+export type { EngineCounters } from './types.ts';
+
+/** One engine member with its server. */
+export interface StandInEngineMember {
+  vm: string;
+  address: string;
+  /** Port in use; known after `start`. */
+  port: number;
+  member: EngineMember;
+  applyFaults(order: FaultOrder): void;
+}
+
+/** Engine members of one process. */
+export interface StandInEngine {
+  members: StandInEngineMember[];
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+interface MemberParts extends StandInEngineMember {
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+function createMemberParts(
+  settings: EngineMemberSettings,
+  { behaviour }: EngineSettings,
+  timers: TimerService,
+  createId: () => string,
+): MemberParts {
+  const listeners: FaultListeners = {};
+  const { address, port } = settings;
+  const server = createFaultServer({ address, port, timers, listeners });
+  const member = createEngineMember({
+    settings,
+    behaviour,
+    timers,
+    createId,
+    faults: server.faults,
+  });
+  listeners.handleCold = member.setCold;
+  listeners.handleRestart = member.reset;
+  addEngineRoutes({ server, member, behaviour, timers, createId });
+  const parts: MemberParts = {
+    vm: settings.vm,
+    address: settings.address,
+    port: settings.port,
+    member,
+    applyFaults: server.applyFaults,
+    async start() {
+      parts.port = await server.start();
+      member.start();
+    },
+    async stop() {
+      member.stop();
+      await server.stop();
+    },
+  };
+  return parts;
+}
+
+/**
+ * Creates engine members on several ports of one process. `max_tokens` counts the tokens of the
+ * whole answer; offsets of a continuation start at the number of its tokens.
+ */
+export function createStandInEngine(
+  settings: EngineSettings,
+  timers: TimerService,
+  createId: () => string = randomUUID,
+): StandInEngine {
+  const members = settings.members.map((member) =>
+    createMemberParts(member, settings, timers, createId),
+  );
+  const { control } = settings;
+  const controlServer =
+    control === undefined ? undefined : createControlServer(control.address, control.port, members);
+  return {
+    members,
+    async start() {
+      for (const member of members) await member.start();
+      await controlServer?.start();
+    },
+    async stop() {
+      await controlServer?.stop();
+      for (const member of members) await member.stop();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/engine/member.ts
@@ -0,0 +1,269 @@
+import type { TimerService, Unsubscribe } from '../../core/timers/index.ts';
+import { EnginePhase } from '../../core/world/index.ts';
+import type { EngineOrder, TargetLoad, TargetStatus } from '../../core/world/index.ts';
+import { createBatch } from './batch.ts';
+import { createReplica } from './replica.ts';
+import type { MemberReport } from './replica.ts';
+import type { EngineBehaviour, EngineMemberSettings } from './settings.ts';
+import type { CompletionRequest, EngineCounters, EngineStream } from './types.ts';
+import { loadWeights } from './weight-loader.ts';
+
+/** Why a request or an order was refused. */
+export enum Refusal {
+  StaleEpoch = 'stale-epoch',
+  NotLeader = 'not-leader',
+  NotReady = 'not-ready',
+  WrongGroup = 'wrong-group',
+  ContinuationMismatch = 'continuation-mismatch',
+  Overloaded = 'overloaded',
+}
+
+/** State of one engine member. */
+export interface EngineMember {
+  counters: EngineCounters;
+  getStatus(): TargetStatus;
+  applyOrder(order: EngineOrder): Refusal | undefined;
+  handleMemberReport(report: MemberReport): boolean;
+  addRequest(
+    request: CompletionRequest,
+    group?: string,
+    generation?: number,
+  ): EngineStream | Refusal;
+  findStream(id: string): EngineStream | undefined;
+  cancelStream(stream: EngineStream): void;
+  setCold(): void;
+  /** Starts again as a new instance without weights. */
+  reset(): void;
+  start(): void;
+  stop(): void;
+}
+
+/** What a member needs from its process. */
+export interface EngineMemberOptions {
+  settings: EngineMemberSettings;
+  behaviour: EngineBehaviour;
+  timers: TimerService;
+  createId: () => string;
+  faults: { slowMs: number; down: boolean; frozen: boolean; ignoreFencing: boolean };
+}
+
+function createCounters(): EngineCounters {
+  return {
+    completions: 0,
+    coldOverloads: 0,
+    memoryOverloads: 0,
+    memberFailures: 0,
+    continuationMismatches: 0,
+    staleOrders: 0,
+    ordersApplied: 0,
+    loads: 0,
+    cancelled: 0,
+    resumed: 0,
+  };
+}
+
+/** Creates an engine member: orders, weights, cold start and failures. */
+export function createEngineMember(options: EngineMemberOptions): EngineMember {
+  const { settings, behaviour, timers, createId, faults } = options;
+  const counters = createCounters();
+  let instanceId = createId();
+  let order: EngineOrder | undefined;
+  let epoch = 0;
+  let phase = EnginePhase.Empty;
+  let heldWeights = '';
+  let coldSinceMs = 0;
+  let coldAnswers = 0;
+  let isCold = false;
+  let loading: AbortController | undefined;
+  let subscriptions: Unsubscribe[] = [];
+  let load: Omit<TargetLoad, 'ageMs'>;
+  let loadMs = timers.getMonotonicMs();
+
+  const isWarm = (): boolean => {
+    if (!isCold) return true;
+    const isLate = timers.getMonotonicMs() - coldSinceMs >= behaviour.coldMs;
+    const isUsed = behaviour.coldRequests > 0 && coldAnswers >= behaviour.coldRequests;
+    isCold = !isLate && !isUsed;
+    return !isCold;
+  };
+
+  const setCold = (): void => {
+    isCold = true;
+    coldSinceMs = timers.getMonotonicMs();
+    coldAnswers = 0;
+  };
+
+  const batch = createBatch({
+    behaviour,
+    timers,
+    createId,
+    isFrozen: () => faults.frozen,
+    getSlowMs: () => faults.slowMs,
+    handleFinished: () => {
+      coldAnswers++;
+    },
+    handleMemoryExceeded: () => markFailed('memoryOverloads'),
+  });
+
+  function markFailed(counter: keyof EngineCounters): void {
+    if (phase === EnginePhase.Failed) return;
+    counters[counter]++;
+    phase = EnginePhase.Failed;
+    batch.reset();
+  }
+
+  const setReady = (): void => {
+    phase = EnginePhase.Ready;
+    setCold();
+  };
+
+  const replica = createReplica({
+    behaviour,
+    timers,
+    getOrder: () => order,
+    getPhase: () => phase,
+    isStopped: () => faults.down || faults.frozen,
+    handleComplete: () => {
+      if (phase === EnginePhase.Loading && loading === undefined) setReady();
+    },
+    handleMemberMissing: () => markFailed('memberFailures'),
+  });
+
+  const measureLoad = (): void => {
+    if (faults.frozen) return;
+    load = {
+      running: batch.countRunning(),
+      queued: batch.countQueued(),
+      heldTokens: batch.countHeldTokens(),
+      capacityTokens: behaviour.capacityTokens,
+      coldLimit: behaviour.coldLimit,
+    };
+    loadMs = timers.getMonotonicMs();
+  };
+
+  const loadModel = async (wanted: EngineOrder): Promise<void> => {
+    const weights = `${wanted.model}@${wanted.modelVersion}`;
+    if (heldWeights !== weights) {
+      const run = new AbortController();
+      loading = run;
+      heldWeights = '';
+      const { model, modelVersion } = wanted;
+      const name = { vm: settings.vm, model: model ?? '', modelVersion: modelVersion ?? '' };
+      await loadWeights(behaviour, timers, name, run.signal);
+      if (run.signal.aborted) return;
+      loading = undefined;
+      heldWeights = weights;
+      counters.loads++;
+    }
+    // Rank 0 is ready when all its members have reported.
+    if (wanted.rank !== 0 || replica.isComplete()) setReady();
+  };
+
+  const startOrder = (wanted: EngineOrder): void => {
+    loading?.abort();
+    loading = undefined;
+    batch.reset();
+    replica.reset();
+    order = wanted;
+    phase = wanted.group === null ? EnginePhase.Empty : EnginePhase.Loading;
+    if (wanted.group !== null) void loadModel(wanted);
+  };
+
+  const isSameOrder = (wanted: EngineOrder): boolean =>
+    order !== undefined &&
+    phase !== EnginePhase.Failed &&
+    order.group === wanted.group &&
+    order.generation === wanted.generation &&
+    order.rank === wanted.rank;
+
+  const isServing = (): boolean => phase === EnginePhase.Ready && order?.group !== null;
+
+  const checkRequest = (
+    request: CompletionRequest,
+    group?: string,
+    generation?: number,
+  ): Refusal | undefined => {
+    if (!isServing()) return Refusal.NotReady;
+    if (order?.rank !== 0) return Refusal.NotLeader;
+    const isOther =
+      (group !== undefined && group !== order.group) ||
+      (generation !== undefined && generation !== order.generation) ||
+      request.model !== order.model;
+    return isOther ? Refusal.WrongGroup : undefined;
+  };
+
+  measureLoad();
+
+  return {
+    counters,
+    getStatus: () => ({
+      instanceId,
+      group: order?.group ?? null,
+      generation: order?.generation ?? 0,
+      epoch,
+      rank: order?.rank ?? 0,
+      phase,
+      warm: isWarm() || (order !== undefined && order.rank !== 0),
+      model: order?.model ?? null,
+      modelVersion: order?.modelVersion ?? null,
+      load: { ...load, ageMs: Math.round(timers.getMonotonicMs() - loadMs) },
+    }),
+    applyOrder(wanted) {
+      const checksFencing = settings.checksFencing && !faults.ignoreFencing;
+      if (wanted.epoch < epoch) {
+        counters.staleOrders++;
+        if (checksFencing) return Refusal.StaleEpoch;
+      }
+      epoch = Math.max(epoch, wanted.epoch);
+      if (isSameOrder(wanted)) return undefined;
+      counters.ordersApplied++;
+      startOrder(wanted);
+      return undefined;
+    },
+    handleMemberReport: replica.handleReport,
+    addRequest(request, group, generation) {
+      const refusal = checkRequest(request, group, generation);
+      if (refusal !== undefined) return refusal;
+      const stream = batch.addRequest(request);
+      const isMismatch = request.continuation.some((text, index) => text !== stream.getText(index));
+      if (isMismatch) {
+        counters.continuationMismatches++;
+        batch.cancelStream(stream);
+        return Refusal.ContinuationMismatch;
+      }
+      counters.completions++;
+      const requests = batch.countRunning() + batch.countQueued();
+      if (!isWarm() && requests > behaviour.coldLimit) markFailed('coldOverloads');
+      return phase === EnginePhase.Failed ? Refusal.Overloaded : stream;
+    },
+    findStream: batch.findStream,
+    cancelStream(stream) {
+      counters.cancelled++;
+      batch.cancelStream(stream);
+    },
+    setCold,
+    reset() {
+      instanceId = createId();
+      epoch = 0;
+      heldWeights = '';
+      loading?.abort();
+      loading = undefined;
+      order = undefined;
+      phase = EnginePhase.Empty;
+      isCold = false;
+      batch.reset();
+      replica.reset();
+      measureLoad();
+    },
+    start() {
+      replica.start();
+      subscriptions = [timers.subscribe(behaviour.loadLagMs, measureLoad)];
+    },
+    stop() {
+      loading?.abort();
+      batch.reset();
+      replica.stop();
+      subscriptions.forEach((cancel) => cancel());
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/engine/replica.ts
@@ -0,0 +1,92 @@
+import { request } from 'undici';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { EngineOrder } from '../../core/world/index.ts';
+import { EnginePhase } from '../../core/world/index.ts';
+import type { EngineBehaviour } from './settings.ts';
+
+/** What a member tells the member with rank 0 of its replica. */
+export interface MemberReport {
+  group: string;
+  generation: number;
+  rank: number;
+}
+
+/** What the replica needs from the member that owns it. */
+export interface ReplicaOptions {
+  behaviour: EngineBehaviour;
+  timers: TimerService;
+  getOrder: () => EngineOrder | undefined;
+  getPhase: () => EnginePhase;
+  isStopped: () => boolean;
+  handleComplete: () => void;
+  handleMemberMissing: (rank: number) => void;
+}
+
+/** Link between the members of one replica. */
+export interface Replica {
+  handleReport(report: MemberReport): boolean;
+  isComplete(): boolean;
+  /** Forgets the members of an earlier order. */
+  reset(): void;
+  start(): void;
+  stop(): void;
+}
+
+/** Creates the link: ready members report to rank 0, which fails when one stops to report. */
+export function createReplica(options: ReplicaOptions): Replica {
+  const { behaviour, timers } = options;
+  const seenMs = new Map<number, number>();
+  let cancel: (() => void) | undefined;
+
+  const listRanks = (): number[] =>
+    Array.from(
+      { length: Math.max(0, (options.getOrder()?.size ?? 1) - 1) },
+      (_, index) => index + 1,
+    );
+
+  const isComplete = (): boolean => listRanks().every((rank) => seenMs.has(rank));
+
+  const sendReport = async (order: EngineOrder): Promise<void> => {
+    const response = await request(`http://${order.leader}/members`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ group: order.group, generation: order.generation, rank: order.rank }),
+      headersTimeout: behaviour.memberDeadlineMs,
+    });
+    await response.body.dump();
+  };
+
+  const checkMembers = (): void => {
+    const oldestMs = timers.getMonotonicMs() - behaviour.memberDeadlineMs;
+    const missing = listRanks().find((rank) => (seenMs.get(rank) ?? 0) < oldestMs);
+    if (missing !== undefined) options.handleMemberMissing(missing);
+  };
+
+  const runStep = (): void => {
+    const order = options.getOrder();
+    if (order === undefined || order.group === null || options.isStopped()) return;
+    if (options.getPhase() !== EnginePhase.Ready) return;
+    if (order.rank === 0) checkMembers();
+    // A leader that does not answer is found by the probers.
+    else if (order.leader !== null) sendReport(order).catch(() => undefined);
+  };
+
+  return {
+    handleReport(report) {
+      const order = options.getOrder();
+      const isMember =
+        order?.rank === 0 && order.group === report.group && order.generation === report.generation;
+      if (!isMember) return false;
+      const wasComplete = isComplete();
+      seenMs.set(report.rank, timers.getMonotonicMs());
+      if (!wasComplete && isComplete()) options.handleComplete();
+      return true;
+    },
+    isComplete,
+    reset: () => seenMs.clear(),
+    start() {
+      cancel = timers.subscribe(behaviour.memberReportMs, runStep);
+    },
+    stop: () => cancel?.(),
+  };
+}
--- /dev/null
+++ b/src/stand-ins/engine/test-engine.ts
@@ -0,0 +1,180 @@
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createTimerService } from '../../core/timers/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import { EnginePhase } from '../../core/world/index.ts';
+import type { EngineOrder, TargetStatus } from '../../core/world/index.ts';
+import { createStandInEngine, engineSettingsSchema } from './index.ts';
+import type { EngineBehaviour, StandInEngine } from './index.ts';
+
+const POLL_MS = 10;
+const LONGEST_WAIT_MS = 5_000;
+const MODEL = 'assist-7b';
+
+/** Fast behaviour, so that tests take milliseconds. */
+const TEST_BEHAVIOUR = {
+  loadMs: 10,
+  coldMs: 0,
+  firstTokenMs: 1,
+  tokenMs: 2,
+  heartbeatMs: 20,
+  loadLagMs: 10,
+  memberReportMs: 10,
+  memberDeadlineMs: 200,
+};
+
+/** An answer as far as it was read. */
+export interface ReadAnswer {
+  statusCode: number;
+  streamId: string;
+  texts: string[];
+  offsets: number[];
+  total: number | undefined;
+  /** True when the connection broke before the end event. */
+  broken: boolean;
+}
+
+/** Engine members on free ports, with a client of its own. */
+export interface TestEngine {
+  engine: StandInEngine;
+  dispatcher: Dispatcher;
+  timers: TimerService;
+  getUrl(index: number, path: string): string;
+  /** Sends the order for one group of all members, and waits until rank 0 is ready. */
+  startGroup(epoch?: number, generation?: number): Promise<void>;
+  sendOrder(index: number, order: Partial<EngineOrder>): Promise<number>;
+  fetchStatus(index: number): Promise<TargetStatus>;
+  requestAnswer(body: object, signal?: AbortSignal): Promise<ReadAnswer>;
+  resumeAnswer(streamId: string, offset: number): Promise<ReadAnswer>;
+  waitUntil(isDone: () => Promise<boolean> | boolean): Promise<void>;
+  stop(): Promise<void>;
+}
+
+function parseEvents(text: string, answer: ReadAnswer): void {
+  text.split('\n\n').forEach((event) => {
+    const data = /^data: (?<json>.*)$/m.exec(event)?.groups?.json;
+    if (data === undefined) return;
+    const value = JSON.parse(data) as { offset: number; text: string; total?: number };
+    if (event.includes('event: end')) {
+      answer.total = value.total;
+      return;
+    }
+    answer.texts.push(value.text);
+    answer.offsets.push(value.offset);
+  });
+}
+
+async function readAnswer(response: Dispatcher.ResponseData): Promise<ReadAnswer> {
+  const answer: ReadAnswer = {
+    statusCode: response.statusCode,
+    streamId: String(response.headers['x-stream-id'] ?? ''),
+    texts: [],
+    offsets: [],
+    total: undefined,
+    broken: false,
+  };
+  let text = '';
+  try {
+    for await (const chunk of response.body) text += String(chunk);
+  } catch {
+    answer.broken = true;
+  }
+  parseEvents(text, answer);
+  return answer;
+}
+
+/** Starts engine members for a test. */
+export async function startTestEngine(
+  members = 1,
+  behaviour: Partial<EngineBehaviour> = {},
+  checksFencing = true,
+): Promise<TestEngine> {
+  const timers = createTimerService();
+  const dispatcher = new Agent({ headersTimeout: LONGEST_WAIT_MS });
+  const settings = engineSettingsSchema.parse({
+    behaviour: { ...TEST_BEHAVIOUR, ...behaviour },
+    members: Array.from({ length: members }, (_, index) => ({
+      vm: `vm-${index}`,
+      address: '127.0.0.1',
+      port: 0,
+      checksFencing,
+    })),
+  });
+  const engine = createStandInEngine(settings, timers);
+  await engine.start();
+
+  const getUrl = (index: number, path: string): string =>
+    `http://127.0.0.1:${engine.members[index]?.port}${path}`;
+
+  const fetchStatus = async (index: number): Promise<TargetStatus> => {
+    const response = await request(getUrl(index, '/status'), { dispatcher });
+    return (await response.body.json()) as TargetStatus;
+  };
+
+  const waitUntil: TestEngine['waitUntil'] = async (isDone) => {
+    const endMs = timers.getMonotonicMs() + LONGEST_WAIT_MS;
+    while (!(await isDone())) {
+      if (timers.getMonotonicMs() > endMs) throw new Error('the state was not reached in time');
+      await timers.waitFor(POLL_MS);
+    }
+  };
+
+  const sendOrder: TestEngine['sendOrder'] = async (index, order) => {
+    const body = {
+      epoch: 1,
+      group: 'assist-1',
+      generation: 1,
+      rank: index,
+      size: members,
+      leader: `127.0.0.1:${engine.members[0]?.port}`,
+      members: engine.members.map(({ vm }) => vm),
+      model: MODEL,
+      modelVersion: '1',
+      ...order,
+    };
+    const response = await request(getUrl(index, '/orders'), {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      dispatcher,
+    });
+    await response.body.dump();
+    return response.statusCode;
+  };
+
+  return {
+    engine,
+    dispatcher,
+    timers,
+    getUrl,
+    fetchStatus,
+    waitUntil,
+    sendOrder,
+    async startGroup(epoch = 1, generation = 1) {
+      for (let index = 0; index < members; index++) await sendOrder(index, { epoch, generation });
+      await waitUntil(async () => (await fetchStatus(0)).phase === EnginePhase.Ready);
+    },
+    async requestAnswer(body, signal) {
+      const response = await request(getUrl(0, '/v1/completions'), {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', 'x-request-id': 'r-1' },
+        body: JSON.stringify({ model: MODEL, ...body }),
+        dispatcher,
+        ...(signal === undefined ? {} : { signal }),
+      });
+      return readAnswer(response);
+    },
+    async resumeAnswer(streamId, offset) {
+      const path = `/v1/streams/${streamId}?offset=${offset}`;
+      // A connection of its own, because those of the pool may be silent.
+      const connection = new Agent({ headersTimeout: LONGEST_WAIT_MS });
+      const answer = await readAnswer(await request(getUrl(0, path), { dispatcher: connection }));
+      await connection.destroy();
+      return answer;
+    },
+    async stop() {
+      await dispatcher.destroy();
+      await engine.stop();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/faults/control-server.ts
@@ -0,0 +1,51 @@
+import fastify from 'fastify';
+import { faultOrderSchema } from './types.ts';
+import type { FaultOrder } from './types.ts';
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+
+/** Part of a stand-in that a control server sets faults at. */
+export interface FaultTarget {
+  vm: string;
+  applyFaults(order: FaultOrder): void;
+}
+
+/** Server that stays up while the members of its process are down. */
+export interface ControlServer {
+  start(): Promise<number>;
+  stop(): Promise<void>;
+}
+
+/** Creates a server whose `POST /faults` names the VM that the faults are for. */
+export function createControlServer(
+  address: string,
+  port: number,
+  targets: readonly FaultTarget[],
+): ControlServer {
+  const app = fastify({ forceCloseConnections: true });
+  app.post('/faults', (request, reply) => {
+    const order = faultOrderSchema.safeParse(request.body);
+    if (!order.success) {
+      return reply
+        .status(HTTP_BAD_REQUEST)
+        .send({ error: 'invalid', problem: order.error.message });
+    }
+    const target = targets.find((candidate) => candidate.vm === order.data.vm);
+    if (target === undefined) {
+      return reply.status(HTTP_NOT_FOUND).send({ error: 'unknown-vm', vm: order.data.vm });
+    }
+    target.applyFaults(order.data);
+    return reply.send({ vm: target.vm });
+  });
+  return {
+    async start() {
+      await app.listen({ host: address, port });
+      const bound = app.server.address();
+      return bound !== null && typeof bound === 'object' ? bound.port : port;
+    },
+    async stop() {
+      await app.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/faults/fault-server.ts
@@ -0,0 +1,167 @@
+import type { Socket } from 'node:net';
+import fastify from 'fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { TimerService } from '../../core/timers/index.ts';
+import { faultOrderSchema } from './types.ts';
+import type { FaultListeners, FaultOrder, FaultState } from './types.ts';
+
+const FAULTS_PATH = '/faults';
+const STATUS_PATH = '/status';
+const HTTP_BAD_REQUEST = 400;
+const MAX_BODY_BYTES = 4 * 1_024 * 1_024;
+
+/** Address and clock of a stand-in server. */
+export interface FaultServerOptions {
+  address: string;
+  /** 0 chooses a free port. */
+  port: number;
+  timers: TimerService;
+  listeners?: FaultListeners;
+}
+
+/** HTTP server of a stand-in, whose faults are set by `POST /faults`. */
+export interface FaultServer {
+  app: FastifyInstance;
+  faults: Readonly<FaultState>;
+  applyFaults(order: FaultOrder): void;
+  isSilenced(socket: Socket): boolean;
+  /** Resolves when the stand-in isn't frozen. */
+  waitWhileFrozen(): Promise<void>;
+  /** Tells whether the next answer may be sent; drops the connection when it is to be lost. */
+  takeAnswer(request: FastifyRequest): boolean;
+  /** Returns the port in use. */
+  start(): Promise<number>;
+  stop(): Promise<void>;
+}
+
+function waitForever(): Promise<never> {
+  return new Promise(() => {});
+}
+
+function getPath(request: FastifyRequest): string {
+  return request.url.split('?')[0] ?? request.url;
+}
+
+/** Creates the HTTP server of a stand-in. */
+export function createFaultServer(options: FaultServerOptions): FaultServer {
+  const { timers, listeners = {} } = options;
+  const app = fastify({ bodyLimit: MAX_BODY_BYTES, forceCloseConnections: true });
+  const faults: FaultState = {
+    slowMs: 0,
+    down: false,
+    frozen: false,
+    loseAnswers: 0,
+    ignoreFencing: false,
+  };
+  const sockets = new Set<Socket>();
+  const silenced = new WeakSet<Socket>();
+  let waiters: (() => void)[] = [];
+  let boundPort = options.port;
+
+  app.server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    // A connection that a fault destroys must not end the process.
+    socket.on('error', () => {});
+  });
+
+  const waitForThaw = (): Promise<void> =>
+    new Promise((resolve) => {
+      waiters.push(resolve);
+    });
+
+  const waitWhileFrozen = async (): Promise<void> => {
+    while (faults.frozen) await waitForThaw();
+  };
+
+  const setFrozen = (frozen: boolean): void => {
+    faults.frozen = frozen;
+    if (frozen) return;
+    const resumed = waiters;
+    waiters = [];
+    resumed.forEach((resolve) => resolve());
+  };
+
+  const setDown = (down: boolean): void => {
+    if (down === faults.down) return;
+    faults.down = down;
+    if (down) {
+      app.server.close();
+      sockets.forEach((socket) => socket.destroy());
+      return;
+    }
+    listeners.handleRestart?.();
+    app.server.listen(boundPort, options.address);
+  };
+
+  const applyFaults = (order: FaultOrder): void => {
+    const { slowMs, forMs } = order;
+    if (slowMs !== undefined) faults.slowMs = slowMs;
+    if (order.loseAnswers !== undefined) faults.loseAnswers = order.loseAnswers;
+    if (order.ignoreFencing !== undefined) faults.ignoreFencing = order.ignoreFencing;
+    if (order.silent === true) sockets.forEach((socket) => silenced.add(socket));
+    if (order.cold === true) listeners.handleCold?.();
+    if (order.frozen !== undefined) setFrozen(order.frozen);
+    if (order.down !== undefined) setDown(order.down);
+    if (forMs === undefined) return;
+    timers.scheduleOnce(forMs, () => {
+      if (slowMs !== undefined) faults.slowMs = 0;
+      if (order.ignoreFencing !== undefined) faults.ignoreFencing = false;
+      if (order.frozen !== undefined) setFrozen(false);
+      if (order.down !== undefined) setDown(false);
+    });
+  };
+
+  const takeAnswer = (request: FastifyRequest): boolean => {
+    if (faults.loseAnswers === 0 || getPath(request) === STATUS_PATH) return true;
+    faults.loseAnswers--;
+    request.raw.socket.destroy();
+    return false;
+  };
+
+  app.addHook('onRequest', async (request) => {
+    if (getPath(request) === FAULTS_PATH) return;
+    if (silenced.has(request.raw.socket)) await waitForever();
+    await waitWhileFrozen();
+    if (faults.slowMs > 0) await timers.waitFor(faults.slowMs);
+  });
+
+  app.addHook('onSend', async (request, _reply, payload) => {
+    if (getPath(request) === FAULTS_PATH) return payload;
+    await waitWhileFrozen();
+    if (silenced.has(request.raw.socket) || !takeAnswer(request)) await waitForever();
+    return payload;
+  });
+
+  app.post(FAULTS_PATH, (request, reply: FastifyReply) => {
+    const order = faultOrderSchema.safeParse(request.body);
+    if (!order.success) {
+      return reply
+        .status(HTTP_BAD_REQUEST)
+        .send({ error: 'invalid', problem: order.error.message });
+    }
+    // The answer is sent first, because the order may close this connection.
+    reply.raw.on('finish', () => applyFaults(order.data));
+    return reply.send({ faults });
+  });
+
+  return {
+    app,
+    faults,
+    applyFaults,
+    isSilenced: (socket) => silenced.has(socket),
+    waitWhileFrozen,
+    takeAnswer,
+    async start() {
+      await app.listen({ host: options.address, port: options.port });
+      const bound = app.server.address();
+      if (bound !== null && typeof bound === 'object') boundPort = bound.port;
+      return boundPort;
+    },
+    async stop() {
+      setFrozen(false);
+      sockets.forEach((socket) => socket.destroy());
+      await app.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/service/index.ts
@@ -0,0 +1,70 @@
+import { randomUUID } from 'node:crypto';
+import type { TimerService } from '../../core/timers/index.ts';
+import { createControlServer, createFaultServer } from '../faults/index.ts';
+import type { FaultListeners, FaultOrder, FaultServer } from '../faults/index.ts';
+import { createBookingLedger } from './bookings.ts';
+import type { BookingLedger } from './bookings.ts';
+import { createServiceTarget } from './target.ts';
+import type { ServiceTargetState } from './target.ts';
+import { addServiceRoutes } from './routes.ts';
+import type { ServiceSettings } from './settings.ts';
+
+export type { Booking, BookingLedger } from './bookings.ts';
+export { serviceSettingsSchema } from './settings.ts';
+export type { ServiceSettings } from './settings.ts';
+
+/** One target of the service with its server. */
+export interface StandInServiceTarget {
+  vm: string;
+  address: string;
+  /** Port in use; known after `start`. */
+  port: number;
+  state: ServiceTargetState;
+  applyFaults(order: FaultOrder): void;
+}
+
+/** Targets of a plain service in one process; they share the bookings, as a database would. */
+export interface StandInService {
+  bookings: BookingLedger;
+  targets: StandInServiceTarget[];
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+interface TargetParts extends StandInServiceTarget {
+  server: FaultServer;
+}
+
+/** Creates the targets of a service that books orders and reads stock. */
+export function createStandInService(
+  settings: ServiceSettings,
+  timers: TimerService,
+  createId: () => string = randomUUID,
+): StandInService {
+  const { behaviour, control } = settings;
+  const bookings = createBookingLedger();
+  const targets = settings.targets.map((target): TargetParts => {
+    const listeners: FaultListeners = {};
+    const { address, port, vm } = target;
+    const server = createFaultServer({ address, port, timers, listeners });
+    const state = createServiceTarget(behaviour, timers, createId);
+    listeners.handleCold = state.setCold;
+    listeners.handleRestart = state.reset;
+    addServiceRoutes({ server, state, bookings, behaviour, timers, vm });
+    return { ...target, state, server, applyFaults: server.applyFaults };
+  });
+  const controlServer =
+    control === undefined ? undefined : createControlServer(control.address, control.port, targets);
+  return {
+    bookings,
+    targets,
+    async start() {
+      for (const target of targets) target.port = await target.server.start();
+      await controlServer?.start();
+    },
+    async stop() {
+      await controlServer?.stop();
+      for (const target of targets) await target.server.stop();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/service/routes.ts
@@ -0,0 +1,76 @@
+import type { FastifyReply } from 'fastify';
+import { z } from 'zod';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { FaultServer } from '../faults/index.ts';
+import type { BookingLedger } from './bookings.ts';
+import type { ServiceBehaviour } from './settings.ts';
+import type { ServiceTargetState } from './target.ts';
+
+const HTTP_CREATED = 201;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+const HTTP_UNAVAILABLE = 503;
+
+const stockParametersSchema = z.object({ item: z.string() });
+
+/** Parts that the routes of a target use. */
+export interface ServiceRouteOptions {
+  vm: string;
+  server: FaultServer;
+  state: ServiceTargetState;
+  bookings: BookingLedger;
+  behaviour: ServiceBehaviour;
+  timers: TimerService;
+}
+
+/** Adds the service's own API to the server of a target. */
+export function addServiceRoutes(options: ServiceRouteOptions): void {
+  const { vm, server, state, bookings, behaviour, timers } = options;
+  const { app } = server;
+
+  const addHeaders = (reply: FastifyReply): void => {
+    const status = state.getStatus();
+    void reply.headers({
+      'x-instance-id': status.instanceId,
+      'x-load': JSON.stringify(status.load),
+      'x-warm': String(status.warm),
+    });
+  };
+
+  const runCall = async (reply: FastifyReply, run: () => FastifyReply): Promise<FastifyReply> => {
+    addHeaders(reply);
+    const isAccepted = state.startCall();
+    if (isAccepted) {
+      await timers.waitFor(behaviour.workMs);
+      await server.waitWhileFrozen();
+    }
+    if (!isAccepted || !state.settleCall()) {
+      return reply.status(HTTP_UNAVAILABLE).send({ error: 'overloaded' });
+    }
+    return run();
+  };
+
+  app.get('/status', () => state.getStatus());
+  app.get('/counters', () => ({ coldOverloads: state.countOverloads() }));
+  app.get('/bookings', () => ({ bookings: bookings.listBookings() }));
+
+  app.post('/bookings', (request, reply) => {
+    const requestId = request.headers['x-request-id'];
+    if (typeof requestId !== 'string') {
+      return reply.status(HTTP_BAD_REQUEST).send({ error: 'x-request-id is missing' });
+    }
+    return runCall(reply, () => {
+      const { runs } = bookings.addRun(requestId, vm, request.body ?? null);
+      return reply.status(HTTP_CREATED).send({ requestId, runs });
+    });
+  });
+
+  app.get('/stock/:item', (request, reply) => {
+    const { item } = stockParametersSchema.parse(request.params);
+    return runCall(reply, () => {
+      const quantity = behaviour.stock[item];
+      if (quantity === undefined) return reply.status(HTTP_NOT_FOUND).send({ error: 'no-item' });
+      return reply.send({ item, quantity });
+    });
+  });
+}
--- /dev/null
+++ b/src/stand-ins/service/target.ts
@@ -0,0 +1,93 @@
+import type { TimerService } from '../../core/timers/index.ts';
+import { EnginePhase } from '../../core/world/index.ts';
+import type { TargetStatus } from '../../core/world/index.ts';
+import type { ServiceBehaviour } from './settings.ts';
+
+/** Load and cold start of one target of the service. */
+export interface ServiceTargetState {
+  /** Failures because of too many calls while cold. */
+  countOverloads(): number;
+  getStatus(): TargetStatus;
+  /** Returns false when the call is refused; it did not run then. */
+  startCall(): boolean;
+  /** Returns false when the target failed while the call waited; it did not run then. */
+  settleCall(): boolean;
+  setCold(): void;
+  reset(): void;
+}
+
+/** Creates the state of a target; it starts cold. */
+export function createServiceTarget(
+  behaviour: ServiceBehaviour,
+  timers: TimerService,
+  createId: () => string,
+): ServiceTargetState {
+  let instanceId = createId();
+  let coldSinceMs = timers.getMonotonicMs();
+  let failedUntilMs = 0;
+  let running = 0;
+  let overloads = 0;
+  let reported = 0;
+  let reportedMs = timers.getMonotonicMs();
+
+  const isFailed = (): boolean => timers.getMonotonicMs() < failedUntilMs;
+  const isWarm = (): boolean => timers.getMonotonicMs() - coldSinceMs >= behaviour.coldMs;
+
+  const setCold = (): void => {
+    coldSinceMs = timers.getMonotonicMs();
+  };
+
+  return {
+    countOverloads: () => overloads,
+    getStatus() {
+      const nowMs = timers.getMonotonicMs();
+      if (nowMs - reportedMs >= behaviour.loadLagMs) {
+        reported = running;
+        reportedMs = nowMs;
+      }
+      return {
+        instanceId,
+        group: null,
+        generation: 0,
+        epoch: 0,
+        rank: 0,
+        phase: isFailed() ? EnginePhase.Failed : EnginePhase.Ready,
+        warm: isWarm(),
+        model: null,
+        modelVersion: null,
+        load: {
+          running: reported,
+          queued: 0,
+          heldTokens: 0,
+          capacityTokens: 0,
+          coldLimit: behaviour.coldLimit,
+          ageMs: Math.round(nowMs - reportedMs),
+        },
+      };
+    },
+    startCall() {
+      if (isFailed()) return false;
+      const limit = isWarm() ? behaviour.concurrentCalls : behaviour.coldLimit;
+      if (running < limit) {
+        running++;
+        return true;
+      }
+      if (isWarm()) return false;
+      overloads++;
+      failedUntilMs = timers.getMonotonicMs() + behaviour.failedMs;
+      coldSinceMs = failedUntilMs;
+      return false;
+    },
+    settleCall() {
+      running = Math.max(0, running - 1);
+      return !isFailed();
+    },
+    setCold,
+    reset() {
+      instanceId = createId();
+      running = 0;
+      failedUntilMs = 0;
+      setCold();
+    },
+  };
+}
--- /dev/null
+++ b/src/stand-ins/weights/settings.ts
@@ -0,0 +1,20 @@
+import { z } from 'zod';
+import { addressSchema, portSchema } from '../../core/settings/index.ts';
+
+const bytesSchema = z.number().int().positive();
+
+/** Settings of `standin-weights`. */
+export const weightsSettingsSchema = z.strictObject({
+  address: addressSchema,
+  /** 0 chooses a free port. */
+  port: portSchema.or(z.literal(0)),
+  /** Rate that all loads share. */
+  bytesPerSecond: bytesSchema.default(100_000_000),
+  /** Loads that wait at once; more are refused with 429. */
+  waitingLoads: z.number().int().min(0).default(64),
+  /** Size of a model by its name. */
+  modelBytes: z.record(z.string(), bytesSchema).default({}),
+  defaultBytes: bytesSchema.default(10_000_000),
+});
+
+export type WeightsSettings = z.infer<typeof weightsSettingsSchema>;
