--- /dev/null
+++ b/src/demo/topology.ts
@@ -0,0 +1,245 @@
+import type { Vm } from '../core/world/index.ts';
+import { VmRole, VmState } from '../core/world/index.ts';
+import { findFreePorts } from './free-ports.ts';
+import type { ProcessPlan } from './processes.ts';
+
+const LOOPBACK = '127.0.0.1';
+const REGION = 'sofia';
+const ZONES = ['sofia-a', 'sofia-b', 'sofia-c'] as const;
+const FABRIC_DOMAIN = 'sofia-fabric-1';
+const PORTS_PER_ENTRY = 3;
+
+/** Ports of one entry daemon. */
+export interface EntryPlace {
+  name: string;
+  availabilityZone: string;
+  callers: number;
+  peers: number;
+  membership: number;
+}
+
+/** Name and port of one target. */
+export interface TargetPort {
+  vm: string;
+  port: number;
+}
+
+/** Where everything of a demo listens. */
+export interface Topology {
+  address: string;
+  entries: EntryPlace[];
+  engines: TargetPort[];
+  services: TargetPort[];
+  platformPort: number;
+  weightsPort: number;
+  engineControlPort: number;
+  serviceControlPort: number;
+}
+
+/** Size and speed of a demo. */
+export interface TopologyOptions {
+  entries: number;
+  engines: number;
+  services: number;
+  /** Time for which an engine is cold after loading. */
+  coldMs: number;
+  /** Time between two tokens of an answer. */
+  tokenMs: number;
+}
+
+function getZone(index: number): string {
+  return ZONES[index % ZONES.length] ?? ZONES[0];
+}
+
+/** Chooses free ports for all processes. */
+export async function createTopology(options: TopologyOptions): Promise<Topology> {
+  const fixedPorts = 4;
+  const { entries, engines, services } = options;
+  const ports = await findFreePorts(fixedPorts + entries * PORTS_PER_ENTRY + engines + services);
+  const takePort = (): number => ports.shift() ?? 0;
+  const createTargets = (prefix: string, count: number): TargetPort[] =>
+    Array.from({ length: count }, (_, index) => ({
+      vm: `${prefix}-${index + 1}`,
+      port: takePort(),
+    }));
+  return {
+    address: LOOPBACK,
+    platformPort: takePort(),
+    weightsPort: takePort(),
+    engineControlPort: takePort(),
+    serviceControlPort: takePort(),
+    entries: Array.from({ length: entries }, (_, index) => ({
+      name: `entry-${index + 1}`,
+      availabilityZone: getZone(index),
+      callers: takePort(),
+      peers: takePort(),
+      membership: takePort(),
+    })),
+    engines: createTargets('engine', engines),
+    services: createTargets('order', services),
+  };
+}
+
+function buildVm(role: VmRole, name: string, port: number, availabilityZone: string): Vm {
+  return {
+    name,
+    address: LOOPBACK,
+    port,
+    availabilityZone,
+    region: REGION,
+    fabricDomain: FABRIC_DOMAIN,
+    role,
+    accelerators: role === VmRole.Engine ? 4 : 0,
+    state: VmState.Live,
+  };
+}
+
+/** Builds the VM list of the platform. */
+export function buildVmList(topology: Topology): Vm[] {
+  const { entries, engines, services } = topology;
+  return [
+    ...entries.map((entry) =>
+      buildVm(VmRole.Entry, entry.name, entry.callers, entry.availabilityZone),
+    ),
+    ...engines.map(({ vm, port }) => buildVm(VmRole.Engine, vm, port, getZone(0))),
+    ...services.map(({ vm, port }, index) => buildVm(VmRole.Service, vm, port, getZone(index))),
+  ];
+}
+
+/** Builds the plans of the stand-ins. */
+export function buildStandInPlans(topology: Topology, options: TopologyOptions): ProcessPlan[] {
+  const { address } = topology;
+  return [
+    {
+      name: 'platform',
+      binary: 'standin-platform',
+      settings: { listen: { address, port: topology.platformPort }, vms: buildVmList(topology) },
+    },
+    {
+      name: 'weights',
+      binary: 'standin-weights',
+      settings: { address, port: topology.weightsPort, defaultBytes: 1_000_000 },
+    },
+    {
+      name: 'engines',
+      binary: 'standin-engine',
+      settings: {
+        behaviour: {
+          weightStore: `http://${address}:${topology.weightsPort}`,
+          coldMs: options.coldMs,
+          tokenMs: options.tokenMs,
+        },
+        members: topology.engines.map(({ vm, port }) => ({ vm, address, port })),
+        control: { address, port: topology.engineControlPort },
+      },
+    },
+    {
+      name: 'orders',
+      binary: 'standin-service',
+      settings: {
+        behaviour: { coldMs: options.coldMs },
+        targets: topology.services.map(({ vm, port }) => ({ vm, address, port })),
+        control: { address, port: topology.serviceControlPort },
+      },
+    },
+  ];
+}
+
+/** Builds the plan of one entry daemon. */
+export function buildEntryPlan(topology: Topology, entry: EntryPlace): ProcessPlan {
+  const { address, platformPort } = topology;
+  const { name, availabilityZone, callers, peers, membership } = entry;
+  return {
+    name,
+    binary: 'clementinefork-entry',
+    settings: {
+      name,
+      address,
+      availabilityZone,
+      region: REGION,
+      ports: { callers, peers, membership },
+      platform: { address, port: platformPort },
+      seeds: topology.entries
+        .filter((other) => other.name !== name)
+        .map((other) => ({ address, port: other.membership })),
+      addressLifetimeMs: 1_000,
+    },
+  };
+}
+
+/** Builds the plan of the controller beside an entry daemon, with times that suit a short demo. */
+export function buildControllerPlan(topology: Topology, entry: EntryPlace): ProcessPlan {
+  const { address, platformPort } = topology;
+  return {
+    name: `controller-${entry.name}`,
+    binary: 'clementinefork-controller',
+    settings: {
+      vm: entry.name,
+      availabilityZone: entry.availabilityZone,
+      platform: { address, port: platformPort },
+      daemon: { address, port: entry.peers },
+      reportMs: 300,
+      lease: { durationMs: 4_000, renewalMs: 1_000, marginMs: 500, observationMs: 500 },
+      orders: { longestDelayMs: 500, retryMs: 500 },
+      status: { queryMs: 200 },
+      planning: { stepMs: 100, claimStepMs: 200, drainQuietMs: 500 },
+      reading: {
+        holderMs: 200,
+        idleMs: 500,
+        vmListMs: 500,
+        idleVmListMs: 1_000,
+        peerGroupsMs: 500,
+      },
+    },
+  };
+}
+
+/** Builds the settings of the operator command. */
+export function buildOperatorSettings(topology: Topology): unknown {
+  const { address } = topology;
+  return {
+    platform: { address, port: topology.platformPort },
+    daemons: topology.entries.map(({ peers }) => ({ address, port: peers })),
+    operator: 'morning',
+  };
+}
+
+/** Builds the declaration that the demo applies: one group of three VMs and one order service. */
+export function buildDeclaration(topology: Topology): unknown {
+  return {
+    servingGroups: [
+      {
+        name: 'assistant',
+        model: 'assistant-llm',
+        modelVersion: '2026-11',
+        members: 3,
+        replicas: Math.max(1, Math.floor((topology.engines.length - 1) / 3)),
+      },
+    ],
+    services: [
+      {
+        name: 'order-app',
+        fabricDomain: FABRIC_DOMAIN,
+        targets: topology.services.map(({ vm, port }, index) => ({
+          vm,
+          address: topology.address,
+          port,
+          availabilityZone: getZone(index),
+        })),
+      },
+    ],
+    routes: [
+      { customer: 'orchard', name: 'assistant-llm', servingGroups: ['assistant'] },
+      { customer: 'orchard', name: 'orders', service: 'order-app' },
+    ],
+    limits: [
+      {
+        customer: 'orchard',
+        requestsPerSecond: 100,
+        concurrentRequests: 50,
+        tokensPerSecond: 20_000,
+      },
+    ],
+    availabilityZones: ZONES.map((name) => ({ name, region: REGION })),
+  };
+}
