Add the copies of platform objects and their exchange

The store holds each object as rows of canonical JSON, keeps 4 earlier versions as the base of differences, and replaces a copy in one step after the hash and the schema match. A difference is sent only if its rows rebuild the value exactly and it is smaller. The exchange fetches from a member whose digest differs or that names a newer version, and sends each newly learned version to a few members at once.

- The first copy of a daemon is not sent on, because the others hold it.
- A member that still has one of the last 16 own digests is behind, so nothing is fetched from it.
- Versions that only renew a lease are not spread; the relay leaves them out.
- A deleted allocation keeps its version; a deleted configuration is refused.

Ruled out: JSON patches over the whole value, whose paths depend on positions in lists; bodies in datagrams, which do not fit.

The spread between daemons is tested with the relay.

--- a/src/core/documents/index.ts
+++ b/src/core/documents/index.ts
@@ -1,1 +1,10 @@
+export { buildDocument, formatDocumentName } from './build-document.ts';
+export { encodeCanonical } from './canonical.ts';
+export * from './consts.ts';
+export { createDocumentStore } from './document-store.ts';
+export type { DocumentStoreOptions } from './document-store.ts';
+export { createDocumentSync } from './document-sync.ts';
+export type { DocumentSync, DocumentSyncOptions } from './document-sync.ts';
+export { isLeaseRenewal } from './lease-renewal.ts';
+export { allocationSchema } from './schemas.ts';
 export type * from './types.ts';
