Add the relay between the platform and the daemons

The first 2 staying daemons of a zone by rendezvous hashing watch the kinds config and allocation and add the changes to their store.

- A daemon steps in after it was selected for 3 s; a fleet that starts at once would otherwise watch as a whole.
- Watch calls of a kind start at least 500 ms apart, because lease renewals of 75 domains would wake every relay about 9 times a second.
- A watch waits at most 10 s and is given up 2 s later, so that a change is in force within 20 s even when the connections of all relays go silent.
- In outages a relay waits 0.25 to 8 s, doubling, with a random half.
- The first watch starts at version 0, because copies from peers can lack an object below the highest version.

Ruled out: a relay chosen by a lease, which needs the platform to hand over.

--- /dev/null
+++ b/src/core/relay/create-platform-relay.ts
@@ -0,0 +1,85 @@
+import { ALLOCATION_KIND } from '../allocation/index.ts';
+import { CONFIG_KIND } from '../declarations/index.ts';
+import type { DocumentStore } from '../documents/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { PlatformClient } from '../platform/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { STEP_IN_DELAY_MS } from './consts.ts';
+import { selectRelays } from './select-relays.ts';
+import { watchKind } from './watch-kind.ts';
+
+const WATCHED_KINDS: readonly string[] = [CONFIG_KIND, ALLOCATION_KIND];
+const PART = 'relay';
+
+/** What the relay of a daemon needs. */
+export interface PlatformRelayOptions {
+  membership: MembershipView;
+  platform: Pick<PlatformClient, 'watchKind'>;
+  store: DocumentStore;
+  timers: TimerService;
+  /** Returns a number from 0 up to 1. */
+  random: () => number;
+  recorder?: Pick<EventRecorder, 'record'>;
+}
+
+/** Watches the platform while this daemon is one of the relays of its availability zone. */
+export interface PlatformRelay {
+  /** Tells whether this daemon watches the platform now. */
+  isActive(): boolean;
+  close(): void;
+}
+
+/** Starts the relay of a daemon; it steps in and out as the members of the zone change. */
+export function createPlatformRelay(options: PlatformRelayOptions): PlatformRelay {
+  const { membership, recorder, timers } = options;
+  let watching: AbortController | undefined;
+  let cancelStepIn: (() => void) | undefined;
+  let isClosed = false;
+
+  const startWatching = (): void => {
+    cancelStepIn = undefined;
+    const abort = new AbortController();
+    watching = abort;
+    recorder?.record(PART, 'relay steps in');
+    WATCHED_KINDS.forEach((kind) => {
+      void watchKind({ ...options, kind }, abort.signal);
+    });
+  };
+
+  const stopWatching = (): void => {
+    watching?.abort();
+    watching = undefined;
+    recorder?.record(PART, 'relay steps out');
+  };
+
+  const isSelected = (): boolean => {
+    const { availabilityZone = '' } = membership.findMember(membership.self) ?? {};
+    const relays = selectRelays(membership.listLiveMembers(), availabilityZone);
+    return !isClosed && relays.includes(membership.self);
+  };
+
+  const updateRole = (): void => {
+    const isRelay = isSelected();
+    if (isRelay && watching === undefined) {
+      cancelStepIn ??= timers.scheduleOnce(STEP_IN_DELAY_MS, startWatching);
+      return;
+    }
+    if (isRelay) return;
+    cancelStepIn?.();
+    cancelStepIn = undefined;
+    if (watching !== undefined) stopWatching();
+  };
+
+  const unsubscribe = membership.subscribe(updateRole);
+  updateRole();
+
+  return {
+    isActive: () => watching !== undefined,
+    close() {
+      isClosed = true;
+      unsubscribe();
+      updateRole();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/relay/watch-kind.ts
@@ -0,0 +1,84 @@
+import { ALLOCATION_KIND } from '../allocation/index.ts';
+import type { DocumentStore } from '../documents/index.ts';
+import { allocationSchema, buildDocument, isLeaseRenewal } from '../documents/index.ts';
+import { formatProblem } from '../errors/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { PlatformChange, PlatformClient, WatchResult } from '../platform/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { computeBackoffMs } from './backoff.ts';
+import { WATCH_GRACE_MS, WATCH_SPACING_MS, WATCH_TIMEOUT_MS } from './consts.ts';
+
+/** What the watch of one kind needs. */
+export interface KindWatchOptions {
+  kind: string;
+  platform: Pick<PlatformClient, 'watchKind'>;
+  store: DocumentStore;
+  timers: TimerService;
+  random: () => number;
+  recorder?: Pick<EventRecorder, 'record'> | undefined;
+}
+
+const PART = 'relay';
+
+/** Tells whether a change only renews the lease of an allocation that is already held. */
+function isHeldLeaseRenewal(store: DocumentStore, change: PlatformChange): boolean {
+  if (change.kind !== ALLOCATION_KIND || change.deleted) return false;
+  const held = store.listAllocations().find(({ value }) => value.fabricDomain === change.name);
+  const next = allocationSchema.safeParse(change.value);
+  return held !== undefined && next.success && isLeaseRenewal(held.value, next.data);
+}
+
+/** Watches once; a call that goes silent is given up. */
+async function watchOnce(
+  options: KindWatchOptions,
+  sinceVersion: number,
+  signal: AbortSignal,
+): Promise<WatchResult> {
+  const { kind, platform, timers } = options;
+  const call = new AbortController();
+  const handleAbort = (): void => call.abort();
+  signal.addEventListener('abort', handleAbort);
+  const cancelDeadline = timers.scheduleOnce(WATCH_TIMEOUT_MS + WATCH_GRACE_MS, handleAbort);
+  const aborted = new Promise<never>((_resolve, reject) => {
+    call.signal.addEventListener('abort', () => reject(new Error('the watch went silent')));
+  });
+  try {
+    const watch = platform.watchKind(kind, sinceVersion, WATCH_TIMEOUT_MS, call.signal);
+    return await Promise.race([watch, aborted]);
+  } finally {
+    cancelDeadline();
+    signal.removeEventListener('abort', handleAbort);
+  }
+}
+
+/**
+ * Watches a kind and adds its changes to the store until the signal aborts. The first watch starts
+ * at version 0, because copies from peers can lack an object below the highest version.
+ */
+export async function watchKind(options: KindWatchOptions, signal: AbortSignal): Promise<void> {
+  const { kind, random, recorder, store, timers } = options;
+  let sinceVersion = 0;
+  let failures = 0;
+  while (!signal.aborted) {
+    const startMs = timers.getMonotonicMs();
+    try {
+      const result = await watchOnce(options, sinceVersion, signal);
+      if (failures > 0) recorder?.record(PART, 'platform answers', { kind });
+      failures = 0;
+      result.objects
+        .filter((change) => !isHeldLeaseRenewal(store, change))
+        .forEach((change) => store.applyDocument(buildDocument(change)));
+      sinceVersion = Math.max(sinceVersion, result.version);
+      const elapsedMs = timers.getMonotonicMs() - startMs;
+      if (elapsedMs < WATCH_SPACING_MS) await timers.waitFor(WATCH_SPACING_MS - elapsedMs, signal);
+    } catch (error) {
+      if (signal.aborted) return;
+      failures += 1;
+      // One event for each outage; the number of attempts says nothing more.
+      if (failures === 1) {
+        recorder?.record(PART, 'platform fails', { kind, problem: formatProblem(error) });
+      }
+      await timers.waitFor(computeBackoffMs(failures, random), signal);
+    }
+  }
+}
