--- /dev/null
+++ b/src/core/addresses/select-addresses.ts
@@ -0,0 +1,48 @@
+import type { Member } from '../rpc/index.ts';
+import { ADDRESS_LIFETIME_MS } from './consts.ts';
+import { selectCustomerSet } from './customer-set.ts';
+import type { AddressAnswer, AddressInput } from './types.ts';
+
+enum Distance {
+  SameZone = 0,
+  SameRegion = 1,
+  OtherRegion = 2,
+}
+
+/** Returns the region of a zone from the declared rows or from a daemon in it. */
+function findRegion(input: AddressInput): string | undefined {
+  const row = input.availabilityZones.find((zone) => zone.name === input.availabilityZone);
+  const member = input.members.find(
+    (candidate) => candidate.availabilityZone === input.availabilityZone,
+  );
+  return row?.region ?? member?.region;
+}
+
+function computeDistance(
+  input: AddressInput,
+  region: string | undefined,
+  member: Member,
+): Distance {
+  if (member.availabilityZone === input.availabilityZone) return Distance.SameZone;
+  return member.region === region ? Distance.SameRegion : Distance.OtherRegion;
+}
+
+/** Returns the addresses that a caller of a customer should use, nearest zone first. */
+export function selectAddresses(input: AddressInput): AddressAnswer {
+  const region = findRegion(input);
+  const distances = [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion];
+  const members = selectCustomerSet(input);
+  const nearestFirst = distances.flatMap((distance) =>
+    members.filter((member) => computeDistance(input, region, member) === distance),
+  );
+  return {
+    addresses: nearestFirst.map((member) => ({
+      daemon: member.name,
+      address: member.address,
+      port: member.callerPort,
+      availabilityZone: member.availabilityZone,
+    })),
+    lifetimeMs: ADDRESS_LIFETIME_MS,
+    requestIdPrefix: input.requestIdPrefix,
+  };
+}
