--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -6,8 +6,10 @@
   DeclarationConflict = 'declaration-conflict',
   DeclarationTooLarge = 'declaration-too-large',
   PlatformUnavailable = 'platform-unavailable',
+  PlatformRefused = 'platform-refused',
   WriteUndecided = 'write-undecided',
   AllocationTooLarge = 'allocation-too-large',
+  AllocationChangeRefused = 'allocation-change-refused',
   LeaseLost = 'lease-lost',
   OrderRefused = 'order-refused',
   NoTarget = 'no-target',
@@ -16,6 +18,7 @@
   OwnerUnreachable = 'owner-unreachable',
   OutcomeUnknown = 'outcome-unknown',
   StreamBroken = 'stream-broken',
+  StreamLost = 'stream-lost',
   ResumeTokenInvalid = 'resume-token-invalid',
   RequestInvalid = 'request-invalid',
   PeerUnreachable = 'peer-unreachable',
@@ -69,6 +72,12 @@
     message: '{operation} failed: {problem}',
     hint: 'Serving continues without it. Try again when the object API answers.',
   },
+  [ErrorKind.PlatformRefused]: {
+    name: 'PlatformRefusedError',
+    title: 'The object API refused a call.',
+    message: '{operation} was refused: {problem}.',
+    hint: 'Check that the object API has the version of section 8 of docs/design.md and that the value is under 1 MB.',
+  },
   [ErrorKind.WriteUndecided]: {
     name: 'WriteUndecidedError',
     title: 'It is not known yet whether the write took effect.',
@@ -82,6 +91,12 @@
       'The allocation of {fabricDomain} takes {bytes} bytes; the limit is {limitBytes} bytes.',
     hint: 'Split the fabric domain in the VM list.',
   },
+  [ErrorKind.AllocationChangeRefused]: {
+    name: 'AllocationChangeRefusedError',
+    title: 'A change of an allocation would break a rule.',
+    message: 'The allocation of {fabricDomain} was not changed: {problem}.',
+    hint: 'The controller plans again from the allocation in force; report the message when it repeats.',
+  },
   [ErrorKind.LeaseLost]: {
     name: 'LeaseLostError',
     title: 'The lease is held by another controller.',
@@ -130,6 +145,12 @@
     message: 'The answer to {requestId} stopped at offset {offset}: {problem}',
     hint: 'Resume with the last event id in the last-event-id header.',
   },
+  [ErrorKind.StreamLost]: {
+    name: 'StreamLostError',
+    title: 'The answer cannot be resumed.',
+    message: 'The answer to {requestId} stopped at offset {offset}: {problem}',
+    hint: 'Start the request again under a new id and without the last-event-id header.',
+  },
   [ErrorKind.ResumeTokenInvalid]: {
     name: 'ResumeTokenInvalidError',
     title: 'The resume token is invalid.',
