Add the probers, target health and the target directory

Routing needs to know which targets may take new work without every daemon probing every target.

Ruled out: requiring reports newer than the newest allocation version, because each lease renewal raises that version and would hide all groups of a domain for up to a second every 8 s; a group needs reports newer than the version since which its members, generation and state are the same. Also ruled out: hashing all targets over all members at each change, which is 246,000 hashes at target size; the first 4 candidates of a target are kept instead.

Each target has 2 probers, one query a second with a deadline of 800 ms. A subscriber gets changes at once, and load and refreshes every 500 ms; a refresh without changes names only VM, state and age. The newest evidence wins, and a target without an answered probe for 3 s is unreachable.

--- /dev/null
+++ b/src/core/probing/evidence.test.ts
@@ -0,0 +1,70 @@
+import { create } from '@bufbuild/protobuf';
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { TargetReportSchema, TargetState } from '../rpc/index.ts';
+import { applyReport, applySign, buildAgedReport } from './evidence.ts';
+import type { Evidence } from './evidence.ts';
+import type { TargetSign } from './types.ts';
+
+function buildEvidence(state: TargetState, observedMs: number): Evidence {
+  const report = create(TargetReportSchema, { vm: 'vm-1', state, instanceId: 'i-1' });
+  return applyReport(undefined, { report, observedMs });
+}
+
+interface Case {
+  title: string;
+  sign: Omit<TargetSign, 'vm'>;
+  before?: TargetState;
+  expected: TargetState;
+}
+
+// Guards against a cold target that still counts as warm after the first sign of it (I3).
+const cases: Case[] = [
+  { title: 'a failure', sign: { failed: true }, expected: TargetState.UNREACHABLE },
+  { title: 'an answer that says cold', sign: { warm: false }, expected: TargetState.COLD },
+  { title: 'another instance', sign: { instanceId: 'i-2' }, expected: TargetState.COLD },
+  {
+    title: 'another instance that says warm',
+    sign: { instanceId: 'i-2', warm: true },
+    expected: TargetState.WARM,
+  },
+  { title: 'the same instance', sign: { instanceId: 'i-1' }, expected: TargetState.WARM },
+  {
+    title: 'an answer while it was loading',
+    sign: { warm: true },
+    before: TargetState.LOADING,
+    expected: TargetState.LOADING,
+  },
+];
+
+describe('applySign', () => {
+  for (const { title, sign, before, expected } of cases) {
+    it(`gives ${TargetState[expected].toLowerCase()} after ${title}`, () => {
+      const evidence = buildEvidence(before ?? TargetState.WARM, 100);
+      expect(applySign(evidence, { vm: 'vm-1', ...sign }, 200).report.state).toEqual(expected);
+    });
+  }
+});
+
+describe('applyReport', () => {
+  // Guards against a late report of a slow prober that hides a newer failure.
+  it('keeps newer evidence', () => {
+    const newer = buildEvidence(TargetState.UNREACHABLE, 200);
+    const report = create(TargetReportSchema, { vm: 'vm-1', state: TargetState.WARM });
+    expect(applyReport(newer, { report, observedMs: 100 })).toEqual(newer);
+  });
+});
+
+describe('buildAgedReport', () => {
+  it('reports a target as unreachable after 3 s without an answered probe', () => {
+    const evidence = buildEvidence(TargetState.WARM, 0);
+    expect(buildAgedReport(evidence, 3_000).state).toEqual(TargetState.WARM);
+    expect(buildAgedReport(evidence, 3_001).state).toEqual(TargetState.UNREACHABLE);
+  });
+
+  // Guards against answers of requests that keep a target routable which answers no probe.
+  it('does not count signs as answered probes', () => {
+    const evidence = applySign(buildEvidence(TargetState.WARM, 0), { vm: 'vm-1' }, 2_900);
+    expect(buildAgedReport(evidence, 3_001).state).toEqual(TargetState.UNREACHABLE);
+  });
+});
--- /dev/null
+++ b/src/core/probing/group-versions.ts
@@ -0,0 +1,60 @@
+import type { Allocation, GroupAllocation } from '../allocation/index.ts';
+import type { DocumentStore, Versioned } from '../documents/index.ts';
+
+/** A group with the allocation version since which its members and generation are the same. */
+export interface VersionedGroup {
+  group: GroupAllocation;
+  allocation: Allocation;
+  sinceVersion: number;
+}
+
+/** Finds since when each group is as it is; renewals of the lease also raise the version. */
+export interface GroupVersions {
+  listGroups(servingGroup: string): VersionedGroup[];
+}
+
+function formatKey(group: GroupAllocation): string {
+  return JSON.stringify([group.generation, group.state, group.members]);
+}
+
+/** Creates the record of group versions over the document store. */
+export function createGroupVersions(documents: DocumentStore): GroupVersions {
+  const keys = new Map<string, { key: string; sinceVersion: number }>();
+  const groups = new Map<string, VersionedGroup[]>();
+  let seen = '';
+
+  const buildGroup = ({ version, value }: Versioned<Allocation>, group: GroupAllocation): void => {
+    const name = `${value.fabricDomain}/${group.name}`;
+    const key = formatKey(group);
+    const before = keys.get(name);
+    const sinceVersion = before?.key === key ? before.sinceVersion : version;
+    keys.set(name, { key, sinceVersion });
+    const listed = groups.get(group.servingGroup) ?? [];
+    groups.set(group.servingGroup, [...listed, { group, allocation: value, sinceVersion }]);
+  };
+
+  const update = (): void => {
+    const allocations = documents.listAllocations();
+    const versions = allocations
+      .map(({ version, value }) => `${value.fabricDomain}@${version}`)
+      .join(' ');
+    if (versions === seen) return;
+    seen = versions;
+    groups.clear();
+    const names = new Set<string>();
+    allocations.forEach((allocation) => {
+      allocation.value.groups.forEach((group) => {
+        names.add(`${allocation.value.fabricDomain}/${group.name}`);
+        buildGroup(allocation, group);
+      });
+    });
+    [...keys.keys()].filter((name) => !names.has(name)).forEach((name) => keys.delete(name));
+  };
+
+  return {
+    listGroups(servingGroup) {
+      update();
+      return groups.get(servingGroup) ?? [];
+    },
+  };
+}
--- a/src/core/probing/index.ts
+++ b/src/core/probing/index.ts
@@ -1,1 +1,16 @@
+export * from './consts.ts';
+export { createProber } from './prober.ts';
+export type { ObservedReport, Prober, ProberOptions } from './prober.ts';
+export { createProberAssignment } from './prober-assignment.ts';
+export type { ProberAssignment } from './prober-assignment.ts';
+export { createStatusClient } from './status-query.ts';
+export type { QueryStatus, StatusClient } from './status-query.ts';
+export { createTargetDirectory } from './target-directory.ts';
+export type { TargetDirectoryOptions } from './target-directory.ts';
+export { createTargetHealth } from './target-health.ts';
+export type { TargetHealthOptions, TargetHealthTask } from './target-health.ts';
+export { listUsableVms } from './target-places.ts';
+export type { TargetPlace } from './target-places.ts';
 export type * from './types.ts';
+export { createWatchTargetsHandler } from './watch-targets.ts';
+export type { WatchTargetsHandler } from './watch-targets.ts';
--- /dev/null
+++ b/src/core/probing/prober-assignment.ts
@@ -0,0 +1,68 @@
+import type { MembershipView } from '../membership/index.ts';
+import { selectByRendezvous } from '../rendezvous/index.ts';
+import { PROBERS_PER_TARGET } from './consts.ts';
+
+/** Candidates kept for each target, so that the loss of one needs no new hashing. */
+const KEPT_CANDIDATES = 4;
+
+/** Which daemons probe which target. */
+export interface ProberAssignment {
+  listProbers(vm: string): string[];
+  /** Forgets targets that no longer exist. */
+  removeOthers(vms: ReadonlySet<string>): void;
+  close(): void;
+}
+
+/**
+ * Creates the assignment of probers. Hashing 600 targets over 410 daemons takes long enough to
+ * delay tokens, so a change of one member compares it only with the kept candidates.
+ */
+export function createProberAssignment(membership: MembershipView): ProberAssignment {
+  const live = new Set(membership.listLiveMembers().map(({ name }) => name));
+  /** The first candidates of each target in rendezvous order. */
+  const candidates = new Map<string, string[]>();
+
+  const addMember = (name: string): void => {
+    live.add(name);
+    candidates.forEach((kept, vm) => {
+      // Candidates behind the kept ones are unknown, unless all members are kept.
+      const isComplete = kept.length === live.size - 1;
+      const depth = Math.min(KEPT_CANDIDATES, isComplete ? kept.length + 1 : kept.length);
+      candidates.set(vm, selectByRendezvous(vm, [...kept, name], depth));
+    });
+  };
+
+  const removeMember = (name: string): void => {
+    live.delete(name);
+    candidates.forEach((kept, vm) => {
+      if (kept.includes(name))
+        candidates.set(
+          vm,
+          kept.filter((candidate) => candidate !== name),
+        );
+    });
+  };
+
+  const updateMembers = (): void => {
+    const names = new Set(membership.listLiveMembers().map(({ name }) => name));
+    [...live].filter((name) => !names.has(name)).forEach(removeMember);
+    [...names].filter((name) => !live.has(name)).forEach(addMember);
+  };
+
+  const cancel = membership.subscribe(updateMembers);
+
+  return {
+    listProbers(vm) {
+      const kept = candidates.get(vm);
+      const needed = Math.min(PROBERS_PER_TARGET, live.size);
+      if (kept !== undefined && kept.length >= needed) return kept.slice(0, PROBERS_PER_TARGET);
+      const selected = selectByRendezvous(vm, [...live], KEPT_CANDIDATES);
+      candidates.set(vm, selected);
+      return selected.slice(0, PROBERS_PER_TARGET);
+    },
+    removeOthers(vms) {
+      [...candidates.keys()].filter((vm) => !vms.has(vm)).forEach((vm) => candidates.delete(vm));
+    },
+    close: cancel,
+  };
+}
--- /dev/null
+++ b/src/core/probing/prober-subscriptions.ts
@@ -0,0 +1,90 @@
+import { create } from '@bufbuild/protobuf';
+import type { MembershipView } from '../membership/index.ts';
+import type { PeerLinks, TargetReport } from '../rpc/index.ts';
+import { WatchTargetsRequestSchema } from '../rpc/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { WATCH_RETRY_MS } from './consts.ts';
+import type { ObservedReport } from './prober.ts';
+import { isRefresh } from './reports.ts';
+
+/** What the subscriptions need. */
+export interface ProberSubscriptionOptions {
+  timers: TimerService;
+  membership: MembershipView;
+  links: PeerLinks;
+  handleReport: (observed: ObservedReport) => void;
+}
+
+/** Streams of reports from the probers of other daemons. */
+export interface ProberSubscriptions {
+  /** Sets which VMs to watch at which daemon; unchanged streams stay open. */
+  setWatches(watches: ReadonlyMap<string, readonly string[]>): void;
+  close(): void;
+}
+
+interface WatchTask {
+  key: string;
+  abort: AbortController;
+}
+
+/** Creates the subscriptions: one stream for each prober, opened again when it breaks. */
+export function createProberSubscriptions(options: ProberSubscriptionOptions): ProberSubscriptions {
+  const { timers, membership, links, handleReport } = options;
+  const tasks = new Map<string, WatchTask>();
+
+  const readStream = async (
+    daemon: string,
+    vms: readonly string[],
+    signal: AbortSignal,
+  ): Promise<void> => {
+    const member = membership.findMember(daemon);
+    if (member === undefined) return;
+    const client = links.getClient(member.address, member.peerPort);
+    const request = create(WatchTargetsRequestSchema, { daemon: membership.self, vms: [...vms] });
+    const whole = new Map<string, TargetReport>();
+    for await (const { reports } of client.watchTargets(request, { signal })) {
+      const nowMs = timers.getMonotonicMs();
+      reports.forEach((report) => {
+        const full = isRefresh(report) ? whole.get(report.vm) : report;
+        // A refresh without a whole report before it says nothing.
+        if (full === undefined) return;
+        whole.set(report.vm, full);
+        handleReport({ report: full, observedMs: nowMs - report.ageMs });
+      });
+    }
+  };
+
+  const runTask = async (
+    daemon: string,
+    vms: readonly string[],
+    task: WatchTask,
+  ): Promise<void> => {
+    const { signal } = task.abort;
+    while (!signal.aborted) {
+      // The probers of a broken stream are found by the age of their reports.
+      await readStream(daemon, vms, signal).catch(() => undefined);
+      await timers.waitFor(WATCH_RETRY_MS, signal);
+    }
+  };
+
+  const stopTask = (daemon: string): void => {
+    tasks.get(daemon)?.abort.abort();
+    tasks.delete(daemon);
+  };
+
+  return {
+    setWatches(watches) {
+      [...tasks.keys()].filter((daemon) => !watches.has(daemon)).forEach(stopTask);
+      watches.forEach((vms, daemon) => {
+        const instance = membership.findMember(daemon)?.instance ?? 0n;
+        const key = `${instance}/${vms.join(',')}`;
+        if (tasks.get(daemon)?.key === key) return;
+        stopTask(daemon);
+        const task = { key, abort: new AbortController() };
+        tasks.set(daemon, task);
+        void runTask(daemon, vms, task);
+      });
+    },
+    close: () => [...tasks.keys()].forEach(stopTask),
+  };
+}
--- /dev/null
+++ b/src/core/probing/prober.ts
@@ -0,0 +1,153 @@
+import type { DocumentStore } from '../documents/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { DocumentVersion, TargetReport } from '../rpc/index.ts';
+import { DocumentKind, TargetState } from '../rpc/index.ts';
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
+import { PROBE_PERIOD_MS } from './consts.ts';
+import type { ProberAssignment } from './prober-assignment.ts';
+import { buildReport, buildUnreachableReport, hasStateChange } from './reports.ts';
+import type { QueryStatus } from './status-query.ts';
+import { getPlaceSource, listPlaceSources } from './target-places.ts';
+import type { PlaceSource, TargetPlace } from './target-places.ts';
+
+/** A report with the time of its query on the monotonic clock of this daemon. */
+export interface ObservedReport {
+  report: TargetReport;
+  observedMs: number;
+}
+
+/** What the prober needs. */
+export interface ProberOptions {
+  timers: TimerService;
+  documents: DocumentStore;
+  membership: MembershipView;
+  assignment: ProberAssignment;
+  queryStatus: QueryStatus;
+  recorder: EventRecorder;
+}
+
+/** Probes the targets that are assigned to this daemon. */
+export interface Prober {
+  /** Returns the newest own report of a VM; its `ageMs` isn't set. */
+  findReport(vm: string): ObservedReport | undefined;
+  listReports(): ObservedReport[];
+  /** Calls the listener after each query, answered or not. */
+  subscribe(listener: (observed: ObservedReport) => void): Unsubscribe;
+  start(): void;
+  stop(): void;
+}
+
+interface ProbeTask {
+  place: TargetPlace;
+  /** Fabric domain whose allocation names the target; undefined for a plain service. */
+  fabricDomain: string | undefined;
+  cancel: Unsubscribe;
+  isWaiting: boolean;
+}
+
+/** Creates the task that sends status queries, one a second to each assigned target. */
+export function createProber(options: ProberOptions): Prober {
+  const { timers, documents, membership, assignment, recorder } = options;
+  const tasks = new Map<string, ProbeTask>();
+  const reports = new Map<string, ObservedReport>();
+  const listeners = new Set<(observed: ObservedReport) => void>();
+  let subscriptions: Unsubscribe[] = [];
+
+  const recordChange = (before: TargetReport | undefined, after: TargetReport): void => {
+    if (before !== undefined && !hasStateChange(before, after)) return;
+    const isRestart =
+      before !== undefined &&
+      before.instanceId !== '' &&
+      after.instanceId !== '' &&
+      before.instanceId !== after.instanceId;
+    if (isRestart) recorder.record('prober', 'target-restarted', { vm: after.vm });
+    if (before?.state === after.state) return;
+    const state = TargetState[after.state].toLowerCase();
+    recorder.record('prober', 'target-state', { vm: after.vm, state });
+  };
+
+  const handleResult = (task: ProbeTask, observed: ObservedReport): void => {
+    const { vm } = observed.report;
+    // The assignment may have changed while the query was on its way.
+    if (tasks.get(vm) !== task) return;
+    recordChange(reports.get(vm)?.report, observed.report);
+    reports.set(vm, observed);
+    listeners.forEach((listener) => listener(observed));
+  };
+
+  const runProbe = async (task: ProbeTask): Promise<void> => {
+    if (task.isWaiting) return;
+    task.isWaiting = true;
+    const observedMs = timers.getMonotonicMs();
+    // Read before the query, because the report claims that its query is newer than this version.
+    const { vm, allocationVersion } = task.place;
+    const context = { vm, prober: membership.self, allocationVersion };
+    const report = await options
+      .queryStatus(task.place)
+      .then((status) => buildReport(context, status))
+      .catch(() => buildUnreachableReport(context));
+    task.isWaiting = false;
+    handleResult(task, { report, observedMs });
+  };
+
+  const startTask = (fabricDomain: string | undefined, place: TargetPlace): void => {
+    const task: ProbeTask = { place, fabricDomain, cancel: () => {}, isWaiting: false };
+    tasks.set(place.vm, task);
+    task.cancel = timers.subscribe(PROBE_PERIOD_MS, () => {
+      void runProbe(task);
+    });
+    void runProbe(task);
+  };
+
+  const stopTask = (vm: string): void => {
+    tasks.get(vm)?.cancel();
+    tasks.delete(vm);
+    reports.delete(vm);
+  };
+
+  const updateTask = (fabricDomain: string | undefined, place: TargetPlace): void => {
+    const task = tasks.get(place.vm);
+    const isAssigned = assignment.listProbers(place.vm).includes(membership.self);
+    if (task === undefined && isAssigned) startTask(fabricDomain, place);
+    else if (task !== undefined && !isAssigned) stopTask(place.vm);
+    else if (task !== undefined) Object.assign(task, { place, fabricDomain });
+  };
+
+  const updateSource = ({ fabricDomain, places }: PlaceSource): void => {
+    const vms = new Set(places.map(({ vm }) => vm));
+    [...tasks.values()]
+      .filter((task) => task.fabricDomain === fabricDomain && !vms.has(task.place.vm))
+      .forEach((task) => stopTask(task.place.vm));
+    places.forEach((place) => updateTask(fabricDomain, place));
+  };
+
+  const handleDocument = ({ kind, name }: DocumentVersion): void => {
+    updateSource(getPlaceSource(documents, kind === DocumentKind.ALLOCATION ? name : undefined));
+  };
+
+  const updateAll = (): void => {
+    const sources = listPlaceSources(documents);
+    const vms = new Set(sources.flatMap(({ places }) => places.map(({ vm }) => vm)));
+    assignment.removeOthers(vms);
+    [...tasks.keys()].filter((vm) => !vms.has(vm)).forEach(stopTask);
+    sources.forEach(updateSource);
+  };
+
+  return {
+    findReport: (vm) => reports.get(vm),
+    listReports: () => [...reports.values()],
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    start() {
+      subscriptions = [documents.subscribe(handleDocument), membership.subscribe(updateAll)];
+      updateAll();
+    },
+    stop() {
+      subscriptions.forEach((cancel) => cancel());
+      [...tasks.keys()].forEach(stopTask);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/probing/reports.ts
@@ -0,0 +1,120 @@
+import { create } from '@bufbuild/protobuf';
+import type { TargetReport } from '../rpc/index.ts';
+import { TargetLoadSchema, TargetReportSchema, TargetState } from '../rpc/index.ts';
+import { EnginePhase } from '../world/index.ts';
+import type { TargetLoad, TargetStatus } from '../world/index.ts';
+import { LOAD_CHANGE_SHARE } from './consts.ts';
+
+const STATE_BY_PHASE: Readonly<Record<EnginePhase, TargetState>> = {
+  [EnginePhase.Empty]: TargetState.EMPTY,
+  [EnginePhase.Loading]: TargetState.LOADING,
+  [EnginePhase.Ready]: TargetState.WARM,
+  [EnginePhase.Failed]: TargetState.FAILED,
+};
+
+/** Who sent a query, and what it had read before. */
+export interface QueryContext {
+  vm: string;
+  prober: string;
+  allocationVersion: number;
+}
+
+/** Tells whether a target can take requests. */
+export function isReady(report: TargetReport | undefined): report is TargetReport {
+  return report?.state === TargetState.WARM || report?.state === TargetState.COLD;
+}
+
+/** Converts the load of a status answer for the wire; its age is counted into the report's age. */
+export function toReportLoad(load: Omit<TargetLoad, 'ageMs'>): TargetReport['load'] {
+  return create(TargetLoadSchema, {
+    running: Math.round(load.running),
+    queued: Math.round(load.queued),
+    heldTokens: BigInt(Math.round(load.heldTokens)),
+    capacityTokens: BigInt(Math.round(load.capacityTokens)),
+    coldLimit: Math.round(load.coldLimit),
+  });
+}
+
+/** Converts the load of a report; the wire carries no age of the load at the target. */
+export function toTargetLoad(load: TargetReport['load']): TargetLoad {
+  return {
+    running: load?.running ?? 0,
+    queued: load?.queued ?? 0,
+    heldTokens: Number(load?.heldTokens ?? 0n),
+    capacityTokens: Number(load?.capacityTokens ?? 0n),
+    coldLimit: load?.coldLimit ?? 0,
+    ageMs: 0,
+  };
+}
+
+/** Builds the report of an answered query. */
+export function buildReport(context: QueryContext, status: TargetStatus): TargetReport {
+  const isCold = status.phase === EnginePhase.Ready && !status.warm;
+  return create(TargetReportSchema, {
+    vm: context.vm,
+    state: isCold ? TargetState.COLD : STATE_BY_PHASE[status.phase],
+    instanceId: status.instanceId,
+    group: status.group ?? '',
+    generation: BigInt(status.generation),
+    epoch: BigInt(status.epoch),
+    rank: status.rank,
+    load: toReportLoad(status.load),
+    allocationVersion: BigInt(context.allocationVersion),
+    prober: context.prober,
+    model: status.model ?? '',
+    modelVersion: status.modelVersion ?? '',
+  });
+}
+
+/** Builds the report of a query that failed. */
+export function buildUnreachableReport(context: QueryContext): TargetReport {
+  return create(TargetReportSchema, {
+    vm: context.vm,
+    state: TargetState.UNREACHABLE,
+    allocationVersion: BigInt(context.allocationVersion),
+    prober: context.prober,
+  });
+}
+
+/** Tells whether two reports differ in anything but load and age. */
+export function hasStateChange(left: TargetReport, right: TargetReport): boolean {
+  return (
+    left.state !== right.state ||
+    left.instanceId !== right.instanceId ||
+    left.group !== right.group ||
+    left.generation !== right.generation ||
+    left.epoch !== right.epoch ||
+    left.rank !== right.rank ||
+    left.allocationVersion !== right.allocationVersion ||
+    left.model !== right.model ||
+    left.modelVersion !== right.modelVersion ||
+    left.load?.coldLimit !== right.load?.coldLimit
+  );
+}
+
+function hasFigureChange(left: number, right: number): boolean {
+  return Math.abs(left - right) > LOAD_CHANGE_SHARE * Math.max(left, right);
+}
+
+/** Tells whether a load figure changed by more than a tenth. */
+export function hasLoadChange(left: TargetReport, right: TargetReport): boolean {
+  const before = toTargetLoad(left.load);
+  const after = toTargetLoad(right.load);
+  return (
+    hasFigureChange(before.running, after.running) ||
+    hasFigureChange(before.queued, after.queued) ||
+    hasFigureChange(before.heldTokens, after.heldTokens) ||
+    hasFigureChange(before.capacityTokens, after.capacityTokens)
+  );
+}
+
+/** A refresh says that nothing changed; it names only the VM, the state and the age. */
+export function buildRefresh(report: TargetReport): TargetReport {
+  const { vm, state } = report;
+  return create(TargetReportSchema, { vm, state });
+}
+
+/** Tells whether a report is a refresh of the last whole one. */
+export function isRefresh(report: TargetReport): boolean {
+  return report.state !== TargetState.UNREACHABLE && report.instanceId === '';
+}
--- /dev/null
+++ b/src/core/probing/status-query.ts
@@ -0,0 +1,71 @@
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+import { formatOrigin } from '../targets/format-origin.ts';
+import type { TimerService } from '../timers/index.ts';
+import { EnginePhase } from '../world/index.ts';
+import type { TargetStatus } from '../world/index.ts';
+import { MAX_STATUS_BYTES, PROBE_DEADLINE_MS } from './consts.ts';
+import type { TargetPlace } from './target-places.ts';
+
+const HTTP_OK = 200;
+
+const countSchema = z.number().min(0);
+
+const statusSchema = z.object({
+  instanceId: z.string(),
+  group: z.string().nullable().default(null),
+  generation: countSchema.default(0),
+  epoch: countSchema.default(0),
+  rank: countSchema.default(0),
+  phase: z.enum(EnginePhase),
+  warm: z.boolean(),
+  model: z.string().nullable().default(null),
+  modelVersion: z.string().nullable().default(null),
+  load: z.object({
+    running: countSchema,
+    queued: countSchema,
+    heldTokens: countSchema,
+    capacityTokens: countSchema,
+    coldLimit: countSchema,
+    ageMs: countSchema,
+  }),
+});
+
+/** Asks a target for its status; fails when no valid answer comes before the deadline. */
+export type QueryStatus = (place: Omit<TargetPlace, 'allocationVersion'>) => Promise<TargetStatus>;
+
+/** Status queries over connections of their own. */
+export interface StatusClient {
+  queryStatus: QueryStatus;
+  close(): Promise<void>;
+}
+
+/** Creates the client for status queries; a query past its deadline closes its connection. */
+export function createStatusClient(
+  timers: TimerService,
+  deadlineMs = PROBE_DEADLINE_MS,
+): StatusClient {
+  const dispatcher = new Agent({
+    connections: 1,
+    pipelining: 1,
+    maxResponseSize: MAX_STATUS_BYTES,
+  });
+  return {
+    async queryStatus(place) {
+      const abort = new AbortController();
+      const cancel = timers.scheduleOnce(deadlineMs, () => abort.abort());
+      try {
+        const { statusCode, body } = await request(`${formatOrigin(place)}/status`, {
+          dispatcher,
+          signal: abort.signal,
+        });
+        const value = await body.json();
+        if (statusCode !== HTTP_OK) throw new Error(`the status query was answered ${statusCode}`);
+        return statusSchema.parse(value);
+      } finally {
+        cancel();
+      }
+    },
+    close: () => dispatcher.destroy(),
+  };
+}
--- /dev/null
+++ b/src/core/probing/target-directory.test.ts
@@ -0,0 +1,153 @@
+import { create } from '@bufbuild/protobuf';
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { GroupState } from '../allocation/index.ts';
+import type { TargetReport } from '../rpc/index.ts';
+import { TargetReportSchema, TargetState } from '../rpc/index.ts';
+import { AvailabilityZoneState } from '../world/index.ts';
+import {
+  buildTestAllocation,
+  buildTestConfiguration,
+  createFakeDocuments,
+} from './fixtures/fake-documents.ts';
+import type { FakeDocuments, TestGroup } from './fixtures/fake-documents.ts';
+import { createTargetDirectory } from './index.ts';
+
+const VERSION = 5;
+const GROUP: TestGroup = { name: 'assist-1', members: ['vm-1a', 'vm-2a'], generation: 3 };
+
+function buildReports(
+  change: Partial<Record<string, Partial<TargetReport>>> = {},
+): Map<string, TargetReport> {
+  const reports = GROUP.members.map((vm, rank) =>
+    create(TargetReportSchema, {
+      vm,
+      state: TargetState.WARM,
+      instanceId: 'i-1',
+      group: GROUP.name,
+      generation: 3n,
+      rank,
+      allocationVersion: BigInt(VERSION),
+      ...change[vm],
+    } as TargetReport),
+  );
+  return new Map(reports.map((report) => [report.vm, report]));
+}
+
+interface Case {
+  title: string;
+  reports?: Map<string, TargetReport>;
+  change?: (documents: FakeDocuments) => void;
+  expected: string[];
+}
+
+// Guards against work for a group that is incomplete, leaving or out (I1, I4, I8).
+const cases: Case[] = [
+  { title: 'lists a group whose members are all ready', expected: ['assist-1'] },
+  {
+    title: 'does not list a group with an unreachable member',
+    reports: buildReports({ 'vm-2a': { state: TargetState.UNREACHABLE } }),
+    expected: [],
+  },
+  {
+    title: 'does not list a group with a member that loads',
+    reports: buildReports({ 'vm-2a': { state: TargetState.LOADING } }),
+    expected: [],
+  },
+  {
+    title: 'does not list a group with a member of another generation',
+    reports: buildReports({ 'vm-2a': { generation: 2n } }),
+    expected: [],
+  },
+  {
+    title: 'does not list a group with a member of another group',
+    reports: buildReports({ 'vm-2a': { group: 'assist-2' } }),
+    expected: [],
+  },
+  {
+    title: 'does not list a group with a member of another rank',
+    reports: buildReports({ 'vm-2a': { rank: 0 } }),
+    expected: [],
+  },
+  {
+    title: 'does not list a group by a query sent before the allocation was read',
+    reports: buildReports({ 'vm-2a': { allocationVersion: BigInt(VERSION - 1) } }),
+    expected: [],
+  },
+  {
+    title: 'keeps a group listed when only the lease was renewed',
+    change: (documents) => documents.setAllocation(VERSION + 1, buildTestAllocation([GROUP])),
+    expected: ['assist-1'],
+  },
+  {
+    title: 'does not list a group of a new generation by reports of the old one',
+    change: (documents) =>
+      documents.setAllocation(VERSION + 1, buildTestAllocation([{ ...GROUP, generation: 4 }])),
+    expected: [],
+  },
+  {
+    title: 'does not list a group that drains',
+    change: (documents) =>
+      documents.setAllocation(
+        VERSION + 1,
+        buildTestAllocation([{ ...GROUP, state: GroupState.Draining }]),
+      ),
+    expected: [],
+  },
+  {
+    title: 'does not list a group with a leaving member',
+    change: (documents) =>
+      documents.setAllocation(VERSION + 1, buildTestAllocation([GROUP], { leaving: ['vm-2a'] })),
+    expected: [],
+  },
+  {
+    title: 'does not list a group in an availability zone that is out',
+    change: (documents) =>
+      documents.setConfiguration(
+        2,
+        buildTestConfiguration({
+          availabilityZones: [
+            { name: 'sofia-a', region: 'sofia', state: AvailabilityZoneState.Out },
+          ],
+        }),
+      ),
+    expected: [],
+  },
+];
+
+describe('createTargetDirectory', () => {
+  for (const testCase of cases) {
+    it(testCase.title, () => {
+      const documents = createFakeDocuments();
+      const reports = testCase.reports ?? buildReports();
+      const directory = createTargetDirectory({
+        documents,
+        health: { getReport: (vm) => reports.get(vm) },
+        countSharingDaemons: () => 4,
+      });
+      documents.setConfiguration(1, buildTestConfiguration());
+      documents.setAllocation(VERSION, buildTestAllocation([GROUP]));
+      directory.listModelTargets('orchard', 'assist-7b');
+      testCase.change?.(documents);
+      const listed = directory.listModelTargets('orchard', 'assist-7b').map(({ id }) => id);
+      expect(listed).toEqual(testCase.expected);
+    });
+  }
+
+  it('gives a group the weight of its row, and 0 when only others have rows', () => {
+    const documents = createFakeDocuments();
+    const reports = buildReports();
+    const directory = createTargetDirectory({
+      documents,
+      health: { getReport: (vm) => reports.get(vm) },
+      countSharingDaemons: () => 4,
+    });
+    const row = { customer: 'orchard', route: 'assist-7b', servingGroup: 'assist', weight: 30 };
+    documents.setAllocation(VERSION, buildTestAllocation([GROUP]));
+    documents.setConfiguration(1, buildTestConfiguration({ weights: [row] }));
+    expect(directory.listModelTargets('orchard', 'assist-7b')[0]?.weight).toEqual(30);
+    const other = { ...row, servingGroup: 'other' };
+    documents.setConfiguration(2, buildTestConfiguration({ weights: [other] }));
+    expect(directory.listModelTargets('orchard', 'assist-7b')[0]?.weight).toEqual(0);
+  });
+});
--- /dev/null
+++ b/src/core/probing/target-directory.ts
@@ -0,0 +1,151 @@
+import type { VmAllocation } from '../allocation/index.ts';
+import { GroupState } from '../allocation/index.ts';
+import type { Configuration, Route, ServiceTarget } from '../declarations/index.ts';
+import type { DocumentStore } from '../documents/index.ts';
+import type { TargetReport } from '../rpc/index.ts';
+import { TargetState } from '../rpc/index.ts';
+import { AvailabilityZoneState } from '../world/index.ts';
+import { createGroupVersions } from './group-versions.ts';
+import type { VersionedGroup } from './group-versions.ts';
+import { isReady, toTargetLoad } from './reports.ts';
+import type { RoutableTarget, TargetDirectory, TargetHealth } from './types.ts';
+
+const DEFAULT_WEIGHT = 1;
+
+/** What the directory joins. */
+export interface TargetDirectoryOptions {
+  documents: DocumentStore;
+  health: Pick<TargetHealth, 'getReport'>;
+  /** Daemons in the entry set of a customer; they share the memory of its targets. */
+  countSharingDaemons: (customer: string) => number;
+}
+
+function findRoute(
+  configuration: Configuration | undefined,
+  customer: string,
+  name: string,
+): Route | undefined {
+  return configuration?.routes.find((route) => route.customer === customer && route.name === name);
+}
+
+function isZoneOut(configuration: Configuration, availabilityZone: string): boolean {
+  return configuration.availabilityZones.some(
+    ({ name, state }) => name === availabilityZone && state === AvailabilityZoneState.Out,
+  );
+}
+
+/** Rows of a route replace the default, so a serving group without a row gets nothing then. */
+function getWeight(configuration: Configuration, route: Route, servingGroup: string): number {
+  const rows = configuration.weights.filter(
+    (row) => row.customer === route.customer && row.route === route.name,
+  );
+  if (rows.length === 0) return DEFAULT_WEIGHT;
+  return rows.find((row) => row.servingGroup === servingGroup)?.weight ?? 0;
+}
+
+/** Tells whether a member reported exactly its place, after the group was read as it is. */
+function isMemberReady(
+  { group, sinceVersion }: VersionedGroup,
+  rank: number,
+  report: TargetReport | undefined,
+): report is TargetReport {
+  return (
+    isReady(report) &&
+    report.group === group.name &&
+    report.generation === BigInt(group.generation) &&
+    report.rank === rank &&
+    report.allocationVersion >= BigInt(sinceVersion)
+  );
+}
+
+/** Creates the directory of targets that may take new work. */
+export function createTargetDirectory(options: TargetDirectoryOptions): TargetDirectory {
+  const { documents, health } = options;
+  const groupVersions = createGroupVersions(documents);
+
+  const buildTarget = (
+    place: Pick<VmAllocation, 'vm' | 'address' | 'port' | 'availabilityZone'>,
+    report: TargetReport,
+  ): Omit<RoutableTarget, 'id' | 'weight' | 'sharingDaemons'> => ({
+    vm: place.vm,
+    address: place.address,
+    port: place.port,
+    availabilityZone: place.availabilityZone,
+    group: null,
+    generation: 0,
+    instanceId: report.instanceId,
+    warm: report.state === TargetState.WARM,
+    load: toTargetLoad(report.load),
+    loadAgeMs: report.ageMs,
+  });
+
+  const findGroupTarget = (
+    configuration: Configuration,
+    versioned: VersionedGroup,
+  ): Omit<RoutableTarget, 'weight' | 'sharingDaemons'> | undefined => {
+    const { group, allocation } = versioned;
+    if (group.state !== GroupState.Serving || group.members.length === 0) return undefined;
+    const places = group.members.map((vm) => allocation.vms[vm]);
+    const isAllowed = places.every(
+      (place) =>
+        place !== undefined &&
+        place.group === group.name &&
+        !place.leaving &&
+        !isZoneOut(configuration, place.availabilityZone),
+    );
+    if (!isAllowed) return undefined;
+    const reports = group.members.map((vm) => health.getReport(vm));
+    if (!reports.every((report, rank) => isMemberReady(versioned, rank, report))) return undefined;
+    const [leaderPlace] = places;
+    const [leaderReport] = reports;
+    if (leaderPlace === undefined || leaderReport === undefined) return undefined;
+    return {
+      ...buildTarget(leaderPlace, leaderReport),
+      id: group.name,
+      group: group.name,
+      generation: group.generation,
+      warm: reports.every((report) => report?.state === TargetState.WARM),
+    };
+  };
+
+  const isLeaving = (vm: string): boolean =>
+    documents.listAllocations().some(({ value }) => value.vms[vm]?.leaving === true);
+
+  const findServiceTarget = (
+    configuration: Configuration,
+    target: ServiceTarget,
+  ): Omit<RoutableTarget, 'weight' | 'sharingDaemons'> | undefined => {
+    if (isZoneOut(configuration, target.availabilityZone) || isLeaving(target.vm)) return undefined;
+    const report = health.getReport(target.vm);
+    if (!isReady(report)) return undefined;
+    return { ...buildTarget(target, report), id: target.vm };
+  };
+
+  return {
+    listModelTargets(customer, name) {
+      const configuration = documents.getConfiguration()?.value;
+      const route = findRoute(configuration, customer, name);
+      if (configuration === undefined || route === undefined) return [];
+      const sharingDaemons = options.countSharingDaemons(customer);
+      return route.servingGroups.flatMap((servingGroup) => {
+        const weight = getWeight(configuration, route, servingGroup);
+        return groupVersions
+          .listGroups(servingGroup)
+          .map((group) => findGroupTarget(configuration, group))
+          .filter((target) => target !== undefined)
+          .map((target) => ({ ...target, weight, sharingDaemons }));
+      });
+    },
+    listServiceTargets(customer, name) {
+      const configuration = documents.getConfiguration()?.value;
+      const route = findRoute(configuration, customer, name);
+      const service = configuration?.services.find((row) => row.name === route?.service);
+      if (configuration === undefined || service === undefined) return [];
+      const sharingDaemons = options.countSharingDaemons(customer);
+      return service.targets
+        .map((target) => findServiceTarget(configuration, target))
+        .filter((target) => target !== undefined)
+        .map((target) => ({ ...target, weight: DEFAULT_WEIGHT, sharingDaemons }));
+    },
+  };
+}
--- /dev/null
+++ b/src/core/probing/target-health.ts
@@ -0,0 +1,137 @@
+import type { DocumentStore } from '../documents/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { PeerLinks } from '../rpc/index.ts';
+import { TargetState } from '../rpc/index.ts';
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
+import { REPORT_FLUSH_MS } from './consts.ts';
+import { applyReport, applySign, buildAgedReport } from './evidence.ts';
+import type { Evidence } from './evidence.ts';
+import type { ProberAssignment } from './prober-assignment.ts';
+import { createProberSubscriptions } from './prober-subscriptions.ts';
+import type { ObservedReport, Prober } from './prober.ts';
+import { listUsableVms } from './target-places.ts';
+import type { TargetHealth } from './types.ts';
+
+/** What the health of targets is built from. */
+export interface TargetHealthOptions {
+  timers: TimerService;
+  documents: DocumentStore;
+  membership: MembershipView;
+  assignment: ProberAssignment;
+  prober: Prober;
+  links: PeerLinks;
+  recorder: EventRecorder;
+  /** Whether this daemon may get requests of a customer; reports of other targets aren't read. */
+  mayServe: (customer: string) => boolean;
+}
+
+/** Health of targets as a task. */
+export interface TargetHealthTask extends TargetHealth {
+  start(): void;
+  stop(): void;
+}
+
+/** Creates the health of the targets that this daemon may use. */
+export function createTargetHealth(options: TargetHealthOptions): TargetHealthTask {
+  const { timers, documents, membership, assignment, prober, recorder } = options;
+  const evidence = new Map<string, Evidence>();
+  const states = new Map<string, TargetState>();
+  const listeners = new Set<(vm: string) => void>();
+  let usable = new Set<string>();
+  let subscriptions: Unsubscribe[] = [];
+
+  const getReport: TargetHealth['getReport'] = (vm) => {
+    const known = evidence.get(vm);
+    return known === undefined ? undefined : buildAgedReport(known, timers.getMonotonicMs());
+  };
+
+  const publishState = (vm: string): void => {
+    const state = getReport(vm)?.state ?? TargetState.UNSPECIFIED;
+    if (states.get(vm) !== state) {
+      states.set(vm, state);
+      recorder.record('health', 'target-state', { vm, state: TargetState[state].toLowerCase() });
+    }
+    listeners.forEach((listener) => listener(vm));
+  };
+
+  const handleReport = (observed: ObservedReport): void => {
+    const { vm } = observed.report;
+    if (!usable.has(vm)) return;
+    const before = evidence.get(vm);
+    const after = applyReport(before, observed);
+    if (after === before) return;
+    evidence.set(vm, after);
+    publishState(vm);
+  };
+
+  const watches = createProberSubscriptions({
+    timers,
+    membership,
+    links: options.links,
+    handleReport,
+  });
+
+  const updateWatches = (): void => {
+    const byProber = new Map<string, string[]>();
+    usable.forEach((vm) => {
+      assignment.listProbers(vm).forEach((daemon) => {
+        if (daemon === membership.self) return;
+        byProber.set(daemon, [...(byProber.get(daemon) ?? []), vm]);
+      });
+    });
+    watches.setWatches(byProber);
+  };
+
+  const removeVm = (vm: string): void => {
+    evidence.delete(vm);
+    states.delete(vm);
+  };
+
+  const updateUsable = (): void => {
+    const vms = listUsableVms(documents, options.mayServe);
+    const isSame = vms.length === usable.size && vms.every((vm) => usable.has(vm));
+    if (isSame) return;
+    usable = new Set(vms);
+    [...evidence.keys()].filter((vm) => !usable.has(vm)).forEach(removeVm);
+    prober.listReports().forEach(handleReport);
+    updateWatches();
+  };
+
+  const checkExpiry = (): void => {
+    evidence.forEach((_, vm) => {
+      if (states.get(vm) !== getReport(vm)?.state) publishState(vm);
+    });
+  };
+
+  return {
+    getReport,
+    handleSign(sign) {
+      const before = evidence.get(sign.vm);
+      if (before === undefined) return;
+      evidence.set(sign.vm, applySign(before, sign, timers.getMonotonicMs()));
+      publishState(sign.vm);
+    },
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    start() {
+      subscriptions = [
+        documents.subscribe(updateUsable),
+        // The customers that this daemon may serve and the probers depend on the members.
+        membership.subscribe(() => {
+          updateUsable();
+          updateWatches();
+        }),
+        prober.subscribe(handleReport),
+        timers.subscribe(REPORT_FLUSH_MS, checkExpiry),
+      ];
+      updateUsable();
+    },
+    stop() {
+      subscriptions.forEach((cancel) => cancel());
+      watches.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/probing/watch-targets.ts
@@ -0,0 +1,62 @@
+import { create } from '@bufbuild/protobuf';
+import type { TargetReports, WatchTargetsRequest } from '../rpc/index.ts';
+import { TargetReportsSchema } from '../rpc/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { REPORT_FLUSH_MS } from './consts.ts';
+import type { Prober } from './prober.ts';
+import { createReportBatch } from './report-batch.ts';
+
+/** Part of the call context that the handler uses. */
+export interface WatchContext {
+  signal: AbortSignal;
+}
+
+/** Handler of the call `WatchTargets`. */
+export type WatchTargetsHandler = (
+  request: WatchTargetsRequest,
+  context: WatchContext,
+) => AsyncIterable<TargetReports>;
+
+/** Creates the handler: changes of state are sent at once, load and refreshes every 500 ms. */
+export function createWatchTargetsHandler(
+  prober: Prober,
+  timers: TimerService,
+): WatchTargetsHandler {
+  return async function* watchTargets(request, { signal }) {
+    const vms = new Set(request.vms);
+    const batch = createReportBatch();
+    let resume: (() => void) | undefined;
+    let isDue = true;
+    const flush = (): void => {
+      isDue = true;
+      resume?.();
+    };
+    const waitUntilDue = (): Promise<void> =>
+      new Promise((resolve) => {
+        resume = resolve;
+        if (isDue) resolve();
+      });
+
+    const cancelReports = prober.subscribe((observed) => {
+      if (vms.has(observed.report.vm) && batch.addReport(observed)) flush();
+    });
+    const cancelFlush = timers.subscribe(REPORT_FLUSH_MS, flush);
+    signal.addEventListener('abort', flush);
+    prober
+      .listReports()
+      .filter(({ report }) => vms.has(report.vm))
+      .forEach((observed) => batch.addReport(observed));
+    try {
+      while (!signal.aborted) {
+        isDue = false;
+        const reports = batch.takeReports(timers.getMonotonicMs());
+        if (reports.length > 0) yield create(TargetReportsSchema, { reports });
+        await waitUntilDue();
+      }
+    } finally {
+      cancelReports();
+      cancelFlush();
+      signal.removeEventListener('abort', flush);
+    }
+  };
+}
