--- /dev/null
+++ b/src/core/entry/call-owners.ts
@@ -0,0 +1,32 @@
+import type { CallOwners } from '../calls/index.ts';
+import { createError, ErrorKind } from '../errors/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { Member, PeerClient, PeerLinks } from '../rpc/index.ts';
+import { MemberState } from '../rpc/index.ts';
+
+/** Formats the instance of a member as it stands in request ids. */
+export function formatIncarnation({ instance }: Pick<Member, 'instance'>): string {
+  return instance.toString(16);
+}
+
+/** Creates the ways to the daemons that own request ids. */
+export function createCallOwners(membership: MembershipView, links: PeerLinks): CallOwners {
+  const getOwner = (owner: string, incarnation: string): PeerClient => {
+    const member = membership.findMember(owner);
+    const isSame = member !== undefined && formatIncarnation(member) === incarnation;
+    if (!isSame || member.state === MemberState.DEAD) {
+      const problem = 'the daemon that issued the id is not running';
+      throw createError(ErrorKind.PeerUnreachable, { daemon: owner, problem });
+    }
+    return links.getClient(member.address, member.peerPort);
+  };
+  return {
+    async forwardCall(owner, incarnation, call) {
+      const client = getOwner(owner, incarnation);
+      return client.forwardCall(call, { timeoutMs: call.timeoutMs });
+    },
+    async lookupCall(owner, incarnation, requestId) {
+      return getOwner(owner, incarnation).lookupCall({ requestId });
+    },
+  };
+}
--- /dev/null
+++ b/src/core/entry/customer-sets.ts
@@ -0,0 +1,118 @@
+import type { AddressAnswer } from '../addresses/index.ts';
+import { selectAddresses, selectCustomerSet } from '../addresses/index.ts';
+import type { Configuration, Route } from '../declarations/index.ts';
+import type { DocumentStore } from '../documents/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
+
+/** A daemon that left the set of a customer still serves callers that keep an older answer. */
+const KEEP_SERVING_MS = 60_000;
+
+/** What the customer sets are computed from. */
+export interface CustomerSetsOptions {
+  documents: DocumentStore;
+  membership: MembershipView;
+  timers: Pick<TimerService, 'getMonotonicMs'>;
+}
+
+/** Which daemons serve which customers, as this daemon sees it. */
+export interface CustomerSets {
+  /** Whether this daemon is, or was a short time ago, in the set of the customer. */
+  mayServe(customer: string): boolean;
+  /** Daemons that share the limits of the customer. */
+  countDaemons(customer: string): number;
+  /** Daemons that share the targets of the customer, those of other customers included. */
+  countSharingDaemons(customer: string): number;
+  getAddresses(
+    customer: string,
+    availabilityZone: string | undefined,
+    requestIdPrefix: string,
+  ): AddressAnswer;
+  stop(): void;
+}
+
+/** Lists what a route leads to, in one name space for groups and services. */
+function listDestinations(routes: readonly Route[], customer: string): Set<string> {
+  const own = routes.filter((route) => route.customer === customer);
+  return new Set(
+    own.flatMap(({ servingGroups, service }) => [
+      ...servingGroups.map((name) => `group/${name}`),
+      ...(service === undefined ? [] : [`service/${service}`]),
+    ]),
+  );
+}
+
+function listSharingCustomers(configuration: Configuration, customer: string): string[] {
+  const { routes } = configuration;
+  const destinations = listDestinations(routes, customer);
+  const customers = [...new Set(routes.map((route) => route.customer))];
+  return customers.filter((other) =>
+    [...listDestinations(routes, other)].some((name) => destinations.has(name)),
+  );
+}
+
+/** Creates the customer sets; results are kept until a document or a member changes. */
+export function createCustomerSets(options: CustomerSetsOptions): CustomerSets {
+  const { documents, membership, timers } = options;
+  const sets = new Map<string, string[]>();
+  const sharing = new Map<string, number>();
+  const servedUntilMs = new Map<string, number>();
+
+  const getConfiguration = (): Configuration | undefined => documents.getConfiguration()?.value;
+
+  const getSet = (customer: string): string[] => {
+    const known = sets.get(customer);
+    if (known !== undefined) return known;
+    const members = membership.listLiveMembers();
+    const availabilityZones = getConfiguration()?.availabilityZones ?? [];
+    const selected = selectCustomerSet({ customer, members, availabilityZones });
+    const names = selected.map(({ name }) => name);
+    sets.set(customer, names);
+    return names;
+  };
+
+  const computeSharing = (customer: string): number => {
+    const configuration = getConfiguration();
+    const customers =
+      configuration === undefined ? [customer] : listSharingCustomers(configuration, customer);
+    return Math.max(1, new Set(customers.flatMap(getSet)).size);
+  };
+
+  const resetSets = (): void => {
+    sets.clear();
+    sharing.clear();
+  };
+
+  const subscriptions: Unsubscribe[] = [
+    membership.subscribe(resetSets),
+    documents.subscribe(resetSets),
+  ];
+
+  return {
+    mayServe(customer) {
+      const nowMs = timers.getMonotonicMs();
+      if (getSet(customer).includes(membership.self)) {
+        servedUntilMs.set(customer, nowMs + KEEP_SERVING_MS);
+        return true;
+      }
+      return (servedUntilMs.get(customer) ?? 0) > nowMs;
+    },
+    countDaemons: (customer) => Math.max(1, getSet(customer).length),
+    countSharingDaemons(customer) {
+      const known = sharing.get(customer);
+      if (known !== undefined) return known;
+      const count = computeSharing(customer);
+      sharing.set(customer, count);
+      return count;
+    },
+    getAddresses: (customer, availabilityZone, requestIdPrefix) =>
+      selectAddresses({
+        customer,
+        members: membership.listLiveMembers(),
+        availabilityZones: getConfiguration()?.availabilityZones ?? [],
+        availabilityZone,
+        requestIdPrefix,
+      }),
+    stop: () => subscriptions.forEach((unsubscribe) => unsubscribe()),
+  };
+}
--- /dev/null
+++ b/src/core/entry/event-messages.ts
@@ -0,0 +1,27 @@
+import { create } from '@bufbuild/protobuf';
+import type { TimelineEvent } from '../events/index.ts';
+import type { Event } from '../rpc/index.ts';
+import { EventSchema } from '../rpc/index.ts';
+
+/** Converts a recorded event into its message. */
+export function toEventMessage(event: TimelineEvent): Event {
+  return create(EventSchema, {
+    ...event,
+    wallMs: BigInt(event.wallMs),
+    sequence: BigInt(event.sequence),
+  });
+}
+
+/** Converts a message into a recorded event. */
+export function toTimelineEvent(message: Event): TimelineEvent {
+  const { process, part, kind, counter } = message;
+  return {
+    process,
+    part,
+    kind,
+    counter,
+    wallMs: Number(message.wallMs),
+    sequence: Number(message.sequence),
+    attributes: message.attributes.map(({ name, value }) => ({ name, value })),
+  };
+}
--- /dev/null
+++ b/src/core/entry/running-target.ts
@@ -0,0 +1,57 @@
+import type { Allocation, GroupAllocation } from '../allocation/index.ts';
+import type { DocumentStore } from '../documents/index.ts';
+import type { RoutableTarget, TargetHealth } from '../probing/index.ts';
+import { TargetState } from '../rpc/index.ts';
+
+const NO_LOAD = {
+  running: 0,
+  queued: 0,
+  heldTokens: 0,
+  capacityTokens: 0,
+  coldLimit: 0,
+  ageMs: 0,
+} as const;
+
+interface LedGroup {
+  allocation: Allocation;
+  group: GroupAllocation;
+}
+
+function findLedGroup(allocations: readonly Allocation[], vm: string): LedGroup | undefined {
+  return allocations
+    .flatMap((allocation) => allocation.groups.map((group) => ({ allocation, group })))
+    .find(({ group }) => group.members[0] === vm);
+}
+
+/**
+ * Finds the group whose rank 0 is on a VM, so that a caller can resume a stream there. The group may
+ * be draining and take no new work.
+ */
+export function findRunningTarget(
+  documents: DocumentStore,
+  health: Pick<TargetHealth, 'getReport'>,
+  vm: string,
+): RoutableTarget | undefined {
+  const allocations = documents.listAllocations().map(({ value }) => value);
+  const found = findLedGroup(allocations, vm);
+  if (found === undefined) return undefined;
+  const { allocation, group } = found;
+  const place = allocation.vms[vm];
+  if (place === undefined) return undefined;
+  const report = health.getReport(vm);
+  return {
+    id: group.name,
+    vm,
+    address: place.address,
+    port: place.port,
+    availabilityZone: place.availabilityZone,
+    group: group.name,
+    generation: group.generation,
+    instanceId: report?.instanceId ?? '',
+    warm: report?.state === TargetState.WARM,
+    load: NO_LOAD,
+    loadAgeMs: 0,
+    weight: 1,
+    sharingDaemons: 1,
+  };
+}
