Add the server for callers

Every answer has x-outcome; refusals have retry-after and an error from the table. The socket buffer of a caller is 8 KiB, so that text past it stays in the stream, where it is counted.

Ruled out: 503 on open connections while the server stops, because a planned stop must interrupt no request; a status line held back until the end of a stream, because the caller would get no heartbeat. A stream therefore starts with x-outcome: done, and its end or error event is decisive.

--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -17,6 +17,7 @@
   RequestIdNotIssued = 'request-id-not-issued',
   OwnerUnreachable = 'owner-unreachable',
   OutcomeUnknown = 'outcome-unknown',
+  CallNotRun = 'call-not-run',
   StreamBroken = 'stream-broken',
   StreamLost = 'stream-lost',
   ResumeTokenInvalid = 'resume-token-invalid',
@@ -139,6 +140,12 @@
     message: 'The call {requestId} was sent to {vm}, and no answer came: {problem}',
     hint: 'Check with the service whether the call ran before you send it under a new id.',
   },
+  [ErrorKind.CallNotRun]: {
+    name: 'CallNotRunError',
+    title: 'The call did not run.',
+    message: 'The call {requestId} did not run and never will: {problem}',
+    hint: 'Send it again under a new id, after the time in the retry-after header.',
+  },
   [ErrorKind.StreamBroken]: {
     name: 'StreamBrokenError',
     title: 'The answer could not be completed.',
--- /dev/null
+++ b/src/core/http/caller-server.ts
@@ -0,0 +1,100 @@
+import type { FastifyInstance } from 'fastify';
+import fastify from 'fastify';
+import { createError, ErrorKind } from '../errors/index.ts';
+import { SOCKET_BUFFER_BYTES } from '../streams/index.ts';
+import type { AnswerStream } from '../streams/index.ts';
+import { Outcome } from '../world/index.ts';
+import { addCompletionRoutes } from './completion-routes.ts';
+import { CLOSE_POLL_MS, MAX_BODY_BYTES } from './consts.ts';
+import { readCallerHeaders } from './headers.ts';
+import { sendError, sendLookup, sendThrown } from './replies.ts';
+import { addServiceRoutes } from './service-routes.ts';
+import type { CallerServer, CallerServerOptions } from './types.ts';
+
+const HTTP_NOT_FOUND = 404;
+
+/** Longest path parameter: a request id with its prefix. */
+const MAX_PARAMETER_CHARACTERS = 200;
+
+/** Adds `GET /v1/addresses`, `GET /v1/requests/{id}` and `GET /healthz`. */
+function addLookupRoutes(app: FastifyInstance, options: CallerServerOptions): void {
+  app.get<{ Querystring: Partial<Record<'customer' | 'zone', string>> }>(
+    '/v1/addresses',
+    (request, reply) => {
+      const { customer, zone } = request.query;
+      if (typeof customer !== 'string' || customer === '') {
+        const details = { path: 'query customer', problem: 'is missing' };
+        throw createError(ErrorKind.RequestInvalid, details);
+      }
+      return reply
+        .header('x-outcome', Outcome.Done)
+        .send(options.getAddresses({ customer, availabilityZone: zone }));
+    },
+  );
+
+  app.get('/healthz', (_, reply) =>
+    reply
+      .header('x-outcome', Outcome.Done)
+      .send({ status: 'ok', requests: options.inFlight.countRequests() }),
+  );
+
+  app.get<{ Params: { id: string } }>('/v1/requests/:id', async (request, reply) => {
+    readCallerHeaders(request.headers);
+    return sendLookup(reply, await options.router.settleCall(request.params.id));
+  });
+}
+
+function createApp(): FastifyInstance {
+  const app = fastify({
+    bodyLimit: MAX_BODY_BYTES,
+    // Calls that arrive on open connections while the server stops are still served.
+    return503OnClosing: false,
+    // Text past this bound stays in the stream, where it is counted.
+    http: { highWaterMark: SOCKET_BUFFER_BYTES },
+    requestTimeout: 0,
+    routerOptions: { maxParamLength: MAX_PARAMETER_CHARACTERS },
+  });
+  app.setErrorHandler((error, _, reply) => sendThrown(reply, error));
+  app.setNotFoundHandler((request, reply) => {
+    const details = { path: `${request.method} ${request.url}`, problem: 'no such route' };
+    const error = createError(ErrorKind.RequestInvalid, details);
+    return sendError(reply, error, Outcome.NotRun, HTTP_NOT_FOUND);
+  });
+  return app;
+}
+
+/** Creates the server that callers connect to. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  const { timers } = options;
+  const running = new Set<AnswerStream>();
+  const app = createApp();
+
+  addLookupRoutes(app, options);
+  addCompletionRoutes(app, options, {
+    add(stream) {
+      running.add(stream);
+      void stream.finished.finally(() => running.delete(stream));
+    },
+  });
+  void app.register((instance, _, done) => {
+    addServiceRoutes(instance, options);
+    done();
+  });
+
+  return {
+    async start() {
+      await app.listen({ host: options.address, port: options.port });
+      const address = app.server.address();
+      return typeof address === 'object' && address !== null ? address.port : options.port;
+    },
+    async close() {
+      // A kept-alive connection becomes idle when its last answer ends.
+      const stopPolling = timers.subscribe(CLOSE_POLL_MS, () => app.server.closeIdleConnections());
+      await app.close();
+      await Promise.all([...running].map(({ finished }) => finished));
+      stopPolling();
+    },
+    countStreams: () => running.size,
+    getHeldBytes: () => [...running].reduce((sum, stream) => sum + stream.getHeldBytes(), 0),
+  };
+}
--- /dev/null
+++ b/src/core/http/completion-routes.ts
@@ -0,0 +1,164 @@
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { PlacedRequest, Ticket } from '../admission/index.ts';
+import { createError, ErrorKind } from '../errors/index.ts';
+import { NoTargetReason } from '../routing/index.ts';
+import { createAnswerStream, decodeResumeToken, getRequestOfAttempt } from '../streams/index.ts';
+import type { AnswerSink, AnswerStream, PlacementResult, ResumePoint } from '../streams/index.ts';
+import { computePrefixKey, countPromptTokens, parseCompletion } from './completion-format.ts';
+import type { CompletionBody } from './completion-format.ts';
+import { getPriority, readCallerHeaders } from './headers.ts';
+import { sendRefusal } from './replies.ts';
+import { createSseSink } from './sse-sink.ts';
+import type { CallerHeaders, CallerServerOptions } from './types.ts';
+import { createWholeSink } from './whole-sink.ts';
+
+/** A completion after its checks. */
+interface Completion {
+  id: string;
+  headers: CallerHeaders;
+  body: CompletionBody;
+  tokens: number;
+  resumePoint: ResumePoint | undefined;
+}
+
+/** Running answers of a server. */
+export interface RunningAnswers {
+  add(stream: AnswerStream): void;
+}
+
+function createAbortSignal({ raw }: FastifyReply): AbortSignal {
+  const abort = new AbortController();
+  raw.once('close', () => abort.abort());
+  return abort.signal;
+}
+
+/** Reads a resume token; one without a stream names an answer that can't be resumed. */
+function readResumePoint({ lastEventId }: CallerHeaders): ResumePoint | undefined {
+  if (lastEventId === undefined) return undefined;
+  const point = decodeResumeToken(lastEventId);
+  const { attempt, offset } = point;
+  if (point.streamId !== '' && offset + 1 >= point.firstOffset) return point;
+  const problem = 'its target was lost when the token was issued';
+  const details = { requestId: getRequestOfAttempt(attempt), offset: offset + 1, problem };
+  throw createError(ErrorKind.StreamLost, details);
+}
+
+/** Adds `POST /v1/completions`. */
+export function addCompletionRoutes(
+  app: FastifyInstance,
+  options: CallerServerOptions,
+  running: RunningAnswers,
+): void {
+  const { timers, events, metrics, directory, source } = options;
+
+  const readCompletion = ({ headers: raw, body: value }: FastifyRequest): Completion => {
+    const headers = readCallerHeaders(raw);
+    const body = parseCompletion(value);
+    const resumePoint = readResumePoint(headers);
+    const id =
+      resumePoint === undefined
+        ? (headers.requestId ?? options.createId())
+        : getRequestOfAttempt(resumePoint.attempt);
+    const tokens = countPromptTokens(body.prompt) + body.max_tokens;
+    return { id, headers, body, tokens, resumePoint };
+  };
+
+  const buildPlacedRequest = (
+    { headers, body, tokens }: Completion,
+    excludedVms: ReadonlySet<string>,
+  ): PlacedRequest => ({
+    customer: headers.customer,
+    route: body.model,
+    priority: getPriority(headers),
+    tokens,
+    prefixKey: computePrefixKey(headers.customer, body),
+    excludedVms,
+    listTargets: () => directory.listModelTargets(headers.customer, body.model),
+  });
+
+  /** A running stream stays at its target; only the limits of the customer apply. */
+  const buildResumeRequest = (completion: Completion, point: ResumePoint): PlacedRequest => ({
+    ...buildPlacedRequest(completion, new Set()),
+    listTargets() {
+      const target = options.findTarget(point.vm);
+      // The stream holds its memory and its slot already.
+      return target === undefined ? [] : [{ ...target, warm: true, weight: 1 }];
+    },
+  });
+
+  const acquirePlacement = async (
+    completion: Completion,
+    ticket: Ticket,
+    excludedVms: ReadonlySet<string>,
+  ): Promise<PlacementResult> => {
+    const request = buildPlacedRequest(completion, excludedVms);
+    const { placement, refusal } = await source.acquire({ ...request, ticket });
+    return placement === undefined ? { refusal } : { placement };
+  };
+
+  const createSink = (completion: Completion, reply: FastifyReply): AnswerSink => {
+    const names = { requestId: completion.id, model: completion.body.model };
+    const isStream = completion.body.stream || completion.resumePoint !== undefined;
+    if (!isStream) return createWholeSink(reply, names);
+    reply.hijack();
+    return createSseSink(reply.raw, names, timers);
+  };
+
+  const recordEnd = (
+    { id, headers }: Completion,
+    stream: AnswerStream,
+    startMs: number,
+    outcome: string,
+  ): void => {
+    const durationMs = timers.getMonotonicMs() - startMs;
+    metrics.timing('completions.duration', durationMs, { customer: headers.customer, outcome });
+    metrics.increment('completions.tokens', stream.countTokens(), { customer: headers.customer });
+    events.record('http', 'completion-ended', { request: id, outcome });
+  };
+
+  const runCompletion = async (completion: Completion, reply: FastifyReply): Promise<void> => {
+    const { id, headers, body, tokens, resumePoint } = completion;
+    const startMs = timers.getMonotonicMs();
+    events.record('http', 'completion-received', { request: id, customer: headers.customer });
+    const request =
+      resumePoint === undefined
+        ? buildPlacedRequest(completion, new Set())
+        : buildResumeRequest(completion, resumePoint);
+    const signal = createAbortSignal(reply);
+    const { ticket, placement, refusal } = await source.acquire({ ...request, signal });
+    if (refusal !== undefined) {
+      const reason = refusal.limit ?? refusal.reason ?? NoTargetReason.NoRoom;
+      events.record('http', 'completion-refused', { request: id, reason });
+      sendRefusal(reply, refusal, headers.customer, body.model);
+      return;
+    }
+    if (signal.aborted) {
+      placement.release();
+      ticket.release(0);
+      return;
+    }
+    const stream = createAnswerStream({
+      parts: options.answers,
+      request: {
+        id,
+        model: body.model,
+        prompt: body.prompt,
+        maxTokens: body.max_tokens,
+        priority: getPriority(headers),
+      },
+      placement,
+      sink: createSink(completion, reply),
+      ...(resumePoint !== undefined && { resumePoint }),
+      acquirePlacement: (excludedVms) => acquirePlacement(completion, ticket, excludedVms),
+    });
+    running.add(stream);
+    const outcome = await stream.finished;
+    ticket.release(tokens - body.max_tokens + stream.countTokens());
+    recordEnd(completion, stream, startMs, outcome);
+  };
+
+  app.post('/v1/completions', async (request, reply) => {
+    await runCompletion(readCompletion(request), reply);
+    return reply;
+  });
+}
--- /dev/null
+++ b/src/core/http/sse-sink.ts
@@ -0,0 +1,53 @@
+import type { ServerResponse } from 'node:http';
+import type { AnswerSink } from '../streams/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { Outcome } from '../world/index.ts';
+import { formatCompletion } from './completion-format.ts';
+import type { CompletionNames } from './completion-format.ts';
+import { FLUSH_DEADLINE_MS } from './consts.ts';
+import { buildErrorBody } from './replies.ts';
+
+const HTTP_OK = 200;
+
+/** Headers of a stream; its real outcome is the end event or the error event. */
+const STREAM_HEADERS = {
+  'content-type': 'text/event-stream; charset=utf-8',
+  'cache-control': 'no-store',
+  'x-outcome': Outcome.Done,
+};
+
+/** Creates the sink of a caller that reads server-sent events. */
+export function createSseSink(
+  raw: ServerResponse,
+  names: CompletionNames,
+  timers: TimerService,
+): AnswerSink {
+  let isEnded = false;
+
+  const end = (text: string): void => {
+    isEnded = true;
+    raw.end(text);
+    const cancel = timers.scheduleOnce(FLUSH_DEADLINE_MS, () => raw.destroy());
+    raw.once('close', cancel);
+  };
+
+  raw.writeHead(HTTP_OK, { ...STREAM_HEADERS, 'x-request-id': names.requestId });
+  raw.flushHeaders();
+  return {
+    writeTokens: (text, _, resumeToken) =>
+      raw.write(`id: ${resumeToken}\ndata: ${JSON.stringify(formatCompletion(names, text))}\n\n`),
+    writeHeartbeat: () => raw.write(': heartbeat\n\n'),
+    writeEnd: (total) =>
+      end(`data: ${JSON.stringify(formatCompletion(names, '', total))}\n\ndata: [DONE]\n\n`),
+    writeError: (error) =>
+      end(`event: error\ndata: ${JSON.stringify(buildErrorBody(error, Outcome.Unknown))}\n\n`),
+    getBufferedBytes: () => raw.writableLength,
+    close: () => raw.destroy(),
+    subscribe({ handleDrain, handleClosed }) {
+      raw.on('drain', handleDrain);
+      raw.on('close', () => {
+        if (!isEnded) handleClosed();
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/core/http/whole-sink.ts
@@ -0,0 +1,38 @@
+import type { FastifyReply } from 'fastify';
+import type { AnswerSink } from '../streams/index.ts';
+import { Outcome } from '../world/index.ts';
+import { formatCompletion } from './completion-format.ts';
+import type { CompletionNames } from './completion-format.ts';
+import { sendError } from './replies.ts';
+
+/** Creates the sink of a caller that wants the answer in one piece. */
+export function createWholeSink(reply: FastifyReply, names: CompletionNames): AnswerSink {
+  const texts: string[] = [];
+  let isEnded = false;
+  return {
+    writeTokens(text) {
+      texts.push(text);
+      return true;
+    },
+    // There is nothing to write before the end; the caller's own timeout decides.
+    writeHeartbeat: () => true,
+    writeEnd(total) {
+      isEnded = true;
+      void reply
+        .header('x-outcome', Outcome.Done)
+        .header('x-request-id', names.requestId)
+        .send(formatCompletion(names, texts.join(''), total));
+    },
+    writeError(error) {
+      isEnded = true;
+      void sendError(reply, error, Outcome.Unknown);
+    },
+    getBufferedBytes: () => 0,
+    close: () => reply.raw.destroy(),
+    subscribe({ handleClosed }) {
+      reply.raw.on('close', () => {
+        if (!isEnded) handleClosed();
+      });
+    },
+  };
+}
