Add the composition of the entry daemon

Joins membership, documents, relay, probing, slots and the request path in clementinefork-entry. A planned stop leaves the address answers first and waits for their lifetime, because callers connect with answers that they keep. Ruled out: closing the listener at once, which would refuse those callers.

--- /dev/null
+++ b/src/core/entry/create-entry-daemon.ts
@@ -0,0 +1,193 @@
+import { create } from '@bufbuild/protobuf';
+import { randomBytes, randomInt } from 'node:crypto';
+import type { DocumentStore, DocumentSync } from '../documents/index.ts';
+import { createDocumentStore, createDocumentSync } from '../documents/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import { createEventRecorder } from '../events/index.ts';
+import type { Logger } from '../logs/index.ts';
+import type { Membership } from '../membership/index.ts';
+import { createMembership, openDatagramSocket } from '../membership/index.ts';
+import { createMetrics } from '../metrics/index.ts';
+import { createPlatformClient } from '../platform/index.ts';
+import {
+  createProber,
+  createProberAssignment,
+  createStatusClient,
+  createTargetDirectory,
+  createTargetHealth,
+  createWatchTargetsHandler,
+} from '../probing/index.ts';
+import type { Daemon } from '../process/index.ts';
+import { createPlatformRelay } from '../relay/index.ts';
+import type { Member, PeerLinks } from '../rpc/index.ts';
+import { createPeerLinks, createPeerServer, MemberSchema, MemberState } from '../rpc/index.ts';
+import { createGranter, createSlotClient } from '../slots/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { createRequestPath } from './create-request-path.ts';
+import { createCustomerSets } from './customer-sets.ts';
+import { drainDaemon } from './drain.ts';
+import { createPeerHandlers } from './peer-handlers.ts';
+import type { EntrySettings } from './settings.ts';
+import { buildStatus } from './status.ts';
+
+const INSTANCE_BYTES = 8;
+const RANDOM_RANGE = 2 ** 32;
+
+/** Returns a number from 0 up to but not including 1. */
+function chooseRandom(): number {
+  return randomInt(RANDOM_RANGE) / RANDOM_RANGE;
+}
+
+/** Builds the record of this process; its instance tells it from earlier ones on the same VM. */
+function buildSelf({ name, address, availabilityZone, region, ports }: EntrySettings): Member {
+  return create(MemberSchema, {
+    name,
+    address,
+    availabilityZone,
+    region,
+    membershipPort: ports.membership,
+    peerPort: ports.peers,
+    callerPort: ports.callers,
+    instance: randomBytes(INSTANCE_BYTES).readBigUInt64BE(),
+    state: MemberState.ALIVE,
+  });
+}
+
+/** Parts through which daemons learn of each other and of the platform's objects. */
+interface Cluster {
+  documents: DocumentStore;
+  membership: Membership;
+  sync: DocumentSync;
+}
+
+async function createCluster(
+  settings: EntrySettings,
+  self: Member,
+  timers: TimerService,
+  recorder: EventRecorder,
+  links: PeerLinks,
+): Promise<Cluster> {
+  const documents = createDocumentStore({ recorder });
+  const socket = await openDatagramSocket(settings.address, settings.ports.membership);
+  let sync: DocumentSync | undefined;
+  const membership = createMembership({
+    self,
+    seeds: settings.seeds,
+    socket,
+    timers,
+    random: chooseRandom,
+    clock: recorder.clock,
+    recorder,
+    getDocumentsDigest: documents.getDigest,
+    onDigestDiffers: (member, digest) => sync?.handleDigest(member, digest),
+    onNewestDocument: (member, version) => sync?.handleNewest(member, version),
+  });
+  const { sendNewestDocument } = membership;
+  sync = createDocumentSync({ store: documents, links, sendNewestDocument, recorder });
+  return { documents, membership, sync };
+}
+
+/** Creates and starts an entry daemon. */
+export async function createEntryDaemon(
+  settings: EntrySettings,
+  timers: TimerService,
+  logger: Logger,
+): Promise<Daemon> {
+  const self = buildSelf(settings);
+  const recorder = createEventRecorder(settings.name, timers);
+  const metrics = createMetrics(settings.metrics, { daemon: settings.name });
+  const links = createPeerLinks();
+  const { documents, membership, sync } = await createCluster(
+    settings,
+    self,
+    timers,
+    recorder,
+    links,
+  );
+  const platform = createPlatformClient({ ...settings.platform, timers });
+  const relay = createPlatformRelay({
+    membership,
+    platform,
+    store: documents,
+    timers,
+    random: chooseRandom,
+    recorder,
+  });
+  const sets = createCustomerSets({ documents, membership, timers });
+  const assignment = createProberAssignment(membership);
+  const { queryStatus, close: closeStatusClient } = createStatusClient(timers);
+  const prober = createProber({ timers, documents, membership, assignment, queryStatus, recorder });
+  const health = createTargetHealth({
+    timers,
+    documents,
+    membership,
+    assignment,
+    prober,
+    links,
+    recorder,
+    mayServe: sets.mayServe,
+  });
+  const directory = createTargetDirectory({
+    documents,
+    health,
+    countSharingDaemons: sets.countSharingDaemons,
+  });
+  const granter = createGranter({ timers, documents, health, queryStatus, recorder });
+  const slots = createSlotClient({ timers, documents, membership, links });
+  const path = createRequestPath({
+    settings,
+    self,
+    timers,
+    recorder,
+    metrics,
+    documents,
+    membership,
+    links,
+    health,
+    directory,
+    slots,
+    sets,
+    random: chooseRandom,
+  });
+  const getStatus = (): ReturnType<typeof buildStatus> =>
+    buildStatus({ settings, documents, membership, health, path });
+  const watchTargets = createWatchTargetsHandler(prober, timers);
+  const peers = await createPeerServer({
+    address: settings.address,
+    port: settings.ports.peers,
+    timers,
+    handlers: createPeerHandlers({
+      documents,
+      membership,
+      recorder,
+      granter,
+      router: path.router,
+      watchTargets,
+      getStatus,
+    }),
+  });
+  prober.start();
+  health.start();
+  granter.start();
+  await path.callers.start();
+  recorder.record('entry', 'started', { daemon: settings.name });
+  logger.info('listening', { name: settings.name, callers: settings.ports.callers });
+
+  return {
+    async stop() {
+      await drainDaemon({ settings, timers, recorder, logger, membership, path });
+      granter.stop();
+      slots.close();
+      health.stop();
+      prober.stop();
+      relay.close();
+      sync.close();
+      sets.stop();
+      assignment.close();
+      await peers.close();
+      await membership.close();
+      links.close();
+      await Promise.all([closeStatusClient(), path.close(), platform.close(), metrics.close()]);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/entry/create-request-path.ts
@@ -0,0 +1,138 @@
+import { randomUUID } from 'node:crypto';
+import { createAdmission, createPlacementSource } from '../admission/index.ts';
+import type { PlacementSource } from '../admission/index.ts';
+import type { CallLedger, CallRouter } from '../calls/index.ts';
+import {
+  createCallLedger,
+  createCallOwner,
+  createCallRouter,
+  createIdempotentCalls,
+  createRetryBudget,
+} from '../calls/index.ts';
+import type { DocumentStore } from '../documents/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { CallerServer } from '../http/index.ts';
+import { createCallerServer } from '../http/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { Metrics } from '../metrics/index.ts';
+import type { TargetDirectory, TargetHealth } from '../probing/index.ts';
+import type { InFlight } from '../routing/index.ts';
+import { createInFlight, createPlacer } from '../routing/index.ts';
+import type { Member, PeerLinks } from '../rpc/index.ts';
+import type { SlotClient } from '../slots/index.ts';
+import { createBufferBudget } from '../streams/index.ts';
+import { createEngineClient, createServiceClient } from '../targets/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { createCallOwners, formatIncarnation } from './call-owners.ts';
+import type { CustomerSets } from './customer-sets.ts';
+import { findRunningTarget } from './running-target.ts';
+import type { EntrySettings } from './settings.ts';
+
+/** What the request path of a daemon uses. */
+export interface RequestPathOptions {
+  settings: EntrySettings;
+  self: Member;
+  timers: TimerService;
+  recorder: EventRecorder;
+  metrics: Metrics;
+  documents: DocumentStore;
+  membership: MembershipView;
+  links: PeerLinks;
+  health: TargetHealth;
+  directory: TargetDirectory;
+  slots: SlotClient;
+  sets: CustomerSets;
+  /** Returns a number from 0 up to but not including 1. */
+  random: () => number;
+}
+
+/** The request path of a daemon. */
+export interface RequestPath {
+  callers: CallerServer;
+  router: CallRouter;
+  /** Bytes of answers that callers have not read yet. */
+  getBufferedBytes(): number;
+  close(): Promise<void>;
+}
+
+interface Placing {
+  inFlight: InFlight;
+  source: PlacementSource;
+}
+
+function createPlacing(options: RequestPathOptions): Placing {
+  const { documents, random, sets, settings, slots, timers } = options;
+  const inFlight = createInFlight();
+  const { availabilityZone } = settings;
+  const placer = createPlacer({ availabilityZone, timers, inFlight, slots, random });
+  const admission = createAdmission({
+    timers,
+    getLimits: (customer) =>
+      documents.getConfiguration()?.value.limits.find((row) => row.customer === customer),
+    countDaemons: sets.countDaemons,
+  });
+  // A target that became warm or free may take a request that waits.
+  options.health.subscribe(admission.runQueue);
+  return { inFlight, source: createPlacementSource({ timers, admission, placer }) };
+}
+
+function createLedger({ self, timers }: RequestPathOptions): CallLedger {
+  return createCallLedger({ timers, owner: self.name, incarnation: formatIncarnation(self) });
+}
+
+/** Creates everything between the callers and the targets. */
+export function createRequestPath(options: RequestPathOptions): RequestPath {
+  const { directory, documents, health, links, membership, metrics, recorder, timers } = options;
+  const { settings, sets } = options;
+  const { handleSign } = health;
+  const { inFlight, source } = createPlacing(options);
+  const services = createServiceClient({ timers });
+  const budget = createBufferBudget();
+  const ledger = createLedger(options);
+  const parts = {
+    timers,
+    events: recorder,
+    metrics,
+    services,
+    source,
+    listServiceTargets: directory.listServiceTargets,
+    handleSign,
+  };
+  const owners = createCallOwners(membership, links);
+  const owner = createCallOwner(parts, ledger);
+  const router = createCallRouter({ parts, ledger, owner, owners });
+  const callers = createCallerServer({
+    address: settings.address,
+    port: settings.ports.callers,
+    timers,
+    events: recorder,
+    metrics,
+    getAddresses: ({ customer, availabilityZone }) =>
+      sets.getAddresses(customer, availabilityZone, ledger.createPrefix()),
+    directory,
+    findTarget: (vm) => findRunningTarget(documents, health, vm),
+    source,
+    inFlight,
+    answers: {
+      timers,
+      events: recorder,
+      metrics,
+      engine: createEngineClient({ timers }),
+      budget,
+      handleSign,
+      createId: randomUUID,
+    },
+    router,
+    idempotent: createIdempotentCalls(parts, createRetryBudget()),
+    createId: randomUUID,
+  });
+  return {
+    callers,
+    router,
+    getBufferedBytes: budget.getBytes,
+    async close() {
+      ledger.stop();
+      await services.close();
+    },
+  };
+}
