--- /dev/null
+++ b/src/core/caller/address-book.ts
@@ -0,0 +1,64 @@
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { AddressAnswer, EntryAddress } from '../addresses/index.ts';
+import { createError, ErrorKind, formatProblem } from '../errors/index.ts';
+import type { CallerOptions, CallerSeed } from './types.ts';
+
+const HTTP_OK = 200;
+
+/** Address answers of one caller. */
+export interface AddressBook {
+  /** Returns the answer in force, or a new one when its lifetime has ended. */
+  fetchAnswer(): Promise<AddressAnswer>;
+  /** Forgets the answer, for example after a refused connection. */
+  reset(): void;
+}
+
+/** Formats the base URL of an address. */
+export function formatBaseUrl({ address, port }: CallerSeed | EntryAddress): string {
+  return `http://${address.includes(':') ? `[${address}]` : address}:${port}`;
+}
+
+/** Creates the address book; known addresses are asked before the seeds. */
+export function createAddressBook(options: CallerOptions, dispatcher: Dispatcher): AddressBook {
+  const { customer, availabilityZone, seeds, timers } = options;
+  let answer: AddressAnswer | undefined;
+  let validUntilMs = 0;
+  let known: CallerSeed[] = [];
+
+  const fetchFrom = async (seed: CallerSeed): Promise<AddressAnswer> => {
+    const query = new URLSearchParams({ customer });
+    if (availabilityZone !== undefined) query.set('zone', availabilityZone);
+    const url = `${formatBaseUrl(seed)}/v1/addresses?${query.toString()}`;
+    const { statusCode, body } = await request(url, { dispatcher });
+    if (statusCode !== HTTP_OK) throw new Error(`${url} answered ${statusCode}`);
+    return (await body.json()) as AddressAnswer;
+  };
+
+  const fetchFirst = async (): Promise<AddressAnswer> => {
+    let problem = 'no address is known';
+    for (const seed of [...known, ...seeds]) {
+      try {
+        return await fetchFrom(seed);
+      } catch (error) {
+        problem = formatProblem(error);
+      }
+    }
+    throw createError(ErrorKind.PeerUnreachable, { daemon: 'for addresses', problem });
+  };
+
+  return {
+    async fetchAnswer() {
+      if (answer !== undefined && timers.getMonotonicMs() < validUntilMs) return answer;
+      // The lifetime counts from before the question, so that it ends here before it does there.
+      const askedMs = timers.getMonotonicMs();
+      answer = await fetchFirst();
+      validUntilMs = askedMs + answer.lifetimeMs;
+      known = answer.addresses;
+      return answer;
+    },
+    reset() {
+      answer = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/core/caller/run-completion.ts
@@ -0,0 +1,108 @@
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
+import type { AddressBook } from './address-book.ts';
+import { formatBaseUrl } from './address-book.ts';
+import { readEvents } from './stream-reader.ts';
+import type { StreamEvent } from './stream-reader.ts';
+import type { CallerOptions, CompletionRequest, CompletionResult } from './types.ts';
+
+const HTTP_OK = 200;
+const RETRYABLE_STATUSES: ReadonlySet<number> = new Set([429, 502, 503]);
+const RETRY_MS = 100;
+const DEFAULT_MAX_ATTEMPTS = 20;
+const DONE = '[DONE]';
+
+/** A connection without an event or heartbeat for this long is given up. */
+const SILENCE_DEADLINE_MS = 15_000;
+
+interface Progress {
+  requestId: string;
+  text: string;
+  lastEventId: string;
+  total: number | undefined;
+  isDone: boolean;
+}
+
+interface Chunk {
+  choices: { text: string }[];
+  usage?: { completion_tokens: number };
+}
+
+function applyEvent(progress: Progress, event: StreamEvent, wanted: CompletionRequest): void {
+  if (event.data === DONE) {
+    progress.isDone = true;
+    return;
+  }
+  if (event.event === 'error') throw new Error(event.data);
+  const chunk = JSON.parse(event.data) as Chunk;
+  const text = chunk.choices[0]?.text ?? '';
+  progress.text += text;
+  if (event.id !== '') progress.lastEventId = event.id;
+  if (chunk.usage !== undefined) progress.total = chunk.usage.completion_tokens;
+  if (text !== '') wanted.handleText?.(text);
+}
+
+/** Runs a completion; a broken stream continues from the last event at the next address. */
+export async function runCompletion(
+  options: CallerOptions,
+  book: AddressBook,
+  dispatcher: Dispatcher,
+  wanted: CompletionRequest,
+): Promise<CompletionResult> {
+  const { customer, timers } = options;
+  const maxAttempts = options.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+  const progress: Progress = {
+    requestId: '',
+    text: '',
+    lastEventId: '',
+    total: undefined,
+    isDone: false,
+  };
+
+  const buildHeaders = (): Record<string, string> => ({
+    'content-type': 'application/json',
+    'x-customer': customer,
+    ...(progress.lastEventId !== '' && { 'last-event-id': progress.lastEventId }),
+  });
+
+  /** Reads one connection; a status that a retry can't change is thrown as an error of the system. */
+  const readOnce = async (attempt: number): Promise<void> => {
+    const { addresses } = await book.fetchAnswer();
+    const place = addresses[attempt % Math.max(1, addresses.length)];
+    if (place === undefined) throw new Error('no address serves this customer');
+    const { model, prompt, maxTokens } = wanted;
+    const answer = await request(`${formatBaseUrl(place)}/v1/completions`, {
+      method: 'POST',
+      dispatcher,
+      headers: buildHeaders(),
+      body: JSON.stringify({ model, prompt, max_tokens: maxTokens, stream: true }),
+      headersTimeout: SILENCE_DEADLINE_MS,
+      bodyTimeout: SILENCE_DEADLINE_MS,
+    });
+    if (answer.statusCode !== HTTP_OK) {
+      const problem = await answer.body.text();
+      if (RETRYABLE_STATUSES.has(answer.statusCode)) throw new Error(problem);
+      throw createError(ErrorKind.RequestInvalid, { path: 'completion', problem });
+    }
+    progress.requestId = String(answer.headers['x-request-id']);
+    for await (const event of readEvents(answer.body)) applyEvent(progress, event, wanted);
+    if (!progress.isDone) throw new Error('the stream ended without [DONE]');
+  };
+
+  let problem = '';
+  for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    try {
+      await readOnce(attempt);
+      const { requestId, text, total = 0 } = progress;
+      return { requestId, text, total, attempts: attempt + 1 };
+    } catch (error) {
+      if (isServingError(error, ErrorKind.RequestInvalid)) throw error;
+      problem = formatProblem(error);
+      book.reset();
+      await timers.waitFor(RETRY_MS);
+    }
+  }
+  const details = { requestId: progress.requestId, offset: progress.text.length, problem };
+  throw createError(ErrorKind.StreamBroken, details);
+}
--- /dev/null
+++ b/src/core/caller/stream-reader.ts
@@ -0,0 +1,34 @@
+/** What one event of a completion stream says. */
+export interface StreamEvent {
+  /** Resume token of the event; empty when it has none. */
+  id: string;
+  event: string;
+  data: string;
+}
+
+function parseEvent(block: string): StreamEvent | undefined {
+  const fields: StreamEvent = { id: '', event: 'message', data: '' };
+  block.split('\n').forEach((line) => {
+    const [name, ...rest] = line.split(': ');
+    const value = rest.join(': ');
+    if (name === 'id') fields.id = value;
+    if (name === 'event') fields.event = value;
+    if (name === 'data') fields.data += value;
+  });
+  return fields.data === '' ? undefined : fields;
+}
+
+/** Reads server-sent events; comments, which are heartbeats, are left out. */
+export async function* readEvents(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<StreamEvent> {
+  const decoder = new TextDecoder();
+  let buffer = '';
+  for await (const chunk of chunks) {
+    buffer += decoder.decode(chunk, { stream: true });
+    const blocks = buffer.split('\n\n');
+    buffer = blocks.pop() ?? '';
+    for (const block of blocks) {
+      const event = parseEvent(block);
+      if (event !== undefined) yield event;
+    }
+  }
+}
