Add the controller binary and the demo

The controller had its decision code but no links to engines and to the entry daemon beside it. Event messages move to the events module, because both processes convert them. The demo starts everything on loopback.

--- /dev/null
+++ b/src/cli/demo/index.ts
@@ -0,0 +1,30 @@
+import { mkdirSync, mkdtempSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { runCommand } from '../../core/process/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import { runSession } from '../../demo/session.ts';
+import { createDemoWorld } from '../../demo/world.ts';
+
+const OUTPUT_FOLDER = 'out';
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+await runCommand(async () => {
+  const timers = createTimerService();
+  const startMs = timers.getMonotonicMs();
+  mkdirSync(OUTPUT_FOLDER, { recursive: true });
+  const workFolder = mkdtempSync(join(OUTPUT_FOLDER, 'demo-'));
+  const buildFolder = dirname(fileURLToPath(import.meta.url));
+  print(`logs and settings: ${workFolder}`);
+  const size = { entries: 2, engines: 4, services: 2, coldMs: 1_500, tokenMs: 5 };
+  const world = await createDemoWorld({ ...size, buildFolder, workFolder, timers });
+  try {
+    await runSession({ world, timers, print });
+  } finally {
+    await world.runner.stopAll();
+  }
+  print(`done in ${Math.round(timers.getMonotonicMs() - startMs)} ms`);
+});
--- /dev/null
+++ b/src/core/controller/daemon-link.ts
@@ -0,0 +1,29 @@
+import { ALLOCATION_KIND } from '../allocation/index.ts';
+import { buildDocument } from '../documents/index.ts';
+import { toEventMessage } from '../events/index.ts';
+import type { PeerClient } from '../rpc/index.ts';
+import type { DaemonLink, VersionedAllocation } from './types.ts';
+
+function toDocument({
+  allocation,
+  version,
+}: VersionedAllocation): ReturnType<typeof buildDocument> {
+  const { fabricDomain } = allocation;
+  const kind = ALLOCATION_KIND;
+  return buildDocument({ kind, name: fabricDomain, version, value: allocation, deleted: false });
+}
+
+/** Creates the call `ReportLeases` to the entry daemon on the same VM. */
+export function createDaemonLink(controller: string, client: PeerClient): DaemonLink {
+  return {
+    async sendReport({ leases, allocations, events }) {
+      const { members } = await client.reportLeases({
+        controller,
+        leases: leases.map((lease) => ({ ...lease, epoch: BigInt(lease.epoch) })),
+        documents: allocations.map(toDocument),
+        events: events.map(toEventMessage),
+      });
+      return members.map(({ name }) => name);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/controller/engine-link.ts
@@ -0,0 +1,55 @@
+import { Agent, request } from 'undici';
+import { createError, ErrorKind } from '../errors/index.ts';
+import { createStatusClient } from '../probing/index.ts';
+import { formatOrigin } from '../targets/format-origin.ts';
+import type { TimerService } from '../timers/index.ts';
+import type { EngineLink } from './types.ts';
+import { OrderAnswer } from './types.ts';
+
+const HTTP_OK = 200;
+const HTTP_CONFLICT = 409;
+
+/** Deadlines of the calls to engines. */
+export interface EngineLinkOptions {
+  timers: TimerService;
+  orderTimeoutMs: number;
+  statusTimeoutMs: number;
+}
+
+/** Calls to engines over HTTP, with the connections that they use. */
+export interface HttpEngineLink extends EngineLink {
+  close(): Promise<void>;
+}
+
+/** Creates the calls to engines. */
+export function createEngineLink(options: EngineLinkOptions): HttpEngineLink {
+  const { timers, orderTimeoutMs, statusTimeoutMs } = options;
+  const dispatcher = new Agent({ connections: 1, pipelining: 1 });
+  const statusClient = createStatusClient(timers, statusTimeoutMs);
+  return {
+    async sendOrder(target, order) {
+      const abort = new AbortController();
+      const cancel = timers.scheduleOnce(orderTimeoutMs, () => abort.abort());
+      try {
+        const { statusCode, body } = await request(`${formatOrigin(target)}/orders`, {
+          method: 'POST',
+          dispatcher,
+          signal: abort.signal,
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(order),
+        });
+        await body.dump();
+        if (statusCode === HTTP_OK) return OrderAnswer.Accepted;
+        if (statusCode === HTTP_CONFLICT) return OrderAnswer.StaleEpoch;
+        const problem = `it answered ${statusCode}.`;
+        throw createError(ErrorKind.OrderRefused, { vm: target.vm, epoch: order.epoch, problem });
+      } finally {
+        cancel();
+      }
+    },
+    fetchStatus: statusClient.queryStatus,
+    async close() {
+      await Promise.all([dispatcher.destroy(), statusClient.close()]);
+    },
+  };
+}
--- a/src/core/entry/peer-handlers.ts
+++ b/src/core/entry/peer-handlers.ts
@@ -2,6 +2,7 @@
 import type { CallRouter } from '../calls/index.ts';
 import type { DocumentStore } from '../documents/index.ts';
 import type { EventFilter, EventRecorder } from '../events/index.ts';
+import { toEventMessage, toTimelineEvent } from '../events/index.ts';
 import type { MembershipView } from '../membership/index.ts';
 import type { WatchTargetsHandler } from '../probing/index.ts';
 import type {
@@ -11,7 +12,6 @@
   ReportLeasesRequest,
 } from '../rpc/index.ts';
 import type { Granter } from '../slots/index.ts';
-import { toEventMessage, toTimelineEvent } from './event-messages.ts';
 
 /** Parts that answer the calls of other processes. */
 export interface PeerHandlersOptions {
--- a/src/core/events/index.ts
+++ b/src/core/events/index.ts
@@ -1,4 +1,5 @@
 export { compareTimes, createClock } from './clock.ts';
+export { toEventMessage, toTimelineEvent } from './messages.ts';
 export { createEventRecorder } from './recorder.ts';
 export { formatEvent, mergeTimelines } from './timeline.ts';
 export type {
--- a/src/core/entry/event-messages.ts
+++ b/src/core/events/messages.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import type { TimelineEvent } from '../events/index.ts';
+import type { TimelineEvent } from './types.ts';
 import type { Event } from '../rpc/index.ts';
 import { EventSchema } from '../rpc/index.ts';
 
