Resume streams without asking for memory again; add process tests

Cause: after SIGKILL of an entry daemon in mid-stream, the caller's resume was refused through the other daemon as larger than the memory share of every target. The running target was built with a capacity of 0 tokens. Ruled out: the share of the daemon (50,000 tokens) and the load at the engine.

Change: the target of a running stream has no bound, because the engine holds its memory already.

--- a/src/core/entry/running-target.ts
+++ b/src/core/entry/running-target.ts
@@ -3,11 +3,12 @@
 import type { RoutableTarget, TargetHealth } from '../probing/index.ts';
 import { TargetState } from '../rpc/index.ts';
 
-const NO_LOAD = {
+/** The engine holds the memory of the stream already, so a resume asks for none. */
+const LOAD_OF_RUNNING_STREAM = {
   running: 0,
   queued: 0,
   heldTokens: 0,
-  capacityTokens: 0,
+  capacityTokens: Number.MAX_SAFE_INTEGER,
   coldLimit: 0,
   ageMs: 0,
 } as const;
@@ -49,7 +50,7 @@
     generation: group.generation,
     instanceId: report?.instanceId ?? '',
     warm: report?.state === TargetState.WARM,
-    load: NO_LOAD,
+    load: LOAD_OF_RUNNING_STREAM,
     loadAgeMs: 0,
     weight: 1,
     sharingDaemons: 1,
--- a/src/demo/processes.ts
+++ b/src/demo/processes.ts
@@ -16,6 +16,7 @@
 /** A running process of the demo. */
 export interface RunningProcess {
   name: string;
+  binary: string;
   pid: number;
   logFile: string;
   /** Resolves with the exit status, or the signal that ended the process. */
@@ -28,7 +29,8 @@
 /** Starts the processes of a demo or a test; files go to one folder. */
 export interface ProcessRunner {
   start(plan: ProcessPlan): RunningProcess;
-  /** Stops all running processes, the last started first. */
+  isRunning(handle: RunningProcess): boolean;
+  /** Stops all running processes: controllers, then entry daemons, then the stand-ins. */
   stopAll(): Promise<void>;
 }
 
@@ -41,6 +43,9 @@
 
 const STOP_DEADLINE_MS = 10_000;
 
+/** A controller releases its leases at its stop, so the platform must still be there. */
+const STOP_ORDER: readonly string[] = ['clementinefork-controller', 'clementinefork-entry'];
+
 /** Creates the runner; only development scripts and tests start processes, daemons never do. */
 export function createProcessRunner(options: ProcessRunnerOptions): ProcessRunner {
   const running = new Set<RunningProcess>();
@@ -62,6 +67,7 @@
     });
     const handle: RunningProcess = {
       name,
+      binary,
       pid: child.pid ?? 0,
       logFile,
       exited,
@@ -83,10 +89,15 @@
 
   return {
     start,
+    isRunning: (handle) => running.has(handle),
     async stopAll() {
       // A frozen process must go on before it can stop.
       running.forEach((handle) => handle.sendSignal('SIGCONT'));
-      await Promise.all([...running].reverse().map((handle) => handle.stop()));
+      for (const binary of STOP_ORDER) {
+        const stage = [...running].filter((handle) => handle.binary === binary);
+        await Promise.all(stage.map((handle) => handle.stop()));
+      }
+      await Promise.all([...running].map((handle) => handle.stop()));
     },
   };
 }
--- a/src/demo/session.ts
+++ b/src/demo/session.ts
@@ -48,7 +48,7 @@
   print(checkOperator('status', await world.runOperator('status', '--wait')).trim());
 }
 
-async function waitForGroup({ world, timers, print }: SessionOptions): Promise<void> {
+async function waitForGroup({ world, timers, print }: SessionOptions): Promise<string> {
   const { platformPort, engines } = world.topology;
   const listServing = async (): Promise<string[]> => {
     const answer = (await world.sendControl(platformPort, '/objects/allocation')) as {
@@ -66,6 +66,7 @@
   });
   const formedMs = Math.round(timers.getMonotonicMs() - startMs);
   print(`serving: ${names.join(', ')} of ${engines.length} VMs, after ${formedMs} ms`);
+  return names[0] ?? '';
 }
 
 async function streamAnswer(caller: Caller, { print, timers }: SessionOptions): Promise<string> {
@@ -91,19 +92,23 @@
   return requestId;
 }
 
+/** Counts the bookings of one order; the targets of the stand-in share one list. */
 async function checkBookings({ world, print }: SessionOptions, requestId: string): Promise<void> {
-  const answers = await Promise.all(
-    world.topology.services.map(({ port }) => world.sendControl(port, '/bookings')),
-  );
-  const count = JSON.stringify(answers).split(requestId).length - 1;
+  const [target] = world.topology.services;
+  const answer = await world.sendControl(target?.port ?? 0, '/bookings');
+  const count = JSON.stringify(answer).split(requestId).length - 1;
   print(`the service booked the order ${count} time(s)`);
   if (count !== 1) throw new Error(`the order was booked ${count} times`);
 }
 
-async function printTimeline(options: SessionOptions, requestId: string): Promise<void> {
+async function printTimeline(
+  options: SessionOptions,
+  filter: '--group' | '--request',
+  name: string,
+): Promise<void> {
   const { print, world } = options;
-  const output = await world.runOperator('timeline', '--request', requestId);
-  print(`timeline of ${requestId}:`);
+  const output = await world.runOperator('timeline', filter, name);
+  print(`timeline of ${name}:`);
   print(checkOperator('timeline', output).trim());
 }
 
@@ -114,7 +119,7 @@
   await world.startStandIns();
   await startDaemons(options);
   await applyDeclaration(options);
-  await waitForGroup(options);
+  const group = await waitForGroup(options);
   const seeds = entries.map(({ callers }) => ({ address, port: callers }));
   const caller = createCaller({ customer: 'orchard', availabilityZone: 'sofia-b', seeds, timers });
   const addresses = await caller.fetchAddresses();
@@ -122,7 +127,8 @@
   const answerId = await streamAnswer(caller, options);
   const orderId = await bookOrder(caller, options);
   await checkBookings(options, orderId);
-  await printTimeline(options, answerId);
-  await printTimeline(options, orderId);
+  await printTimeline(options, '--group', group);
+  await printTimeline(options, '--request', answerId);
+  await printTimeline(options, '--request', orderId);
   await caller.close();
 }
--- /dev/null
+++ b/test/processes/controller.test.ts
@@ -0,0 +1,33 @@
+import { after, before, describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { ProcessSession } from './process-session.ts';
+import { startProcessSession } from './process-session.ts';
+
+describe('controllers as processes', () => {
+  let session: ProcessSession;
+  before(async () => {
+    session = await startProcessSession();
+  });
+  after(() => session.stop());
+
+  // Guards against a frozen lease holder that acts after another one took over.
+  it('moves the lease from a frozen holder, which steps down when it goes on', async () => {
+    const initial = await session.fetchDomain();
+    if (initial === undefined) throw new Error('no allocation');
+    const frozen = session.controllers.get(initial.lease.vm);
+    frozen?.sendSignal('SIGSTOP');
+    const taken = await session.waitFor('a new lease holder', async () => {
+      const domain = await session.fetchDomain();
+      return domain !== undefined && domain.lease.epoch > initial.lease.epoch ? domain : undefined;
+    });
+    expect(taken.lease.vm).not.toEqual(initial.lease.vm);
+    frozen?.sendSignal('SIGCONT');
+    const observeMs = 3_000;
+    await session.timers.waitFor(observeMs);
+    const final = await session.fetchDomain();
+    expect(final?.lease.vm).toEqual(taken.lease.vm);
+    expect(final?.groups.map(({ members, state }) => ({ members, state }))).toEqual(
+      initial.groups.map(({ members, state }) => ({ members, state })),
+    );
+  });
+});
--- /dev/null
+++ b/test/processes/process-session.ts
@@ -0,0 +1,135 @@
+import { mkdirSync, mkdtempSync } from 'node:fs';
+import { join } from 'node:path';
+import { request } from 'undici';
+import type { Caller } from '../../src/core/caller/index.ts';
+import { createCaller } from '../../src/core/caller/index.ts';
+import type { TimerService } from '../../src/core/timers/index.ts';
+import { createTimerService } from '../../src/core/timers/index.ts';
+import type { RunningProcess } from '../../src/demo/processes.ts';
+import type { EntryPlace } from '../../src/demo/topology.ts';
+import { waitUntil } from '../../src/demo/wait-until.ts';
+import type { DemoWorld } from '../../src/demo/world.ts';
+import { createDemoWorld } from '../../src/demo/world.ts';
+
+const BUILD_FOLDER = 'dist';
+const OUTPUT_FOLDER = 'out';
+const DEADLINE_MS = 30_000;
+
+/** A group as the platform stand-in holds it. */
+export interface ServingView {
+  name: string;
+  state: string;
+  generation: number;
+  members: string[];
+}
+
+/** Lease and groups of the only fabric domain. */
+export interface DomainView {
+  lease: { vm: string; epoch: number };
+  groups: ServingView[];
+}
+
+/** Real processes on loopback, formed and ready for callers. */
+export interface ProcessSession {
+  world: DemoWorld;
+  timers: TimerService;
+  entries: EntryPlace[];
+  daemons: Map<string, RunningProcess>;
+  controllers: Map<string, RunningProcess>;
+  /** Creates a caller that knows all daemons. */
+  createCaller(): Caller;
+  /** Creates a caller that asks one daemon for addresses. */
+  createCallerAt(entry: EntryPlace): Caller;
+  /** Sends the same order again through one daemon and returns the outcome. */
+  repeatOrder(callerPort: number, requestId: string): Promise<string>;
+  countBookings(requestId: string): Promise<number>;
+  fetchDomain(): Promise<DomainView | undefined>;
+  /** Repeats the check until it returns a value. */
+  waitFor<Value>(what: string, check: () => Promise<Value | undefined>): Promise<Value>;
+  stop(): Promise<void>;
+}
+
+const CUSTOMER = 'orchard';
+
+interface BookingList {
+  bookings: { requestId: string; runs: number }[];
+}
+
+interface AllocationList {
+  objects: { value: DomainView }[];
+}
+
+/** Starts the processes and waits until a group serves. */
+export async function startProcessSession(entryCount = 2): Promise<ProcessSession> {
+  const timers = createTimerService();
+  mkdirSync(OUTPUT_FOLDER, { recursive: true });
+  const workFolder = mkdtempSync(join(OUTPUT_FOLDER, 'processes-'));
+  const size = { entries: entryCount, engines: 4, services: 2, coldMs: 300, tokenMs: 5 };
+  const world = await createDemoWorld({ ...size, buildFolder: BUILD_FOLDER, workFolder, timers });
+  const { address, entries, platformPort } = world.topology;
+  const daemons = new Map<string, RunningProcess>();
+  const controllers = new Map<string, RunningProcess>();
+
+  const waitFor: ProcessSession['waitFor'] = (what, check) =>
+    waitUntil(what, timers, DEADLINE_MS, check);
+  const createCallerWith = (seeds: readonly EntryPlace[]): Caller =>
+    createCaller({
+      customer: CUSTOMER,
+      seeds: seeds.map(({ callers }) => ({ address, port: callers })),
+      timers,
+    });
+  const fetchDomain = async (): Promise<DomainView | undefined> => {
+    const list = (await world.sendControl(platformPort, '/objects/allocation')) as AllocationList;
+    return list.objects[0]?.value;
+  };
+
+  try {
+    await world.startStandIns();
+    entries.forEach((entry) => daemons.set(entry.name, world.startEntry(entry)));
+    await Promise.all(entries.map(world.waitForEntry));
+    entries.forEach((entry) => controllers.set(entry.name, world.startController(entry)));
+    const applied = await world.runOperator('apply', world.writeDeclaration(), '--base', '0');
+    if (applied.status !== 0) throw new Error(applied.stderr);
+    await waitFor('forming of a group', async () =>
+      (await fetchDomain())?.groups.find(({ state }) => state === 'serving'),
+    );
+  } catch (error) {
+    await world.runner.stopAll();
+    throw error;
+  }
+
+  return {
+    world,
+    timers,
+    entries,
+    daemons,
+    controllers,
+    createCaller: () => createCallerWith(entries),
+    createCallerAt: (entry) => createCallerWith([entry]),
+    async repeatOrder(callerPort, requestId) {
+      const { headers, body } = await request(
+        `http://${address}:${callerPort}/v1/services/orders/bookings`,
+        {
+          method: 'POST',
+          headers: {
+            'content-type': 'application/json',
+            'x-customer': CUSTOMER,
+            'x-request-id': requestId,
+            'x-idempotent': 'false',
+          },
+          body: JSON.stringify({ item: 'seedlings', quantity: 1 }),
+        },
+      );
+      await body.dump();
+      return String(headers['x-outcome']);
+    },
+    async countBookings(requestId) {
+      const [target] = world.topology.services;
+      const answer = (await world.sendControl(target?.port ?? 0, '/bookings')) as BookingList;
+      return answer.bookings.find((row) => row.requestId === requestId)?.runs ?? 0;
+    },
+    fetchDomain,
+    waitFor,
+    stop: () => world.runner.stopAll(),
+  };
+}
