--- a/src/core/probing/consts.ts
+++ b/src/core/probing/consts.ts
@@ -18,5 +18,12 @@
 /** Time before a broken subscription is opened again. */
 export const WATCH_RETRY_MS = 500;
 
+/**
+ * A stream whose messages stopped for this time is opened again, because the message after the gap
+ * may have waited since its beginning. Reports therefore seem newer than they are by at most this
+ * time, and only after a pause or a partition; reports come every second otherwise.
+ */
+export const WATCH_GAP_MS = 2_000;
+
 /** Largest status answer that is read. */
 export const MAX_STATUS_BYTES = 65_536;
--- a/src/core/probing/prober-subscriptions.ts
+++ b/src/core/probing/prober-subscriptions.ts
@@ -3,7 +3,7 @@
 import type { PeerLinks, TargetReport } from '../rpc/index.ts';
 import { WatchTargetsRequestSchema } from '../rpc/index.ts';
 import type { TimerService } from '../timers/index.ts';
-import { WATCH_RETRY_MS } from './consts.ts';
+import { WATCH_GAP_MS, WATCH_RETRY_MS } from './consts.ts';
 import type { ObservedReport } from './prober.ts';
 import { isRefresh } from './reports.ts';
 
@@ -42,8 +42,12 @@
     const client = links.getClient(member.address, member.peerPort);
     const request = create(WatchTargetsRequestSchema, { daemon: membership.self, vms: [...vms] });
     const whole = new Map<string, TargetReport>();
+    let receivedMs = timers.getMonotonicMs();
     for await (const { reports } of client.watchTargets(request, { signal })) {
       const nowMs = timers.getMonotonicMs();
+      // The ages in a message that waited in a socket are too small.
+      if (nowMs - receivedMs > WATCH_GAP_MS) return;
+      receivedMs = nowMs;
       reports.forEach((report) => {
         const full = isRefresh(report) ? whole.get(report.vm) : report;
         // A refresh without a whole report before it says nothing.
--- /dev/null
+++ b/src/core/slots/apply-slot-event.test.ts
@@ -0,0 +1,152 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { applySlotEvent, buildTargetSlots, countFreeSlots } from './index.ts';
+import { SlotEventKind } from './slot-state.ts';
+import type { SlotEvent, TargetSlots } from './slot-state.ts';
+
+const COLD_LIMIT = 2;
+/** Cold since 0, lease from 0: counted by the first sample after the warm evidence and settling. */
+const COUNT_MS = 4_300;
+
+const LEASE: SlotEvent = {
+  kind: SlotEventKind.Lease,
+  epoch: 1,
+  leaseEndMs: 27_000,
+  grantFromMs: 0,
+};
+
+function buildStatus(sampledMs: number, requests = 0, isWarm = false): SlotEvent {
+  return { kind: SlotEventKind.Status, sampledMs, requests, isWarm, coldLimit: COLD_LIMIT };
+}
+
+function buildAsk(nowMs: number, change: Partial<SlotEvent & { want: number }> = {}): SlotEvent {
+  const ask = { daemon: 'entry-1', renew: [], release: [], want: 0, ...change };
+  return { ...ask, kind: SlotEventKind.Ask, nowMs };
+}
+
+function applyAll(events: readonly SlotEvent[]): TargetSlots {
+  return events.reduce(applySlotEvent, buildTargetSlots('vm-1'));
+}
+
+const COUNTED: SlotEvent[] = [LEASE, buildStatus(0), buildStatus(COUNT_MS)];
+const TAKEN: SlotEvent[] = [...COUNTED, buildAsk(5_000, { want: 2 })];
+
+interface Case {
+  title: string;
+  events: SlotEvent[];
+  held: number;
+  free: number;
+}
+
+// Guards against more requests at a cold target than its limit (I3).
+const cases: Case[] = [
+  { title: 'grants nothing before a status query', events: [LEASE], held: 0, free: 0 },
+  {
+    title: 'grants nothing while daemons may know the target as warm',
+    events: [LEASE, buildStatus(0), buildStatus(COUNT_MS - 1)],
+    held: 0,
+    free: 0,
+  },
+  {
+    title: 'grants nothing while grants of an earlier granter are in force',
+    events: [{ ...LEASE, grantFromMs: 10_000 }, buildStatus(0), buildStatus(10_400)],
+    held: 0,
+    free: 0,
+  },
+  { title: 'grants up to the limit', events: TAKEN, held: 2, free: 0 },
+  {
+    title: 'grants less while requests from before still run',
+    events: [LEASE, buildStatus(0), buildStatus(COUNT_MS, 1), buildAsk(5_000, { want: 2 })],
+    held: 1,
+    free: 0,
+  },
+  {
+    title: 'grants nothing over the limit to another daemon',
+    events: [...TAKEN, buildAsk(5_001, { daemon: 'entry-2', want: 1 })],
+    held: 2,
+    free: 0,
+  },
+  {
+    title: 'frees returned slots at once',
+    events: [...TAKEN, buildAsk(5_001, { release: ['1-1'] })],
+    held: 1,
+    free: 1,
+  },
+  {
+    title: 'does not let a daemon return slots of another',
+    events: [...TAKEN, buildAsk(5_001, { daemon: 'entry-2', release: ['1-1'] })],
+    held: 2,
+    free: 0,
+  },
+  {
+    title: 'counts expired slots as requests that may still run',
+    events: [...TAKEN, { kind: SlotEventKind.Tick, nowMs: 8_000 }],
+    held: 0,
+    free: 0,
+  },
+  {
+    title: 'does not trust a load figure from before the expiry',
+    events: [...TAKEN, { kind: SlotEventKind.Tick, nowMs: 8_000 }, buildStatus(8_400)],
+    held: 0,
+    free: 0,
+  },
+  {
+    title: 'frees expired slots when the target runs nothing',
+    events: [...TAKEN, { kind: SlotEventKind.Tick, nowMs: 8_000 }, buildStatus(8_500)],
+    held: 0,
+    free: 2,
+  },
+  {
+    title: 'keeps renewed slots',
+    events: [
+      ...TAKEN,
+      buildAsk(7_000, { renew: ['1-1', '1-2'] }),
+      { kind: SlotEventKind.Tick, nowMs: 9_999 },
+    ],
+    held: 2,
+    free: 0,
+  },
+  {
+    title: 'does not renew an expired slot',
+    events: [...TAKEN, buildAsk(8_000, { renew: ['1-1'] })],
+    held: 0,
+    free: 0,
+  },
+  {
+    title: 'ends all slots with the lease',
+    events: [
+      ...COUNTED,
+      buildAsk(26_000, { want: 2 }),
+      { kind: SlotEventKind.Tick, nowMs: 27_000 },
+    ],
+    held: 0,
+    free: 0,
+  },
+  {
+    title: 'grants nothing after the lease',
+    events: [...COUNTED, buildAsk(27_000, { want: 2 })],
+    held: 0,
+    free: 2,
+  },
+  {
+    title: 'counts again in a new epoch',
+    events: [...TAKEN, { ...LEASE, epoch: 2 }],
+    held: 0,
+    free: 0,
+  },
+  {
+    title: 'counts again after the target was warm',
+    events: [...COUNTED, buildStatus(6_000, 9, true), buildStatus(7_000, 9)],
+    held: 0,
+    free: 0,
+  },
+];
+
+describe('applySlotEvent', () => {
+  for (const { title, events, held, free } of cases) {
+    it(title, () => {
+      const state = applyAll(events);
+      expect({ held: state.slots.length, free: countFreeSlots(state) }).toEqual({ held, free });
+    });
+  }
+});
--- /dev/null
+++ b/src/core/slots/apply-slot-event.ts
@@ -0,0 +1,126 @@
+import { REQUEST_SETTLE_MS, SLOT_LIFETIME_MS, WARM_EVIDENCE_MS } from './consts.ts';
+import { SlotEventKind } from './slot-state.ts';
+import type {
+  AskEvent,
+  HeldSlot,
+  LeaseEvent,
+  SlotEvent,
+  StatusEvent,
+  TargetSlots,
+  WarmthEvent,
+} from './slot-state.ts';
+
+/** Builds the state of a target without slots; nothing is granted before its work is counted. */
+export function buildTargetSlots(vm: string): TargetSlots {
+  return {
+    vm,
+    epoch: 0,
+    leaseEndMs: 0,
+    grantFromMs: Infinity,
+    notWarmSinceMs: undefined,
+    coldLimit: 0,
+    isCounted: false,
+    uncovered: 0,
+    uncoveredSinceMs: 0,
+    slots: [],
+    nextSlot: 1,
+  };
+}
+
+/** Returns the slots that may still be granted. */
+export function countFreeSlots(state: TargetSlots): number {
+  if (!state.isCounted) return 0;
+  return Math.max(0, state.coldLimit - state.slots.length - state.uncovered);
+}
+
+/** Returns the slots in force that a daemon holds. */
+export function listDaemonSlots(state: TargetSlots, daemon: string): HeldSlot[] {
+  return state.slots.filter((slot) => slot.daemon === daemon);
+}
+
+function applyLease(state: TargetSlots, event: LeaseEvent): TargetSlots {
+  const { epoch, leaseEndMs, grantFromMs } = event;
+  if (epoch === state.epoch) return { ...state, leaseEndMs };
+  // Another term: what was granted in between isn't known.
+  const { vm, notWarmSinceMs } = state;
+  return { ...buildTargetSlots(vm), notWarmSinceMs, epoch, leaseEndMs, grantFromMs };
+}
+
+function applyWarmth(state: TargetSlots, { isWarm, nowMs }: WarmthEvent): TargetSlots {
+  if (isWarm) return { ...state, notWarmSinceMs: undefined, isCounted: false };
+  return { ...state, notWarmSinceMs: state.notWarmSinceMs ?? nowMs };
+}
+
+/** A slot that expires without being returned leaves a request that may still run. */
+function applyTime(state: TargetSlots, nowMs: number): TargetSlots {
+  const expired = state.slots.filter(({ expiresMs }) => expiresMs <= nowMs);
+  if (expired.length === 0) return state;
+  return {
+    ...state,
+    slots: state.slots.filter(({ expiresMs }) => expiresMs > nowMs),
+    uncovered: state.uncovered + expired.length,
+    uncoveredSinceMs: Math.max(...expired.map(({ expiresMs }) => expiresMs)),
+  };
+}
+
+function applyCount(state: TargetSlots, { sampledMs, requests }: StatusEvent): TargetSlots {
+  const notWarmSinceMs = state.notWarmSinceMs ?? sampledMs;
+  if (state.isCounted) {
+    const isSettled = sampledMs >= state.uncoveredSinceMs + REQUEST_SETTLE_MS;
+    return isSettled ? { ...state, uncovered: Math.min(state.uncovered, requests) } : state;
+  }
+  const fromMs = Math.max(state.grantFromMs, notWarmSinceMs + WARM_EVIDENCE_MS);
+  if (sampledMs < fromMs + REQUEST_SETTLE_MS) return { ...state, notWarmSinceMs };
+  return {
+    ...state,
+    notWarmSinceMs,
+    isCounted: true,
+    uncovered: requests,
+    uncoveredSinceMs: sampledMs,
+  };
+}
+
+function applyStatus(state: TargetSlots, event: StatusEvent): TargetSlots {
+  const { isWarm, sampledMs, coldLimit } = event;
+  if (isWarm) {
+    return applyWarmth(state, { kind: SlotEventKind.Warmth, isWarm, nowMs: sampledMs });
+  }
+  return applyCount({ ...applyTime(state, sampledMs), coldLimit }, event);
+}
+
+function applyAsk(before: TargetSlots, event: AskEvent): TargetSlots {
+  const { nowMs, daemon, renew, release, want } = event;
+  const state = applyTime(before, nowMs);
+  const expiresMs = Math.min(nowMs + SLOT_LIFETIME_MS, state.leaseEndMs);
+  const kept = state.slots
+    .filter((slot) => slot.daemon !== daemon || !release.includes(slot.id))
+    .map((slot) =>
+      slot.daemon === daemon && renew.includes(slot.id) ? { ...slot, expiresMs } : slot,
+    );
+  const free = countFreeSlots({ ...state, slots: kept });
+  const count = expiresMs > nowMs ? Math.min(want, free) : 0;
+  const granted = Array.from({ length: count }, (_, index) => ({
+    id: `${state.epoch}-${state.nextSlot + index}`,
+    daemon,
+    expiresMs,
+  }));
+  return { ...state, slots: [...kept, ...granted], nextSlot: state.nextSlot + count };
+}
+
+/** Returns the slots of a target after an event. */
+export function applySlotEvent(state: TargetSlots, event: SlotEvent): TargetSlots {
+  switch (event.kind) {
+    case SlotEventKind.Lease:
+      return applyLease(state, event);
+    case SlotEventKind.Warmth:
+      return applyWarmth(state, event);
+    case SlotEventKind.Status:
+      return applyStatus(state, event);
+    case SlotEventKind.Idle:
+      return { ...state, isCounted: false };
+    case SlotEventKind.Ask:
+      return applyAsk(state, event);
+    default:
+      return applyTime(state, event.nowMs);
+  }
+}
--- /dev/null
+++ b/src/core/slots/slot-domains.ts
@@ -0,0 +1,31 @@
+import type { DocumentStore } from '../documents/index.ts';
+import type { TargetPlace } from '../probing/index.ts';
+
+/** A target and the fabric domain whose lease holder grants its slots. */
+export interface SlotPlace {
+  fabricDomain: string;
+  place: Omit<TargetPlace, 'allocationVersion'>;
+}
+
+/** Finds the fabric domain of an engine member or of a target of a plain service. */
+export function findSlotPlace(documents: DocumentStore, vm: string): SlotPlace | undefined {
+  const allocation = documents.listAllocations().find(({ value }) => value.vms[vm] !== undefined);
+  const member = allocation?.value.vms[vm];
+  if (allocation !== undefined && member !== undefined) {
+    return { fabricDomain: allocation.value.fabricDomain, place: member };
+  }
+  const services = documents.getConfiguration()?.value.services ?? [];
+  const service = services.find(({ targets }) => targets.some((target) => target.vm === vm));
+  const target = service?.targets.find((candidate) => candidate.vm === vm);
+  if (service === undefined || target === undefined) return undefined;
+  return { fabricDomain: service.fabricDomain, place: target };
+}
+
+/** Returns the VM whose entry daemon grants the slots of a fabric domain. */
+export function findGranterVm(documents: DocumentStore, fabricDomain: string): string | undefined {
+  const allocation = documents
+    .listAllocations()
+    .find(({ value }) => value.fabricDomain === fabricDomain);
+  const lease = allocation?.value.lease;
+  return lease === undefined || lease.released ? undefined : lease.vm;
+}
