Add measurements of cold targets and of a zone move

Ruled out: wall-clock runs, because their figures vary with the machine; both runs use manual timers and the real slot, directory and prober code of 8 daemons.

--- /dev/null
+++ b/src/measure/measure-zone-move.ts
@@ -0,0 +1,93 @@
+import { buildTestConfiguration } from '../core/probing/fixtures/fake-documents.ts';
+import { createColdTarget } from '../core/slots/fixtures/cold-target.ts';
+import { startSlotCluster } from '../core/slots/fixtures/slot-cluster.ts';
+import type { SlotCluster } from '../core/slots/fixtures/slot-cluster.ts';
+import { createEventRecorder } from '../core/events/index.ts';
+import { AvailabilityZoneState } from '../core/world/index.ts';
+import { createPolicyRun, Policy } from './policies.ts';
+import type { MeasureRow } from './print-rows.ts';
+
+const DAEMONS = 8;
+const COLD_LIMIT = 2;
+const SERVICE_TIMES_MS = [700];
+const REQUEST_PERIOD_MS = 50;
+const OUT_MS = 20_000;
+const COLD_MS = 10_000;
+/** Assumed time for a change to reach the daemons by gossip: daemon number times this. */
+const GOSSIP_STEP_MS = 100;
+/** The baselines read the configuration at this period, each daemon at another moment. */
+const POLL_PERIOD_MS = 10_000;
+
+function computeDelayMs(policy: Policy, index: number): number {
+  if (policy === Policy.SharedSlots) return index * GOSSIP_STEP_MS;
+  return ((index + 1) * POLL_PERIOD_MS) / DAEMONS;
+}
+
+function setZone(
+  cluster: SlotCluster,
+  policy: Policy,
+  version: number,
+  state: AvailabilityZoneState,
+): void {
+  const availabilityZones = [{ name: 'sofia-a', region: 'sofia', state }];
+  const configuration = buildTestConfiguration({ availabilityZones });
+  cluster.daemons.forEach(({ documents }, index) => {
+    cluster.timers.scheduleOnce(computeDelayMs(policy, index), () =>
+      documents.setConfiguration(version, configuration),
+    );
+  });
+}
+
+async function measurePolicy(policy: Policy): Promise<MeasureRow> {
+  const cluster = await startSlotCluster(DAEMONS, COLD_LIMIT);
+  const { timers, targets, target } = cluster;
+  const recorder = createEventRecorder('measure', timers);
+  const other = createColdTarget(
+    'order-b',
+    COLD_LIMIT,
+    SERVICE_TIMES_MS,
+    timers,
+    targets,
+    recorder,
+  );
+  await timers.runForAsync(2_000);
+  const run = createPolicyRun(policy, cluster, [target, other], COLD_LIMIT);
+  let next = 0;
+  let lastMs = 0;
+  let sentInZone = 0;
+  let outMs = Infinity;
+  let isOut = false;
+  const cancel = timers.subscribe(REQUEST_PERIOD_MS, () => {
+    const daemon = cluster.daemons[next++ % DAEMONS];
+    if (daemon === undefined) return;
+    const startMs = timers.getMonotonicMs();
+    void run.sendRequest(daemon).then((vm) => {
+      if (vm !== target.vm || !isOut) return;
+      sentInZone++;
+      lastMs = startMs;
+    });
+  });
+  await timers.runForAsync(5_000);
+  isOut = true;
+  outMs = timers.getMonotonicMs();
+  setZone(cluster, policy, 2, AvailabilityZoneState.Out);
+  await timers.runForAsync(OUT_MS);
+  isOut = false;
+  // The targets of the zone start again, and are cold when it comes back.
+  target.setWarm(false);
+  setZone(cluster, policy, 3, AvailabilityZoneState.In);
+  await timers.runForAsync(COLD_MS);
+  target.setWarm(true);
+  await timers.runForAsync(POLL_PERIOD_MS);
+  cancel();
+  cluster.stop();
+  const lastWorkMs = sentInZone === 0 ? 0 : lastMs - outMs;
+  return { policy, lastWorkMs, sentInZone, ...run.counts };
+}
+
+/** Measures new work in an availability zone that is taken out, and its cold return. */
+export async function measureZoneMove(): Promise<MeasureRow[]> {
+  const rows: MeasureRow[] = [];
+  for (const policy of Object.values(Policy)) rows.push(await measurePolicy(policy));
+  return rows;
+}
--- /dev/null
+++ b/src/measure/policies.ts
@@ -0,0 +1,124 @@
+import type { ColdTarget } from '../core/slots/fixtures/cold-target.ts';
+import type { SlotCluster, SlotDaemon } from '../core/slots/fixtures/slot-cluster.ts';
+
+/** How a daemon limits the requests that it sends to a cold target. */
+export enum Policy {
+  /** Slots of the granter, shared by all daemons. */
+  SharedSlots = 'shared-slots',
+  /** Each daemon sends a cold target one request at a time. */
+  DaemonSlowStart = 'daemon-slow-start',
+  /** The target with the least outstanding requests of the daemon, cold or not. */
+  LeastOutstanding = 'least-outstanding',
+}
+
+/** Figures of one run. */
+export interface PolicyCounts {
+  sent: number;
+  /** Requests for which no target could be used. */
+  waited: number;
+  /** Requests that a cold target got, of any kind. */
+  sentCold: number;
+  /** Arrivals over the limit of a cold target that the daemon still took for a warm one. */
+  overloadsBeforeSign: number;
+  /** Arrivals over the limit of a cold target that the daemon knew to be cold. */
+  overloads: number;
+  mostRunningCold: number;
+}
+
+/** Sends requests of a policy and counts. */
+export interface PolicyRun {
+  counts: PolicyCounts;
+  /** Sends a request from a daemon; returns the VM, or undefined when it waited. */
+  sendRequest(daemon: SlotDaemon): Promise<string | undefined>;
+}
+
+interface Reservation {
+  target: ColdTarget;
+  isKnownCold: boolean;
+  release: () => void;
+}
+
+/** Creates a run of a policy over targets with a cold limit. */
+export function createPolicyRun(
+  policy: Policy,
+  cluster: SlotCluster,
+  targets: readonly ColdTarget[],
+  coldLimit: number,
+): PolicyRun {
+  const counts: PolicyCounts = {
+    sent: 0,
+    waited: 0,
+    sentCold: 0,
+    overloadsBeforeSign: 0,
+    overloads: 0,
+    mostRunningCold: 0,
+  };
+  const outstanding = new Map<string, number>();
+
+  const addOutstanding = (daemon: string, vm: string, change: number): number => {
+    const key = `${daemon}/${vm}`;
+    const value = (outstanding.get(key) ?? 0) + change;
+    outstanding.set(key, value);
+    return value;
+  };
+
+  const reserveCold = async (daemon: SlotDaemon, vm: string): Promise<(() => void) | undefined> => {
+    if (policy === Policy.LeastOutstanding) return () => {};
+    if (policy === Policy.DaemonSlowStart) {
+      return addOutstanding(daemon.name, vm, 0) === 0 ? () => {} : undefined;
+    }
+    const slot = await daemon.client.takeSlot(vm);
+    return slot?.release;
+  };
+
+  const reserveTarget = async (daemon: SlotDaemon): Promise<Reservation | undefined> => {
+    const listed = daemon.directory
+      .listServiceTargets('orchard', 'orders')
+      .map((target) => ({ ...target, own: addOutstanding(daemon.name, target.vm, 0) }))
+      .sort((left, right) => left.own - right.own);
+    // All but the last policy prefer warm targets.
+    const isBlind = policy === Policy.LeastOutstanding;
+    const ordered = isBlind
+      ? listed
+      : [...listed.filter(({ warm }) => warm), ...listed.filter(({ warm }) => !warm)];
+    for (const { vm, warm } of ordered) {
+      const target = targets.find((candidate) => candidate.vm === vm);
+      const release = warm ? () => {} : await reserveCold(daemon, vm);
+      if (target !== undefined && release !== undefined) {
+        return { target, isKnownCold: !warm, release };
+      }
+    }
+    return undefined;
+  };
+
+  const countArrival = ({ target, isKnownCold }: Reservation): void => {
+    counts.sent++;
+    if (target.isWarm()) return;
+    const running = target.countRunning() + 1;
+    counts.sentCold++;
+    counts.mostRunningCold = Math.max(counts.mostRunningCold, running);
+    if (running <= coldLimit) return;
+    if (isKnownCold) counts.overloads++;
+    else counts.overloadsBeforeSign++;
+  };
+
+  return {
+    counts,
+    async sendRequest(daemon) {
+      const reservation = await reserveTarget(daemon);
+      if (reservation === undefined) {
+        counts.waited++;
+        return undefined;
+      }
+      const { target, isKnownCold, release } = reservation;
+      addOutstanding(daemon.name, target.vm, 1);
+      await cluster.network.sendMessage(daemon.name, target.vm);
+      countArrival(reservation);
+      void target.runRequest(isKnownCold).then(() => {
+        addOutstanding(daemon.name, target.vm, -1);
+        release();
+      });
+      return target.vm;
+    },
+  };
+}
