--- /dev/null
+++ b/src/core/entry/index.ts
@@ -0,0 +1,3 @@
+export { createEntryDaemon } from './create-entry-daemon.ts';
+export { entrySettingsSchema } from './settings.ts';
+export type { EntrySettings } from './settings.ts';
