--- a/src/core/planning/types.ts
+++ b/src/core/planning/types.ts
@@ -59,7 +59,7 @@
   /** Homes of all replicas, by group. */
   replicaHomes: ReadonlyMap<string, VersionedHome>;
   /** Groups of other fabric domains; read only while a change of version is pending. */
-  peerGroups: readonly GroupAllocation[];
+  peerGroups: readonly GroupAllocation[] | undefined;
   nowMs: number;
   /** When this process first saw a replica without a home, by group. */
   unplacedSinceMs: ReadonlyMap<string, number>;
@@ -85,6 +85,8 @@
 export interface ClaimAction {
   kind: PlanActionKind.ClaimVm | PlanActionKind.ClaimReplica;
   name: string;
+  /** Version of the home that the plan is made from; 0 when there is none. */
+  version: number;
 }
 
 /** Deletes the home of a VM or of a replica that the allocation no longer holds. */
