--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -6,6 +6,7 @@
   DeclarationConflict = 'declaration-conflict',
   DeclarationTooLarge = 'declaration-too-large',
   PlatformUnavailable = 'platform-unavailable',
+  PlatformRefused = 'platform-refused',
   WriteUndecided = 'write-undecided',
   AllocationTooLarge = 'allocation-too-large',
   AllocationChangeRefused = 'allocation-change-refused',
@@ -16,10 +17,13 @@
   RequestIdNotIssued = 'request-id-not-issued',
   OwnerUnreachable = 'owner-unreachable',
   OutcomeUnknown = 'outcome-unknown',
+  CallNotRun = 'call-not-run',
   StreamBroken = 'stream-broken',
+  StreamLost = 'stream-lost',
   ResumeTokenInvalid = 'resume-token-invalid',
   RequestInvalid = 'request-invalid',
   PeerUnreachable = 'peer-unreachable',
+  ChangeHalfWay = 'change-half-way',
   UsageInvalid = 'usage-invalid',
 }
 
@@ -70,6 +74,12 @@
     message: '{operation} failed: {problem}',
     hint: 'Serving continues without it. Try again when the object API answers.',
   },
+  [ErrorKind.PlatformRefused]: {
+    name: 'PlatformRefusedError',
+    title: 'The object API refused a call.',
+    message: '{operation} was refused: {problem}.',
+    hint: 'Check that the object API has the version of section 8 of docs/design.md and that the value is under 1 MB.',
+  },
   [ErrorKind.WriteUndecided]: {
     name: 'WriteUndecidedError',
     title: 'It is not known yet whether the write took effect.',
@@ -131,12 +141,24 @@
     message: 'The call {requestId} was sent to {vm}, and no answer came: {problem}',
     hint: 'Check with the service whether the call ran before you send it under a new id.',
   },
+  [ErrorKind.CallNotRun]: {
+    name: 'CallNotRunError',
+    title: 'The call did not run.',
+    message: 'The call {requestId} did not run and never will: {problem}',
+    hint: 'Send it again under a new id, after the time in the retry-after header.',
+  },
   [ErrorKind.StreamBroken]: {
     name: 'StreamBrokenError',
     title: 'The answer could not be completed.',
     message: 'The answer to {requestId} stopped at offset {offset}: {problem}',
     hint: 'Resume with the last event id in the last-event-id header.',
   },
+  [ErrorKind.StreamLost]: {
+    name: 'StreamLostError',
+    title: 'The answer cannot be resumed.',
+    message: 'The answer to {requestId} stopped at offset {offset}: {problem}',
+    hint: 'Start the request again under a new id and without the last-event-id header.',
+  },
   [ErrorKind.ResumeTokenInvalid]: {
     name: 'ResumeTokenInvalidError',
     title: 'The resume token is invalid.',
@@ -155,6 +177,12 @@
     message: 'Daemon {daemon} cannot be reached: {problem}',
     hint: 'Check the address and whether the VM is live.',
   },
+  [ErrorKind.ChangeHalfWay]: {
+    name: 'ChangeHalfWayError',
+    title: 'The change has not reached every daemon.',
+    message: '{problem}',
+    hint: 'Look at the named daemons; the change spreads further by itself. Run `clementinefork status --wait` again.',
+  },
   [ErrorKind.UsageInvalid]: {
     name: 'UsageInvalidError',
     title: 'The command line is invalid.',
