Count the time of a failed watch as part of the wait after it

A watch that goes silent is given up after 12 s.

The time until the failure now counts as part of the backoff; at least 250 ms are waited. Ruled out: a shorter limit of the backoff, which would raise the calls of refused connections in an outage.

--- a/src/core/relay/consts.ts
+++ b/src/core/relay/consts.ts
@@ -22,6 +22,9 @@
 /** A watch that has not ended this long after its timeout is given up. */
 export const WATCH_GRACE_MS = 2_000;
 
+/** Shortest wait after a failed call. */
+export const SHORTEST_BACKOFF_MS = 250;
+
 /** First wait after a failed call; it doubles up to the longest wait. */
 export const FIRST_BACKOFF_MS = 500;
 
--- a/src/core/relay/watch-kind.ts
+++ b/src/core/relay/watch-kind.ts
@@ -6,7 +6,12 @@
 import type { PlatformChange, PlatformClient, WatchResult } from '../platform/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import { computeBackoffMs } from './backoff.ts';
-import { WATCH_GRACE_MS, WATCH_SPACING_MS, WATCH_TIMEOUT_MS } from './consts.ts';
+import {
+  SHORTEST_BACKOFF_MS,
+  WATCH_GRACE_MS,
+  WATCH_SPACING_MS,
+  WATCH_TIMEOUT_MS,
+} from './consts.ts';
 
 /** What the watch of one kind needs. */
 export interface KindWatchOptions {
@@ -78,7 +83,11 @@
       if (failures === 1) {
         recorder?.record(PART, 'platform fails', { kind, problem: formatProblem(error) });
       }
-      await timers.waitFor(computeBackoffMs(failures, random), signal);
+      // The time until the failure counts as part of the wait, so that calls that go silent after
+      // 12 s do not delay the first call after an outage any further.
+      const elapsedMs = timers.getMonotonicMs() - startMs;
+      const waitMs = computeBackoffMs(failures, random) - elapsedMs;
+      await timers.waitFor(Math.max(SHORTEST_BACKOFF_MS, waitMs), signal);
     }
   }
 }
