Test the spread of the configuration on a fake network

The exchange of documents asks for the part of the links that it uses, so that a fake needs no other calls.

Ruled out: real HTTP/2 in these sessions, which is not deterministic under a manual clock; the links have tests of their own.

--- /dev/null
+++ b/src/core/documents/document-sync.test.ts
@@ -0,0 +1,148 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { buildMember } from '../membership/fixtures/fake-cluster.ts';
+import type { DocumentVersion, FetchDocumentsResponse, Member } from '../rpc/index.ts';
+import { createManualTimers } from '../timers/index.ts';
+import { buildConfiguration, buildConfigurationDocument } from './fixtures/values.ts';
+import type { DocumentStore, DocumentSync } from './index.ts';
+import { createDocumentStore, createDocumentSync } from './index.ts';
+
+const first = buildConfigurationDocument(10, buildConfiguration(1));
+const second = buildConfigurationDocument(11, buildConfiguration(2));
+const peerMember = buildMember(1, 5n);
+
+interface Answer {
+  documents: FetchDocumentsResponse['documents'];
+}
+
+interface SyncTest {
+  store: DocumentStore;
+  peer: DocumentStore;
+  sync: DocumentSync;
+  /** Versions that were sent on. */
+  sent: DocumentVersion[];
+  /** Number of versions that each fetch named as held. */
+  fetches: number[];
+  /** Lets the running calls end. */
+  runCalls(): Promise<void>;
+}
+
+/** Creates a store that exchanges documents with the store of one peer. */
+function createSyncTest(answerCall?: (answer: Answer) => Promise<Answer>): SyncTest {
+  const store = createDocumentStore();
+  const peer = createDocumentStore();
+  const sent: DocumentVersion[] = [];
+  const fetches: number[] = [];
+  const timers = createManualTimers();
+  const sync = createDocumentSync({
+    store,
+    links: {
+      getClient: () => ({
+        fetchDocuments: async (request) => {
+          const held = (request.held ?? []) as DocumentVersion[];
+          fetches.push(held.length);
+          const answer = { documents: peer.listDocumentsSince(held) };
+          return (await (answerCall?.(answer) ?? answer)) as FetchDocumentsResponse;
+        },
+      }),
+    },
+    sendNewestDocument: (version) => sent.push(version),
+  });
+  return { store, peer, sync, sent, fetches, runCalls: () => timers.runForAsync(1) };
+}
+
+function sendDigest({ peer, sync }: SyncTest, member: Member = peerMember): void {
+  sync.handleDigest(member, peer.getDigest());
+}
+
+describe('createDocumentSync', () => {
+  it('fetches from a member whose digest differs, and sends a later version on', async () => {
+    const test = createSyncTest();
+    test.peer.applyDocument(first);
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.store.getDigest()).toEqual(test.peer.getDigest());
+    expect(test.sent).toEqual([]);
+    test.peer.applyDocument(second);
+    const [version] = test.peer.listVersions();
+    if (version !== undefined) test.sync.handleNewest(peerMember, version);
+    await test.runCalls();
+    expect(test.store.getConfiguration()?.version).toEqual(11);
+    expect(test.sent.map((sent) => sent.version)).toEqual([11n]);
+  });
+
+  // Guards against a fetch from each member that has not yet learned a change.
+  it('fetches nothing from a member that is behind', async () => {
+    const test = createSyncTest();
+    [test.store, test.peer].forEach((store) => store.applyDocument(first));
+    test.store.applyDocument(second);
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.fetches).toEqual([]);
+  });
+
+  // Guards against a fetch at every packet from a member whose documents are refused here.
+  it('fetches once for each digest of a member, and again after its restart', async () => {
+    const test = createSyncTest(() => Promise.resolve({ documents: [{ ...first, hash: 1n }] }));
+    test.peer.applyDocument(first);
+    sendDigest(test);
+    await test.runCalls();
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.fetches).toHaveLength(1);
+    sendDigest(test, { ...peerMember, instance: 6n });
+    await test.runCalls();
+    expect(test.fetches).toHaveLength(2);
+  });
+
+  // Guards against a copy that stays old because its differences do not apply.
+  it('fetches the whole value when a difference does not apply', async () => {
+    const test = createSyncTest(({ documents }) =>
+      Promise.resolve({ documents: documents.map((document) => ({ ...document, rows: [] })) }),
+    );
+    [test.store, test.peer].forEach((store) => store.applyDocument(first));
+    test.peer.applyDocument(second);
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.fetches).toEqual([1, 0]);
+    expect(test.store.getConfiguration()?.version).toEqual(11);
+  });
+
+  // Guards against a daemon that never asks again after one lost call.
+  it('fetches again after a failed call', async () => {
+    let failures = 1;
+    const test = createSyncTest((answer) => {
+      failures -= 1;
+      return failures >= 0 ? Promise.reject(new Error('reset')) : Promise.resolve(answer);
+    });
+    test.peer.applyDocument(first);
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.store.getConfiguration()).toEqual(undefined);
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.store.getConfiguration()?.version).toEqual(10);
+  });
+
+  it('waits for the first copy, or until the signal aborts', async () => {
+    const test = createSyncTest();
+    const abort = new AbortController();
+    const aborted = test.sync.waitForFirstCopy(abort.signal);
+    abort.abort();
+    expect(await aborted).toEqual(false);
+    const copied = test.sync.waitForFirstCopy();
+    test.peer.applyDocument(first);
+    sendDigest(test);
+    expect(await copied).toEqual(true);
+    expect(await test.sync.waitForFirstCopy()).toEqual(true);
+  });
+
+  it('fetches nothing after it was closed', async () => {
+    const test = createSyncTest();
+    test.peer.applyDocument(first);
+    test.sync.close();
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.fetches).toEqual([]);
+  });
+});
--- a/src/core/documents/document-sync.ts
+++ b/src/core/documents/document-sync.ts
@@ -1,6 +1,6 @@
 import { formatProblem } from '../errors/index.ts';
 import type { EventRecorder } from '../events/index.ts';
-import type { Document, DocumentVersion, Member, PeerLinks } from '../rpc/index.ts';
+import type { Document, DocumentVersion, Member, PeerClient } from '../rpc/index.ts';
 import { formatDocumentName } from './build-document.ts';
 import { FETCH_DEADLINE_MS } from './consts.ts';
 import { createDigestRecord } from './digest-record.ts';
@@ -8,10 +8,15 @@
 
 const PART = 'documents';
 
+/** The part of the links to other daemons that fetches documents. */
+export interface DocumentLinks {
+  getClient(address: string, port: number): Pick<PeerClient, 'fetchDocuments'>;
+}
+
 /** What the exchange of documents with other daemons needs. */
 export interface DocumentSyncOptions {
   store: DocumentStore;
-  links: Pick<PeerLinks, 'getClient'>;
+  links: DocumentLinks;
   /** Sends the version to a few random members at once. */
   sendNewestDocument: (version: DocumentVersion) => void;
   /** Records failed fetches. */
--- a/src/core/documents/index.ts
+++ b/src/core/documents/index.ts
@@ -4,7 +4,7 @@
 export { createDocumentStore } from './document-store.ts';
 export type { DocumentStoreOptions } from './document-store.ts';
 export { createDocumentSync } from './document-sync.ts';
-export type { DocumentSync, DocumentSyncOptions } from './document-sync.ts';
+export type { DocumentLinks, DocumentSync, DocumentSyncOptions } from './document-sync.ts';
 export { isLeaseRenewal } from './lease-renewal.ts';
 export { allocationSchema } from './schemas.ts';
 export type * from './types.ts';
--- /dev/null
+++ b/test/gossip/configuration-sessions.test.ts
@@ -0,0 +1,113 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { formatDaemonAddress } from '../../src/core/membership/fixtures/fake-cluster.ts';
+import type { FakeFleet } from '../../src/core/relay/fixtures/fake-fleet.ts';
+import { createFakeFleet } from '../../src/core/relay/fixtures/fake-fleet.ts';
+import { PlatformState } from '../../src/core/relay/fixtures/fake-platform.ts';
+
+const SEED = 515_151;
+const RUNS = 40;
+const DAEMONS = 8;
+const STEP_MS = 3_000;
+const JOIN_MS = 6_000;
+const LONG_STEP_MS = 50;
+/** Longest time from the end of all faults to the newest version at all daemons. */
+const HEAL_MS = 120_000;
+
+enum Fault {
+  Write = 'write',
+  Restart = 'restart',
+  RestartAll = 'restart-all',
+  Pause = 'pause',
+  Resume = 'resume',
+  Loss = 'loss',
+  Cut = 'cut',
+  Partition = 'partition',
+  PlatformDown = 'platform-down',
+  PlatformSilent = 'platform-silent',
+  PlatformUp = 'platform-up',
+  Heal = 'heal',
+}
+
+interface FaultStep {
+  fault: Fault;
+  daemon: number;
+}
+
+function restartDaemon(fleet: FakeFleet, index: number): void {
+  fleet.getDaemon(index).host.crash();
+  fleet.startDaemon(index);
+}
+
+function healNetwork({ network }: FakeFleet): void {
+  network.setBlocked(() => false);
+  network.setLoss(0);
+}
+
+const effects: Readonly<Record<Fault, (fleet: FakeFleet, daemon: number) => void>> = {
+  // The answer of a silent platform is lost, and the write takes effect.
+  [Fault.Write]: (fleet) => {
+    if (fleet.platform.getState() !== PlatformState.Down) fleet.writeConfiguration();
+  },
+  [Fault.Restart]: restartDaemon,
+  [Fault.RestartAll]: (fleet) => {
+    [...fleet.daemons.keys()].forEach((index) => restartDaemon(fleet, index));
+  },
+  [Fault.Pause]: (fleet, daemon) => fleet.getDaemon(daemon).host.pause(),
+  [Fault.Resume]: (fleet, daemon) => fleet.getDaemon(daemon).host.resume(),
+  [Fault.Loss]: ({ network }) => network.setLoss(0.3),
+  [Fault.Cut]: ({ network }, daemon) => {
+    const address = formatDaemonAddress(daemon);
+    network.setBlocked((from) => from === address);
+  },
+  [Fault.Partition]: ({ network }, daemon) => {
+    const address = formatDaemonAddress(daemon);
+    network.setBlocked((from, to) => from < address !== to < address);
+  },
+  [Fault.PlatformDown]: ({ platform }) => platform.setState(PlatformState.Down),
+  [Fault.PlatformSilent]: ({ platform }) => platform.setState(PlatformState.Silent),
+  [Fault.PlatformUp]: ({ platform }) => platform.setState(PlatformState.Up),
+  [Fault.Heal]: healNetwork,
+};
+
+const faultStep: fc.Arbitrary<FaultStep> = fc.record({
+  fault: fc.constantFrom(...Object.values(Fault)),
+  daemon: fc.nat(DAEMONS - 1),
+});
+
+/** Runs a session and returns the time from its end until all daemons hold the newest version. */
+async function measureSession(steps: readonly FaultStep[], seed: number): Promise<number> {
+  const fleet = await createFakeFleet({ daemons: DAEMONS, seed });
+  let version = fleet.writeConfiguration();
+  await fleet.clock.runForAsync(JOIN_MS, LONG_STEP_MS);
+  for (const { fault, daemon } of steps) {
+    effects[fault](fleet, daemon);
+    await fleet.clock.runForAsync(STEP_MS, LONG_STEP_MS);
+  }
+  healNetwork(fleet);
+  fleet.platform.setState(PlatformState.Up);
+  fleet.daemons.forEach(({ host }) => host.resume());
+  version = fleet.writeConfiguration();
+  const elapsedMs = await fleet.measureUntil(version, HEAL_MS);
+  expect(fleet.violations).toEqual([]);
+  expect(fleet.hasVersion(version)).toEqual(true);
+  return elapsedMs;
+}
+
+describe(`configuration under random faults, seed ${SEED}`, () => {
+  // Guards against any sequence of faults after which a daemon goes back, holds a value that was
+  // never accepted, or misses an accepted change for good.
+  it('gives all daemons the newest version after the faults', async (context) => {
+    let longestMs = 0;
+    const property = fc.asyncProperty(
+      fc.array(faultStep, { maxLength: 12 }),
+      fc.nat(),
+      async (steps, seed) => {
+        longestMs = Math.max(longestMs, await measureSession(steps, seed));
+      },
+    );
+    await fc.assert(property, { seed: SEED, numRuns: RUNS });
+    context.diagnostic(`newest version at all daemons after at most ${longestMs} ms`);
+  });
+});
