Leave leaving daemons out of the candidates and test the links

The entry daemon answers a report with its live members, leaving ones included. A controller on a leaving VM would take a lease and release it shortly after. The links to engines and to the daemon had no tests; an order without an answer must never count as carried out.

--- a/src/core/controller/daemon-link.ts
+++ b/src/core/controller/daemon-link.ts
@@ -2,6 +2,7 @@
 import { buildDocument } from '../documents/index.ts';
 import { toEventMessage } from '../events/index.ts';
 import type { PeerClient } from '../rpc/index.ts';
+import { MemberState } from '../rpc/index.ts';
 import type { DaemonLink, VersionedAllocation } from './types.ts';
 
 function toDocument({
@@ -23,7 +24,7 @@
         documents: allocations.map(toDocument),
         events: events.map(toEventMessage),
       });
-      return members.map(({ name }) => name);
+      return members.filter(({ state }) => state !== MemberState.LEAVING).map(({ name }) => name);
     },
   };
 }
--- /dev/null
+++ b/src/core/controller/links.test.ts
@@ -0,0 +1,100 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { createRouterTransport, createClient } from '@connectrpc/connect';
+import { expect } from 'earl';
+import { createAllocation } from '../allocation/index.ts';
+import { MemberSchema, MemberState, PeerService } from '../rpc/index.ts';
+import type { ReportLeasesRequest } from '../rpc/index.ts';
+import { createTimerService } from '../timers/index.ts';
+import type { EngineOrder } from '../world/index.ts';
+import { createDaemonLink } from './daemon-link.ts';
+import { createEngineLink } from './engine-link.ts';
+
+const ORDER: EngineOrder = {
+  epoch: 3,
+  group: 'assistant-0',
+  generation: 7,
+  rank: 0,
+  size: 1,
+  leader: '127.0.0.1:9000',
+  members: ['vm-1'],
+  model: 'm',
+  modelVersion: '1',
+};
+const TIMEOUT_MS = 200;
+
+interface OrderCase {
+  title: string;
+  /** Status of the answer; undefined for no answer at all. */
+  status: number | undefined;
+  expected: string;
+}
+
+// Guards against an order without an answer that counts as carried out, or as refused by epoch.
+const orderCases: OrderCase[] = [
+  { title: 'accepts 200', status: 200, expected: 'accepted' },
+  { title: 'reports a stale epoch', status: 409, expected: 'stale-epoch' },
+  { title: 'fails on another answer', status: 500, expected: 'failed' },
+  { title: 'fails without an answer', status: undefined, expected: 'failed' },
+];
+
+describe('createEngineLink', () => {
+  for (const testCase of orderCases) {
+    it(testCase.title, async () => {
+      const server = createServer((_request, response) => {
+        if (testCase.status === undefined) return;
+        response.writeHead(testCase.status).end('{}');
+      });
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const link = createEngineLink({
+        timers: createTimerService(),
+        orderTimeoutMs: TIMEOUT_MS,
+        statusTimeoutMs: TIMEOUT_MS,
+      });
+      const { port } = server.address() as AddressInfo;
+      const target = { vm: 'vm-1', address: '127.0.0.1', port };
+      const outcome = await link.sendOrder(target, ORDER).catch(() => 'failed');
+      await link.close();
+      server.closeAllConnections();
+      server.close();
+      expect(String(outcome)).toEqual(testCase.expected);
+    });
+  }
+});
+
+describe('createDaemonLink', () => {
+  // Guards against a leaving daemon among the candidates, whose lease would be released at once.
+  it('delivers the report and returns the members that stay', async () => {
+    const states = [MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING];
+    const members = states.map((state) => create(MemberSchema, { name: `entry-${state}`, state }));
+    const requests: ReportLeasesRequest[] = [];
+    const transport = createRouterTransport(({ service }) => {
+      service(PeerService, {
+        reportLeases(request) {
+          requests.push(request);
+          return { members };
+        },
+      });
+    });
+    const link = createDaemonLink('entry-1', createClient(PeerService, transport));
+    const allocation = createAllocation('fd-a', {
+      holder: 'entry-1/1',
+      vm: 'entry-1',
+      durationMs: 30_000,
+    });
+    const names = await link.sendReport({
+      leases: [{ fabricDomain: 'fd-a', epoch: 1, validMs: 20_000, grantDelayMs: 0 }],
+      allocations: [{ version: 4, allocation }],
+      events: [],
+    });
+    expect(names).toEqual([`entry-${MemberState.ALIVE}`, `entry-${MemberState.SUSPECT}`]);
+    expect(requests.map(({ leases }) => leases.map(({ epoch }) => epoch))).toEqual([[1n]]);
+    expect(requests.map(({ documents }) => documents.map(({ version }) => version))).toEqual([
+      [4n],
+    ]);
+  });
+});
