Bound all text held for a slow reader by 64 KiB

Delivered text is now packed with deflate in blocks of 8 KiB, and the check counts everything held. Past 20 KiB of packed text it is dropped; the stream can then not be continued elsewhere, so while the caller reads slowly the engine holds it instead of cancelling it.

Ruled out: dropping delivered text at once, because every long answer would be lost with its target; cancelling with little room left, because each cycle reads the whole prompt in again for a few tokens.

--- a/src/core/streams/answer-stream.ts
+++ b/src/core/streams/answer-stream.ts
@@ -4,11 +4,14 @@
 import type { EngineOpening, EndEvent, TokenEvent } from '../targets/index.ts';
 import { applyAnswerEvent, AnswerStep, createAnswerState } from './answer-state.ts';
 import type { AnswerEvent } from './answer-state.ts';
+import { Phase } from './answer-phase.ts';
 import { startAttempt } from './attempt.ts';
 import type { Attempt, AttemptLoss } from './attempt.ts';
 import {
   CONTINUE_UNDELIVERED_BYTES,
   MAX_FAILED_ATTEMPTS,
+  MAX_HELD_BYTES,
+  MAX_PACKED_BYTES,
   MAX_UNDELIVERED_BYTES,
 } from './consts.ts';
 import { startDelivery } from './delivery.ts';
@@ -17,21 +20,6 @@
 import { AnswerEnd, getEngineEndpoint } from './types.ts';
 import type { AnswerOptions, AnswerStream } from './types.ts';
 
-/** Where an answer is. */
-enum Phase {
-  /** An attempt reads from an engine. */
-  Reading = 'reading',
-  /** Another target is looked for. */
-  Placing = 'placing',
-  /** The stream was cancelled at the engine because the caller reads slowly. */
-  Paused = 'paused',
-  /** The engine holds the stream, because it could not be continued after a cancellation. */
-  Parked = 'parked',
-  /** The engine has ended; the caller gets the rest. */
-  Draining = 'draining',
-  Closed = 'closed',
-}
-
 /**
  * Creates an answer and starts it. The caller gets every token once and in order, then the end or
  * an error, whatever happens to the targets.
@@ -100,7 +88,10 @@
    * Tells whether another target can continue: all tokens that the caller has must be held here,
    * because another engine would not produce the same ones.
    */
-  const canContinue = (): boolean => startOffset === 0 && log.getEndOffset() >= deliveredOffset;
+  const canContinue = (): boolean =>
+    startOffset === 0 && log.isWhole() && log.getEndOffset() >= deliveredOffset;
+
+  const getHeldBytes = (): number => log.getBytes() + sink.getBufferedBytes();
 
   const fail = (problem: string): void => {
     record('broken', { problem });
@@ -142,8 +133,10 @@
   /** Frees engine memory when the caller reads slowly; the rest is asked for later. */
   const checkUndelivered = (): void => {
     if (phase !== Phase.Reading || !delivery.isBlocked()) return;
-    const isOver = delivery.getUndeliveredBytes() > MAX_UNDELIVERED_BYTES;
+    const isOver =
+      delivery.getUndeliveredBytes() > MAX_UNDELIVERED_BYTES || getHeldBytes() > MAX_HELD_BYTES;
     if (!isOver && !budget.isExceeded()) return;
+    if (log.getPackedBytes() > MAX_PACKED_BYTES) log.dropPacked();
     phase = canContinue() ? Phase.Paused : Phase.Parked;
     record(phase, { undelivered: delivery.getUndeliveredBytes() });
     if (phase === Phase.Parked) attempt?.stopReading();
@@ -255,6 +248,6 @@
   return {
     finished,
     countTokens: () => log.getEndOffset() - startOffset,
-    getHeldBytes: () => log.getBytes() + sink.getBufferedBytes(),
+    getHeldBytes,
   };
 }
--- a/src/core/streams/consts.ts
+++ b/src/core/streams/consts.ts
@@ -12,6 +12,15 @@
 /** Undelivered text at which a stream is cancelled at the engine. */
 export const MAX_UNDELIVERED_BYTES = 48 * KIB;
 
+/** What a stream holds besides may grow by a segment of the log and a batch until it is checked. */
+export const MAX_HELD_BYTES = MAX_STREAM_BYTES - 4 * KIB;
+
+/**
+ * Packed text of delivered tokens that is kept for a slow reader. More would leave so little room
+ * for undelivered text that the stream would be cancelled again after a few tokens.
+ */
+export const MAX_PACKED_BYTES = 20 * KIB;
+
 /** Undelivered text at which a cancelled stream continues: a quarter of the bound. */
 export const CONTINUE_UNDELIVERED_BYTES = MAX_UNDELIVERED_BYTES / 4;
 
--- a/src/core/streams/streams.test.ts
+++ b/src/core/streams/streams.test.ts
@@ -3,7 +3,14 @@
 import { ErrorKind } from '../errors/index.ts';
 import { applyAnswerEvent } from './answer-state.ts';
 import type { AnswerEvent, AnswerState } from './answer-state.ts';
-import { createBufferBudget, decodeResumeToken, encodeResumeToken } from './index.ts';
+import {
+  createBufferBudget,
+  decodeResumeToken,
+  encodeResumeToken,
+  MAX_STREAM_BYTES,
+} from './index.ts';
+import { createTokenLog } from './token-log.ts';
+import { buildFakeToken } from './fixtures/fake-engine.ts';
 import { createFakeSink } from './fixtures/fake-sink.ts';
 import { createSession } from './fixtures/create-session.ts';
 
@@ -154,3 +161,45 @@
     expect(failed).toEqual(['vm-2']);
   });
 });
+
+describe('memory of a slow reader', () => {
+  for (const answerTokens of [5_000, 15_000, 60_000]) {
+    // Guards against delivered text, kept for a continuation, that exceeds the bound of a reader.
+    it(`stays within 64 KiB for ${answerTokens} tokens, and the answer is whole`, async () => {
+      const session = createSession({ answerTokens, tokenMs: 1 });
+      const { sink, stream } = session.startAnswer(createFakeSink({ isSlow: true }));
+      let most = 0;
+      for (let round = 0; round < 2_000 && sink.getEnd() === undefined; round++) {
+        await session.timers.runForAsync(100, 50);
+        sink.readBytes(400);
+        most = Math.max(most, stream.getHeldBytes());
+      }
+      expect(sink.getEnd()).toEqual(answerTokens);
+      const answer = Array.from({ length: answerTokens }, (_, offset) => buildFakeToken(offset));
+      expect(sink.getText() === answer.join('')).toEqual(true);
+      expect(most <= MAX_STREAM_BYTES).toEqual(true);
+      expect(session.countPlacements()).toEqual(0);
+    });
+  }
+});
+
+describe('createTokenLog', () => {
+  it('packs what was read, and lists all tokens until the packed ones are dropped', () => {
+    const log = createTokenLog();
+    const texts = Array.from({ length: 20_000 }, (_, offset) => buildFakeToken(offset));
+    texts.forEach((text) => log.add(text));
+    const rawBytes = log.getBytes();
+    let offset = 0;
+    let read = '';
+    for (let batch = log.readBatch(0, 1_000); batch !== undefined;) {
+      read += batch.text;
+      offset = batch.endOffset;
+      batch = log.readBatch(offset, 1_000);
+    }
+    expect([read === texts.join(''), offset]).toEqual([true, 20_000]);
+    expect(log.list()).toEqual(texts);
+    expect(log.getBytes() < rawBytes / 2).toEqual(true);
+    log.dropPacked();
+    expect([log.isWhole(), log.getPackedBytes()]).toEqual([false, 0]);
+  });
+});
--- a/src/core/streams/token-log.ts
+++ b/src/core/streams/token-log.ts
@@ -1,3 +1,5 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+
 /** Text of several tokens in a row. */
 export interface TokenBatch {
   text: string;
@@ -13,17 +15,24 @@
  */
 export interface TokenLog {
   add(text: string): number;
-  /** Returns tokens from an offset on; at least one when there is one. */
+  /**
+   * Returns tokens from an offset on; at least one when there is one. Offsets only grow: what was
+   * read is packed, because it is needed again only for a continuation.
+   */
   readBatch(offset: number, maxBytes: number): TokenBatch | undefined;
-  /** Returns all tokens, as an engine takes them for a continuation. */
+  /** Returns all tokens held, as an engine takes them for a continuation. */
   list(): string[];
+  /** Forgets the packed tokens; the answer can't be continued after that. */
+  dropPacked(): void;
+  /** Tells whether all tokens added are held. */
+  isWhole(): boolean;
+  getPackedBytes(): number;
   getEndOffset(): number;
   /** Bytes allocated. */
   getBytes(): number;
 }
 
 interface Segment {
-  firstOffset: number;
   buffer: Buffer;
   used: number;
 }
@@ -36,6 +45,9 @@
 
 const SEGMENT_BYTES = 2_048;
 
+/** Segments packed together; 8 KiB of text shrink to about a third. */
+const SEGMENTS_PER_PACK = 4;
+
 /** Length byte of a token whose length takes four more bytes. */
 const LONG_MARK = 255;
 
@@ -74,11 +86,33 @@
   return { text: buffer.toString(encoding, start, endByte), endByte };
 }
 
+function listPacked(pack: Buffer): string[] {
+  const buffer = inflateRawSync(pack);
+  const texts: string[] = [];
+  for (let byte = 0; byte < buffer.length;) {
+    const { text, endByte } = decodeToken(buffer, byte);
+    texts.push(text);
+    byte = endByte;
+  }
+  return texts;
+}
+
 /** Creates the log of an answer whose first token has this offset. */
 export function createTokenLog(firstOffset = 0): TokenLog {
-  const segments: Segment[] = [];
+  let segments: Segment[] = [];
+  let packs: Buffer[] = [];
+  let isWhole = true;
   let endOffset = firstOffset;
-  let reader: Position = { offset: firstOffset, segment: 0, byte: 0 };
+  const reader: Position = { offset: firstOffset, segment: 0, byte: 0 };
+
+  const packRead = (): void => {
+    if (reader.segment < SEGMENTS_PER_PACK) return;
+    const read = segments.slice(0, SEGMENTS_PER_PACK);
+    const used = read.map(({ buffer, used: end }) => buffer.subarray(0, end));
+    packs.push(deflateRawSync(Buffer.concat(used)));
+    segments = segments.slice(SEGMENTS_PER_PACK);
+    reader.segment -= SEGMENTS_PER_PACK;
+  };
 
   /** Moves over one token; undefined at the end. */
   const readToken = (position: Position): string | undefined => {
@@ -98,17 +132,18 @@
 
   /** Moves the reader to an offset; it reads in order, so that this is rarely more than a check. */
   const setReader = (offset: number): void => {
-    if (offset < reader.offset) reader = { offset: firstOffset, segment: 0, byte: 0 };
     while (reader.offset < offset && readToken(reader) !== undefined);
   };
 
+  const getPackedBytes = (): number => packs.reduce((sum, { length }) => sum + length, 0);
+
   return {
     add(text) {
       const token = encodeToken(text);
       let segment = segments.at(-1);
       if (segment === undefined || segment.used + token.length > segment.buffer.length) {
         const buffer = Buffer.alloc(Math.max(SEGMENT_BYTES, token.length));
-        segment = { firstOffset: endOffset, buffer, used: 0 };
+        segment = { buffer, used: 0 };
         segments.push(segment);
       }
       token.copy(segment.buffer, segment.used);
@@ -128,17 +163,24 @@
         bytes += reader.segment === segment ? reader.byte - byte : reader.byte;
         text += token;
       }
+      packRead();
       return { text, endOffset: reader.offset, bytes };
     },
     list() {
       const position: Position = { offset: firstOffset, segment: 0, byte: 0 };
-      const texts: string[] = [];
+      const texts = packs.flatMap(listPacked);
       for (let text = readToken(position); text !== undefined; text = readToken(position)) {
         texts.push(text);
       }
       return texts;
     },
     getEndOffset: () => endOffset,
-    getBytes: () => segments.reduce((sum, { buffer }) => sum + buffer.length, 0),
+    dropPacked() {
+      if (packs.length > 0) isWhole = false;
+      packs = [];
+    },
+    isWhole: () => isWhole,
+    getPackedBytes,
+    getBytes: () => getPackedBytes() + segments.reduce((sum, { buffer }) => sum + buffer.length, 0),
   };
 }
