--- /dev/null
+++ b/src/core/http/completions.test.ts
@@ -0,0 +1,127 @@
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { waitForEvent } from './fixtures/create-test-daemons.ts';
+import type { TestSetup } from './fixtures/create-test-daemons.ts';
+import {
+  buildAnswer,
+  parseEvents,
+  sendCompletion,
+  startSetup,
+  stopSetups,
+} from './fixtures/caller.ts';
+import type { Chunk } from './fixtures/caller.ts';
+
+afterEach(stopSetups);
+
+interface CompletionCase {
+  title: string;
+  /** Runs while the first tokens arrive. */
+  disturb?: (setup: TestSetup) => void;
+  tokens: number;
+}
+
+const completionCases: CompletionCase[] = [
+  { title: 'streams a whole answer', tokens: 40 },
+  {
+    title: 'continues the answer when its engine goes down in mid-stream',
+    disturb: ({ engine }) => findBusyEngine(engine).applyFaults({ down: true }),
+    tokens: 200,
+  },
+  {
+    title: 'continues the answer when the connection to its engine goes silent',
+    disturb: ({ engine }) => findBusyEngine(engine).applyFaults({ silent: true }),
+    tokens: 200,
+  },
+];
+
+function findBusyEngine({ members }: TestSetup['engine']) {
+  const busy = members.find(({ member }) => member.counters.completions > 0);
+  if (busy === undefined) throw new Error('no engine is busy');
+  return busy;
+}
+
+describe('POST /v1/completions', () => {
+  for (const { title, disturb, tokens } of completionCases) {
+    it(title, async () => {
+      const setup = await startSetup();
+      const opened = waitForEvent(setup.first, 'opened');
+      const answer = await sendCompletion(setup.first, { max_tokens: tokens });
+      await opened;
+      disturb?.(setup);
+      const { text, end } = parseEvents(await answer.body.text());
+      expect([answer.statusCode, answer.headers['x-outcome']]).toEqual([200, 'done']);
+      expect([text, end]).toEqual([buildAnswer(tokens), 'done']);
+      const counters = setup.engine.members.map(({ member }) => member.counters);
+      expect(counters.map((counter) => counter.continuationMismatches)).toEqual([0, 0, 0]);
+    });
+  }
+
+  it('answers in one piece without a stream', async () => {
+    const { first } = await startSetup();
+    const answer = await sendCompletion(first, { stream: false });
+    const body = (await answer.body.json()) as Chunk & { usage: { completion_tokens: number } };
+    expect(body.choices?.[0]?.text).toEqual(buildAnswer(40));
+    expect([body.usage.completion_tokens, answer.headers['x-outcome']]).toEqual([40, 'done']);
+  });
+
+  it('resumes at another daemon', async () => {
+    const { first, second } = await startSetup();
+    const broken = await sendCompletion(first, { max_tokens: 200 });
+    let received = '';
+    for await (const chunk of broken.body) {
+      received += (chunk as Buffer).toString();
+      if (received.split('\n\n').length > 20) break;
+    }
+    const whole = received.slice(0, received.lastIndexOf('\n\n') + 2);
+    const before = parseEvents(whole);
+    const resumed = await sendCompletion(
+      second,
+      { max_tokens: 200 },
+      { 'last-event-id': before.lastId },
+    );
+    const after = parseEvents(await resumed.body.text());
+    expect([before.text + after.text, after.end]).toEqual([buildAnswer(200), 'done']);
+  });
+
+  // Guards against an engine that works for callers that have gone.
+  it('cancels the stream at the engine when the caller has gone', async () => {
+    const { first, engine } = await startSetup();
+    const cancelled = waitForEvent(first, 'completion-ended');
+    const answer = await sendCompletion(first, { max_tokens: 20_000, prompt: '' });
+    answer.body.on('error', () => undefined);
+    answer.body.destroy();
+    await cancelled;
+    const counts = engine.members.map(({ member }) => member.counters.cancelled);
+    expect(counts.reduce((sum, count) => sum + count, 0)).toEqual(1);
+    expect(first.inFlight.countRequests()).toEqual(0);
+  });
+
+  it('refuses at a limit with not-run and a time to wait', async () => {
+    const { first } = await startSetup({ limits: { requestsPerSecond: 2 } });
+    await (await sendCompletion(first)).body.dump();
+    const answer = await sendCompletion(first);
+    const { error, outcome } = (await answer.body.json()) as {
+      error: { kind: string };
+      outcome: string;
+    };
+    const { headers } = answer;
+    expect([answer.statusCode, headers['x-outcome'], headers['retry-after']]).toEqual([
+      429,
+      'not-run',
+      '1',
+    ]);
+    expect([error.kind, outcome]).toEqual(['limit-reached', 'not-run']);
+  });
+
+  it('refuses with not-run when no target comes before the deadline', async () => {
+    const { first } = await startSetup();
+    const answer = await sendCompletion(first, { model: 'unknown' });
+    await answer.body.dump();
+    const { headers } = answer;
+    expect([answer.statusCode, headers['x-outcome'], headers['retry-after']]).toEqual([
+      503,
+      'not-run',
+      '1',
+    ]);
+  });
+});
