--- /dev/null
+++ b/src/measure/slow-reader-engine.ts
@@ -0,0 +1,82 @@
+import type { AttemptIds, EngineClient, EngineStreamHandlers } from '../core/targets/index.ts';
+
+/** What the engines of a measurement hold and did. */
+export interface EngineUse {
+  /** Tokens of KV cache held now. */
+  heldTokens: number;
+  /** Tokens of prompts and continuations that were read in. */
+  prefilledTokens: number;
+  generatedTokens: number;
+}
+
+/** Engines that produce a token of every running stream at each step. */
+export interface MeasuredEngine extends EngineClient {
+  runStep(): void;
+  getUse(): EngineUse;
+}
+
+interface RunningStream extends AttemptIds {
+  handlers: EngineStreamHandlers;
+  endOffset: number;
+  total: number;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Returns the text of a token, about as long as a word. */
+export function buildTokenText(offset: number): string {
+  return `w${offset % 1_000} `;
+}
+
+/** Creates the engines; a stream is held until it has ended or is cancelled. */
+export function createMeasuredEngine(answerTokens: number): MeasuredEngine {
+  const streams = new Map<string, RunningStream>();
+  const use: EngineUse = { heldTokens: 0, prefilledTokens: 0, generatedTokens: 0 };
+  const promptTokens = new Map<string, number>();
+  let started = 0;
+
+  const removeStream = (id: string): void => {
+    const stream = streams.get(id);
+    if (stream === undefined) return;
+    use.heldTokens -= (promptTokens.get(id) ?? 0) + stream.endOffset;
+    streams.delete(id);
+    promptTokens.delete(id);
+  };
+
+  return {
+    startStream(_, { request, attempt, prompt, maxTokens, continuation }, handlers) {
+      const id = `s${++started}`;
+      const endOffset = continuation.length;
+      const held = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
+      const total = Math.min(answerTokens, maxTokens);
+      streams.set(id, { request, attempt, handlers, endOffset, total });
+      promptTokens.set(id, held);
+      use.heldTokens += held + endOffset;
+      use.prefilledTokens += held + endOffset;
+      queueMicrotask(() =>
+        handlers.handleOpen({ streamId: id, instanceId: '', warm: true, load: undefined }),
+      );
+      return { close: () => undefined };
+    },
+    resumeStream() {
+      throw new Error('connections do not fail in this measurement');
+    },
+    stopStream(_, id) {
+      removeStream(id);
+      return Promise.resolve(true);
+    },
+    runStep() {
+      streams.forEach((stream, id) => {
+        const { request, attempt, handlers, total } = stream;
+        const offset = stream.endOffset++;
+        use.heldTokens++;
+        use.generatedTokens++;
+        handlers.handleToken({ request, attempt, offset, text: buildTokenText(offset) });
+        if (stream.endOffset < total) return;
+        removeStream(id);
+        handlers.handleEnd({ request, attempt, total });
+      });
+    },
+    getUse: () => use,
+  };
+}
--- /dev/null
+++ b/src/measure/slow-reader-modes.ts
@@ -0,0 +1,168 @@
+import type { RoutableTarget } from '../core/probing/index.ts';
+import { createAnswerStream, createBufferBudget } from '../core/streams/index.ts';
+import type { AnswerParts, PlacementResult } from '../core/streams/index.ts';
+import { createManualTimers } from '../core/timers/index.ts';
+import { createSlowSink } from './slow-sink.ts';
+import { buildTokenText, createMeasuredEngine } from './slow-reader-engine.ts';
+import type { EngineUse } from './slow-reader-engine.ts';
+
+/** Load of a measurement. */
+export interface SlowReaderLoad {
+  callers: number;
+  promptTokens: number;
+  answerTokens: number;
+  tokenMs: number;
+  readBytesPerSecond: number;
+}
+
+/** A way to serve slow readers. */
+export interface SlowReaderMode {
+  /** Runs all engines for one token time. */
+  runStep(): Promise<void>;
+  /** Lets every caller read for one second. */
+  readSecond(): void;
+  /** Bytes that the daemon holds for each caller. */
+  listHeldBytes(): number[];
+  getUse(): EngineUse;
+  isFinished(): boolean;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Write buffer of a socket by default. */
+const DEFAULT_SOCKET_BYTES = 16_384;
+
+/** Tokens that an engine produces ahead of its reader before it pauses and holds the stream. */
+const ENGINE_UNREAD_TOKENS = 4_096;
+
+const TARGET: RoutableTarget = {
+  id: 'assistant-0',
+  vm: 'vm-1',
+  address: '127.0.0.1',
+  port: 1,
+  availabilityZone: 'almaty-a',
+  group: 'assistant-0',
+  generation: 1,
+  instanceId: '',
+  warm: true,
+  load: { running: 0, queued: 0, heldTokens: 0, capacityTokens: 0, coldLimit: 1, ageMs: 0 },
+  loadAgeMs: 0,
+  weight: 1,
+  sharingDaemons: 1,
+};
+
+/** Serves the callers with the streams of the daemon. */
+export function createDaemonMode(load: SlowReaderLoad): SlowReaderMode {
+  const timers = createManualTimers();
+  const engine = createMeasuredEngine(load.answerTokens);
+  let ids = 0;
+  const parts: AnswerParts = {
+    timers,
+    events: { record: () => undefined as never },
+    metrics: { increment: () => undefined },
+    engine,
+    budget: createBufferBudget(),
+    handleSign: () => undefined,
+    createId: () => String(++ids),
+  };
+  const placement = { target: TARGET, release: () => undefined };
+  const acquirePlacement = (): Promise<PlacementResult> => Promise.resolve({ placement });
+  const prompt = 'p'.repeat(load.promptTokens * CHARACTERS_PER_TOKEN);
+  const answers = Array.from({ length: load.callers }, (_, index) => {
+    const sink = createSlowSink();
+    const request = {
+      id: `r${index}`,
+      model: 'kennel-assist',
+      prompt,
+      maxTokens: load.answerTokens,
+      priority: 'normal',
+    };
+    return {
+      sink,
+      stream: createAnswerStream({ parts, request, placement, sink, acquirePlacement }),
+    };
+  });
+  return {
+    async runStep() {
+      // Promises of placements and cancellations settle between two steps.
+      await timers.runForAsync(load.tokenMs, load.tokenMs);
+      engine.runStep();
+    },
+    readSecond: () => answers.forEach(({ sink }) => sink.readText(load.readBytesPerSecond)),
+    listHeldBytes: () => answers.map(({ stream }) => stream.getHeldBytes()),
+    getUse: engine.getUse,
+    isFinished: () => answers.every(({ sink }) => sink.isEnded()),
+  };
+}
+
+interface PlainCaller {
+  /** Tokens read from the engine and not yet by the caller. */
+  buffer: string[];
+  bufferBytes: number;
+  readTokens: number;
+  engineOffset: number;
+  isHeld: boolean;
+}
+
+/** The plain baselines: a list of tokens for each caller, without the daemon's bound. */
+function createPlainMode(load: SlowReaderLoad, maxBufferBytes: number): SlowReaderMode {
+  const use: EngineUse = { heldTokens: 0, prefilledTokens: 0, generatedTokens: 0 };
+  const callers: PlainCaller[] = Array.from({ length: load.callers }, () => {
+    use.heldTokens += load.promptTokens;
+    use.prefilledTokens += load.promptTokens;
+    return { buffer: [], bufferBytes: 0, readTokens: 0, engineOffset: 0, isHeld: true };
+  });
+
+  const generate = (caller: PlainCaller): void => {
+    const isAhead = caller.engineOffset - caller.readTokens >= ENGINE_UNREAD_TOKENS;
+    if (caller.engineOffset >= load.answerTokens || isAhead) return;
+    caller.engineOffset++;
+    use.generatedTokens++;
+    use.heldTokens++;
+  };
+
+  const readFromEngine = (caller: PlainCaller): void => {
+    while (caller.readTokens < caller.engineOffset && caller.bufferBytes < maxBufferBytes) {
+      const text = buildTokenText(caller.readTokens++);
+      caller.buffer.push(text);
+      caller.bufferBytes += text.length;
+    }
+    if (!caller.isHeld || caller.readTokens < load.answerTokens) return;
+    caller.isHeld = false;
+    use.heldTokens -= load.promptTokens + caller.engineOffset;
+  };
+
+  const readByCaller = (caller: PlainCaller): void => {
+    let bytes = load.readBytesPerSecond;
+    while (bytes > 0) {
+      const text = caller.buffer.shift();
+      if (text === undefined) return;
+      bytes -= text.length;
+      caller.bufferBytes -= text.length;
+    }
+  };
+
+  return {
+    runStep() {
+      callers.forEach((caller) => {
+        generate(caller);
+        readFromEngine(caller);
+      });
+      return Promise.resolve();
+    },
+    readSecond: () => callers.forEach(readByCaller),
+    listHeldBytes: () => callers.map(({ bufferBytes }) => bufferBytes),
+    getUse: () => use,
+    isFinished: () => callers.every(({ isHeld, buffer }) => !isHeld && buffer.length === 0),
+  };
+}
+
+/** Baseline: the daemon reads everything and buffers it without bound. */
+export function createBufferMode(load: SlowReaderLoad): SlowReaderMode {
+  return createPlainMode(load, Number.POSITIVE_INFINITY);
+}
+
+/** Baseline: the daemon stops reading at the buffer of the socket, and the engine holds the rest. */
+export function createHoldMode(load: SlowReaderLoad): SlowReaderMode {
+  return createPlainMode(load, DEFAULT_SOCKET_BYTES);
+}
--- /dev/null
+++ b/src/measure/slow-sink.ts
@@ -0,0 +1,71 @@
+import { SOCKET_BUFFER_BYTES } from '../core/streams/index.ts';
+import type { AnswerSink, AnswerSinkListeners } from '../core/streams/index.ts';
+
+/** A caller that reads text at the speed that the measurement gives it. */
+export interface SlowSink extends AnswerSink {
+  readText(bytes: number): void;
+  isEnded(): boolean;
+}
+
+/** One event in the write buffer of the socket. */
+interface WrittenEvent {
+  framed: string;
+  /** Bytes of text that the caller has not read. */
+  unreadBytes: number;
+}
+
+/** Resume token and JSON around the text of an event. */
+const FRAME = 'f'.repeat(250);
+
+/** Creates a caller; it holds what it has not read, as a socket does. */
+export function createSlowSink(): SlowSink {
+  const events: WrittenEvent[] = [];
+  let buffered = 0;
+  let isBlocked = false;
+  let isEnded = false;
+  let listeners: AnswerSinkListeners | undefined;
+
+  const takeText = (bytes: number): void => {
+    let left = bytes;
+    for (let [first] = events; first !== undefined && left > 0; [first] = events) {
+      const read = Math.min(left, first.unreadBytes);
+      left -= read;
+      first.unreadBytes -= read;
+      if (first.unreadBytes > 0) return;
+      buffered -= first.framed.length;
+      events.shift();
+    }
+  };
+
+  return {
+    writeTokens(text) {
+      // A copy in one piece, as it goes to a socket.
+      const framed = Buffer.from(text + FRAME).toString();
+      events.push({ framed, unreadBytes: text.length });
+      buffered += framed.length;
+      isBlocked = buffered >= SOCKET_BUFFER_BYTES;
+      return !isBlocked;
+    },
+    writeHeartbeat: () => true,
+    writeEnd() {
+      isEnded = true;
+    },
+    writeError(error) {
+      throw error;
+    },
+    getBufferedBytes: () => buffered,
+    close() {
+      throw new Error('the daemon closed a caller that was reading');
+    },
+    subscribe(added) {
+      listeners = added;
+    },
+    readText(bytes) {
+      takeText(bytes);
+      if (!isBlocked || buffered > 0) return;
+      isBlocked = false;
+      listeners?.handleDrain();
+    },
+    isEnded: () => isEnded && buffered === 0,
+  };
+}
