Add the load generator clementinefork-load

Operators need figures of latency and outcomes under their own mix of requests.

Ruled out: starting the next request when one ends, because a slow system would then be asked less and look better; arrivals come at their rate, and latencies count from the scheduled arrival. Also ruled out: slow readers that only wait between reads of a buffer; the socket itself is not read.

A YAML scenario names customers, rates, lengths, and the shares of slow readers and orders.

--- /dev/null
+++ b/src/cli/load/index.ts
@@ -0,0 +1,44 @@
+import { writeFileSync } from 'node:fs';
+import { command, flag, multioption, option, optional, run, string, array } from 'cmd-ts';
+import {
+  formatTextReport,
+  parseTarget,
+  renderHtmlReport,
+  runLoad,
+  scenarioSchema,
+} from '../../core/load/index.ts';
+import { runCommand } from '../../core/process/index.ts';
+import { readSettings } from '../../core/settings/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+
+const load = command({
+  name: 'clementinefork-load',
+  description: 'Sends the requests of a scenario at a fixed rate and measures the answers.',
+  args: {
+    scenario: option({ type: string, long: 'scenario', description: 'YAML file.' }),
+    report: option({
+      type: optional(string),
+      long: 'report',
+      description: 'HTML file to write.',
+    }),
+    targets: multioption({
+      type: array(string),
+      long: 'target',
+      description: 'ADDRESS:PORT of a daemon, also on another machine; replaces the seeds.',
+    }),
+    json: flag({ long: 'json', description: 'Print the figures as JSON.' }),
+  },
+  handler: ({ scenario: file, report, targets, json }) =>
+    runCommand(async () => {
+      const scenario = readSettings(file, scenarioSchema);
+      const timers = createTimerService();
+      const figures = await runLoad({ scenario, targets: targets.map(parseTarget), timers });
+      const text = json
+        ? `${JSON.stringify(figures, undefined, 2)}\n`
+        : formatTextReport(figures, scenario.randomSeed);
+      process.stdout.write(text);
+      if (report !== undefined) writeFileSync(report, renderHtmlReport(figures, scenario));
+    }),
+});
+
+await run(load, process.argv.slice(2));
--- /dev/null
+++ b/src/core/load/check-seeds.ts
@@ -0,0 +1,33 @@
+import { BlockList, isIPv6 } from 'node:net';
+import type { CallerSeed } from '../caller/index.ts';
+import { createError, ErrorKind } from '../errors/index.ts';
+
+const MAX_PORT = 65_535;
+
+const loopback = new BlockList();
+loopback.addSubnet('127.0.0.0', 8, 'ipv4');
+loopback.addAddress('::1', 'ipv6');
+
+/** Tells whether an IP address is one of this machine. */
+export function isLoopback(address: string): boolean {
+  return loopback.check(address, isIPv6(address) ? 'ipv6' : 'ipv4');
+}
+
+/** Refuses seeds on other machines, so that a scenario alone never loads them. */
+export function checkSeeds(seeds: readonly CallerSeed[]): void {
+  const remote = seeds.find(({ address }) => !isLoopback(address));
+  if (remote === undefined) return;
+  const problem = `Seed ${remote.address} is not a loopback address; name it with --target.`;
+  throw createError(ErrorKind.UsageInvalid, { problem });
+}
+
+/** Parses `--target ADDRESS:PORT`. */
+export function parseTarget(text: string): CallerSeed {
+  const separator = text.lastIndexOf(':');
+  const address = text.slice(0, Math.max(0, separator)).replace(/^\[|\]$/g, '');
+  const port = Number(text.slice(separator + 1));
+  if (address !== '' && Number.isInteger(port) && port > 0 && port <= MAX_PORT) {
+    return { address, port };
+  }
+  throw createError(ErrorKind.UsageInvalid, { problem: `"${text}" is not ADDRESS:PORT.` });
+}
--- /dev/null
+++ b/src/core/load/figures.ts
@@ -0,0 +1,128 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+const US_PER_MS = 1_000;
+const HIGHEST_US = 3_600_000_000;
+const PERCENTILES = [50, 90, 95, 99, 99.9] as const;
+
+/** What is timed. */
+export enum Timing {
+  /** From the scheduled arrival to the first text. */
+  FirstToken = 'first-token',
+  /** Between two parts of an answer that is read at once. */
+  BetweenTokens = 'between-tokens',
+  /** From the scheduled arrival to the end of the answer. */
+  WholeAnswer = 'whole-answer',
+  /** From the scheduled arrival to the outcome of an order. */
+  Order = 'order',
+}
+
+/** How requests ended. */
+export enum LoadOutcome {
+  CompletionDone = 'completion-done',
+  CompletionFailed = 'completion-failed',
+  OrderDone = 'order-done',
+  OrderNotRun = 'order-not-run',
+  OrderUnknown = 'order-unknown',
+  OrderFailed = 'order-failed',
+  /** Not sent, because too many requests were in flight. */
+  Dropped = 'dropped',
+}
+
+/** One line of a latency table, in milliseconds. */
+export interface TimingRow {
+  timing: Timing;
+  count: number;
+  meanMs: number;
+  /** Values at the percentiles 50, 90, 95, 99 and 99.9. */
+  percentilesMs: number[];
+  maxMs: number;
+}
+
+/** Result of a load run. */
+export interface LoadFigures {
+  arrivals: number;
+  /** Connections beyond the first of each answer. */
+  resumes: number;
+  outcomes: Record<LoadOutcome, number>;
+  timings: TimingRow[];
+  /** Different problems, with how often each was seen. */
+  problems: Record<string, number>;
+}
+
+/** Collects the figures of a run. */
+export interface FigureRecorder {
+  recordTiming(timing: Timing, durationMs: number): void;
+  recordOutcome(outcome: LoadOutcome): void;
+  recordArrival(): void;
+  recordResumes(count: number): void;
+  recordProblem(problem: string): void;
+  getFigures(): LoadFigures;
+}
+
+/** Returns the percentiles of a timing row. */
+export function listPercentiles(): readonly number[] {
+  return PERCENTILES;
+}
+
+function toMs(valueUs: number): number {
+  return Math.round(valueUs / (US_PER_MS / 100)) / 100;
+}
+
+function buildRow(timing: Timing, histogram: Histogram): TimingRow {
+  const { totalCount, mean, maxValue } = histogram;
+  return {
+    timing,
+    count: totalCount,
+    meanMs: totalCount === 0 ? 0 : toMs(mean),
+    percentilesMs: PERCENTILES.map((percentile) =>
+      toMs(histogram.getValueAtPercentile(percentile)),
+    ),
+    maxMs: toMs(maxValue),
+  };
+}
+
+const MAX_PROBLEMS = 20;
+
+/** Creates the recorder of a run. */
+export function createFigureRecorder(): FigureRecorder {
+  const histograms = new Map(
+    Object.values(Timing).map((timing) => [
+      timing,
+      build({ highestTrackableValue: HIGHEST_US, numberOfSignificantValueDigits: 3 }),
+    ]),
+  );
+  const outcomes = Object.fromEntries(
+    Object.values(LoadOutcome).map((outcome) => [outcome, 0]),
+  ) as Record<LoadOutcome, number>;
+  const problems = new Map<string, number>();
+  let arrivals = 0;
+  let resumes = 0;
+  return {
+    recordTiming(timing, durationMs) {
+      const valueUs = Math.min(HIGHEST_US, Math.max(0, Math.round(durationMs * US_PER_MS)));
+      histograms.get(timing)?.recordValue(valueUs);
+    },
+    recordOutcome(outcome) {
+      outcomes[outcome]++;
+    },
+    recordArrival() {
+      arrivals++;
+    },
+    recordResumes(count) {
+      resumes += count;
+    },
+    recordProblem(problem) {
+      if (problems.has(problem) || problems.size < MAX_PROBLEMS) {
+        problems.set(problem, (problems.get(problem) ?? 0) + 1);
+      }
+    },
+    getFigures: () => ({
+      arrivals,
+      resumes,
+      outcomes: { ...outcomes },
+      timings: [...histograms].map(([timing, histogram]) => buildRow(timing, histogram)),
+      problems: Object.fromEntries(problems),
+    }),
+  };
+}
--- /dev/null
+++ b/src/core/load/index.ts
@@ -0,0 +1,9 @@
+export { checkSeeds, isLoopback, parseTarget } from './check-seeds.ts';
+export { LoadOutcome, Timing } from './figures.ts';
+export type { LoadFigures, TimingRow } from './figures.ts';
+export { renderHtmlReport } from './html-report.ts';
+export { runLoad } from './load-run.ts';
+export type { LoadRunOptions } from './load-run.ts';
+export { scenarioSchema } from './scenario.ts';
+export type { CustomerLoad, Scenario } from './scenario.ts';
+export { formatTextReport } from './text-report.ts';
