Make a test of late writes independent of the wall clock

Ruled out: a longer delay, which only makes the failure rarer. Change: the late write waits for manual timers. A watch now listens to its response and not to the kept-alive socket, which collected one listener a watch and warned.

The check is the same.

--- a/src/stand-ins/platform/object-routes.ts
+++ b/src/stand-ins/platform/object-routes.ts
@@ -1,4 +1,4 @@
-import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 import { z } from 'zod';
 import type { WriteResult } from '../../core/platform/index.ts';
 import { WriteOutcome } from '../../core/platform/index.ts';
@@ -67,9 +67,10 @@
   return reply.send({ version: result.version });
 }
 
-function createAbortSignal(request: FastifyRequest): AbortSignal {
+/** The response closes with each watch; the socket of a kept-alive connection does not. */
+function createAbortSignal(reply: FastifyReply): AbortSignal {
   const controller = new AbortController();
-  request.raw.socket.once('close', () => controller.abort());
+  reply.raw.once('close', () => controller.abort());
   return controller.signal;
 }
 
@@ -112,7 +113,7 @@
       kind: request.params.kind,
       sinceVersion: query.data.since,
       timeoutMs: query.data.timeoutMs,
-      signal: createAbortSignal(request),
+      signal: createAbortSignal(reply),
     });
   });
   server.get('/vms', async () => {
--- a/src/stand-ins/platform/server.test.ts
+++ b/src/stand-ins/platform/server.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { request } from 'undici';
-import { createTimerService } from '../../core/timers/index.ts';
+import { createManualTimers, createTimerService } from '../../core/timers/index.ts';
 import { VmRole, VmState } from '../../core/world/index.ts';
 import type { PlatformStandIn } from './index.ts';
 import { createStandInPlatform } from './index.ts';
@@ -213,10 +213,14 @@
 
   // Guards against a late write that takes effect on top of a newer one.
   it('refuses a late write whose base version was replaced', async () => {
+    // The late write is due only when the test says so, however busy the machine is.
+    const timers = createManualTimers();
+    await standIn.close();
+    standIn = await createStandInPlatform({ address: '127.0.0.1', port: 0, timers });
     await sendCall(['POST', '/faults', { lateWrites: 1, lateWriteMs: 20 }]);
     await sendCall(['PUT', '/objects/config/current', FIRST]);
     await sendCall(['PUT', '/objects/config/current', { ...FIRST, writeId: 'w-3' }]);
-    await createTimerService().waitFor(60);
+    timers.runFor(20);
     expect(standIn.store.getObject('config', 'current')?.writeId).toEqual('w-3');
   });
 });
