Let a remembered fetch of documents count for a few packets only

A packet that an earlier process of a member sent can arrive after its restart. The fetch it starts then brings nothing from the new process, but the digest was remembered as fetched, and the member was not asked again once it really held that digest.

A remembered fetch now counts for 4 packets with the same digest, and then the member is asked again. Ruled out: the instance of the sender in each fetch, which needs a new field in the protocol; a time limit, which needs the timer service for the same effect.

--- a/src/core/documents/consts.ts
+++ b/src/core/documents/consts.ts
@@ -12,3 +12,9 @@
 
 /** Members whose digest at the last complete fetch is remembered; the oldest is dropped first. */
 export const KEPT_FETCHES = 64;
+
+/**
+ * Packets with the digest of the last complete fetch that start no other fetch. A late packet of an
+ * earlier process of the member can make that fetch bring nothing, so it must not count for good.
+ */
+export const MAX_SKIPPED_DIGESTS = 4;
--- a/src/core/documents/digest-record.ts
+++ b/src/core/documents/digest-record.ts
@@ -1,5 +1,5 @@
 import type { Member } from '../rpc/index.ts';
-import { KEPT_DIGESTS, KEPT_FETCHES } from './consts.ts';
+import { KEPT_DIGESTS, KEPT_FETCHES, MAX_SKIPPED_DIGESTS } from './consts.ts';
 import type { DocumentStore } from './types.ts';
 
 /** Digests of members that are known to hold nothing new. */
@@ -8,7 +8,10 @@
   update(): void;
   /** Remembers the digest that a member had at a complete fetch. */
   addFetched(member: Member, digest: bigint): void;
-  /** Tells whether a fetch from a member with this digest would bring nothing. */
+  /**
+   * Tells whether a fetch from a member with this digest would bring nothing. A remembered
+   * fetch counts for a few packets only.
+   */
   hasNothingNew(member: Member, digest: bigint): boolean;
 }
 
@@ -16,6 +19,8 @@
   /** A restarted member can reach the same digest again without having held it at the fetch. */
   instance: bigint;
   digest: bigint;
+  /** Packets with this digest since the fetch. */
+  skips: number;
 }
 
 /** Drops the oldest entries past the limit. */
@@ -37,13 +42,15 @@
     },
     addFetched({ name, instance }, digest) {
       fetched.delete(name);
-      fetched.set(name, { instance, digest });
+      fetched.set(name, { instance, digest, skips: 0 });
       removeOldest(fetched, KEPT_FETCHES);
     },
     hasNothingNew({ name, instance }, digest) {
       const known = fetched.get(name);
-      const isFetched = known?.instance === instance && known.digest === digest;
-      return isFetched || own.has(digest);
+      if (own.has(digest)) return true;
+      if (known?.instance !== instance || known.digest !== digest) return false;
+      known.skips += 1;
+      return known.skips <= MAX_SKIPPED_DIGESTS;
     },
   };
 }
--- a/src/core/documents/document-sync.test.ts
+++ b/src/core/documents/document-sync.test.ts
@@ -5,7 +5,7 @@
 import { createManualTimers } from '../timers/index.ts';
 import { buildConfiguration, buildConfigurationDocument } from './fixtures/values.ts';
 import type { DocumentStore, DocumentSync } from './index.ts';
-import { createDocumentStore, createDocumentSync } from './index.ts';
+import { createDocumentStore, createDocumentSync, MAX_SKIPPED_DIGESTS } from './index.ts';
 
 const first = buildConfigurationDocument(10, buildConfiguration(1));
 const second = buildConfigurationDocument(11, buildConfiguration(2));
@@ -95,6 +95,20 @@
     expect(test.fetches).toHaveLength(2);
   });
 
+  // Guards against a late packet of an earlier process, after which a member would never be asked.
+  it('fetches again after some packets with the digest of the last fetch', async () => {
+    const test = createSyncTest(() => Promise.resolve({ documents: [] }));
+    test.peer.applyDocument(first);
+    for (let packet = 0; packet <= MAX_SKIPPED_DIGESTS; packet++) {
+      expect(test.fetches).toHaveLength(Math.min(1, packet));
+      sendDigest(test);
+      await test.runCalls();
+    }
+    sendDigest(test);
+    await test.runCalls();
+    expect(test.fetches).toHaveLength(2);
+  });
+
   // Guards against a copy that stays old because its differences do not apply.
   it('fetches the whole value when a difference does not apply', async () => {
     const test = createSyncTest(({ documents }) =>
