Add a model of the spread of the configuration

Tests run a few orders of events. The model runs all of them for two operators, three daemons, one relay and one restart with no copy or an old one, with lost answers, a late write and failed or damaged fetches.

No daemon goes back, no request reads a half-applied change, and each accepted change takes effect once and reaches all daemons (I10). Seven variants, each with one rule broken, are rejected.

A variant that applies a write again after it was read back as not applied passed at first: that is harmless, so BREAK_SETTLE now skips the reading back.

--- /dev/null
+++ b/models/configuration.pml
@@ -0,0 +1,324 @@
+/*
+ * The spread of the configuration: conditional writes by operators, copies in the daemons, watches
+ * of relays, and fetches between daemons.
+ *
+ * Bounds: OPERATORS operators that apply one change each, DAEMONS daemons of which the first RELAYS
+ * watch the platform, one restart, one late write, any number of lost answers, failed fetches and
+ * damaged fetches. Each daemon has at most one fetch and one watch in flight. Outages,
+ * partitions and pauses are steps that do not happen for any time.
+ *
+ * A change sets two of three rows, and a value holds the ids of the changes behind it, like the
+ * change records in the object. A restarted daemon has no copy or any that it held before, and
+ * answers to its earlier process are lost. Update packets only start a fetch earlier, and the
+ * memory of complete fetches only delays one; both are left out.
+ *
+ * Steps and the code that they stand for:
+ *   PUT, settling    PlatformClient.writeObject in src/core/platform
+ *   accept           applyDocument in src/core/documents/document-store.ts and
+ *                    updateStoredDocument in src/core/documents/stored-document.ts
+ *   watcher          watchKind in src/core/relay/watch-kind.ts
+ *   fetcher          handleDigest and runFetch in src/core/documents/document-sync.ts
+ *   KNOWS_DIGEST     hasNothingNew in src/core/documents/digest-record.ts, for own digests
+ *   encoding         encodeForPeer in src/core/documents/stored-document.ts
+ *
+ * Properties (I10): no daemon replaces its copy by an older one; no reader sees a value that was not
+ * accepted as a whole; each change takes effect at most once, is in force if and only if its
+ * operator was told so, and reaches all daemons once nothing more can happen.
+ *
+ * run: pass
+ * run: fail BREAK_VERSION     a copy is replaced by an older one
+ * run: fail BREAK_STEP        a request reads a copy while its rows are replaced
+ * run: fail BREAK_BASE        rows are applied to another version than their base, without the hash
+ * run: fail BREAK_HASH        a damaged answer is accepted
+ * run: fail BREAK_CONDITION   the platform ignores the base version of a write
+ * run: fail BREAK_SETTLE      a write whose answer was lost is made again without reading back
+ * run: fail BREAK_DIGEST      a restarted daemon remembers the digests of its earlier process
+ */
+#ifndef DAEMONS
+#define DAEMONS 3
+#endif
+#ifndef RELAYS
+#define RELAYS 1
+#endif
+#ifndef OPERATORS
+#define OPERATORS 2
+#endif
+#define VERSIONS 5
+#define DAMAGED 9
+
+#define BIT(value) (1 << (value))
+#define HOLDS(set, value) ((set) & BIT(value))
+
+mtype = { PENDING, ACCEPTED, REFUSED };
+
+/* Values of the platform by version; version 1 is the first configuration. */
+typedef Value {
+  byte row[3];
+  byte changes;
+};
+Value value[VERSIONS];
+byte newest = 1;
+byte applied[OPERATORS];
+mtype told[OPERATORS] = PENDING;
+
+/* A write that its operator gave up and that may still land. */
+byte lateBase;
+byte lateOperator;
+bool hadLate;
+
+/* What a daemon holds; version 0 is no copy. */
+typedef Daemon {
+  byte version;
+  byte row[3];
+  /* Versions of this process: bases of differences, and own digests. */
+  byte known;
+#ifdef BREAK_DIGEST
+  byte digests;
+#endif
+  /* Answers in flight; 0 is none. */
+  byte fetchBase;
+  byte fetched;
+  byte watched;
+  /* Version of the last answered watch. */
+  byte since;
+};
+Daemon daemon[DAEMONS];
+
+#define IS_WHOLE(d) \
+  (daemon[d].version == 0 || \
+   (daemon[d].row[0] == value[daemon[d].version].row[0] && \
+    daemon[d].row[1] == value[daemon[d].version].row[1] && \
+    daemon[d].row[2] == value[daemon[d].version].row[2]))
+
+#ifdef BREAK_DIGEST
+#define KNOWS_DIGEST(d, version) HOLDS(daemon[d].digests, version)
+#else
+#define KNOWS_DIGEST(d, version) HOLDS(daemon[d].known, version)
+#endif
+
+#ifdef BREAK_VERSION
+#define IS_NEWER(target, held) ((target) != (held))
+#else
+#define IS_NEWER(target, held) ((target) > (held))
+#endif
+
+/* Operator o sets the rows o and o + 1, modulo 3. */
+#define SETS(o, r) (r == (o) % 3 || r == ((o) + 1) % 3)
+#define NEXT(o, base, r) (SETS(o, r) -> (o) + 1 : value[base].row[r])
+
+#ifdef BREAK_CONDITION
+#define IS_CURRENT(base) (base > 0)
+#else
+#define IS_CURRENT(base) (newest == base)
+#endif
+
+/* A conditional write arrives at the platform. */
+inline write(o, base) {
+  if
+  :: IS_CURRENT(base) ->
+    newest++;
+    value[newest].row[0] = NEXT(o, base, 0);
+    value[newest].row[1] = NEXT(o, base, 1);
+    value[newest].row[2] = NEXT(o, base, 2);
+    value[newest].changes = value[base].changes | BIT(o);
+    applied[o]++;
+    assert(applied[o] == 1)
+  :: else
+  fi
+}
+
+proctype operator(byte o) {
+  byte base;
+  bool isAnswered;
+
+  base = newest;
+PUT:
+  isAnswered = false;
+  if
+  :: atomic { true -> write(o, base); isAnswered = true }
+  :: atomic { true -> write(o, base) } /* The answer is lost. */
+  :: true /* The write is lost. */
+  :: atomic { !hadLate -> hadLate = true; lateBase = base; lateOperator = o }
+  fi;
+#ifdef BREAK_SETTLE
+  atomic {
+    if
+    :: isAnswered
+    :: !isAnswered -> base = newest; goto PUT
+    fi
+  }
+#endif
+  atomic {
+    /* An answer says the outcome, and without one the object is read back. */
+    if
+    :: isAnswered -> told[o] = (applied[o] == 1 -> ACCEPTED : REFUSED)
+    :: !isAnswered && HOLDS(value[newest].changes, o) -> told[o] = ACCEPTED
+    :: !isAnswered && !HOLDS(value[newest].changes, o) && newest == base -> goto PUT
+    :: !isAnswered && !HOLDS(value[newest].changes, o) && newest != base ->
+      told[o] = REFUSED
+    fi
+  }
+}
+
+/* A given up write lands at any time. */
+proctype network() {
+end:
+  atomic { lateBase > 0 -> write(lateOperator, lateBase); lateBase = 0 }
+}
+
+/* Rows of a difference replace those of its base, and a whole value replaces all. */
+#ifdef BREAK_BASE
+#define BASE_ROW(d, base, r) daemon[d].row[r]
+#else
+#define BASE_ROW(d, base, r) value[base].row[r]
+#endif
+#define BUILT(d, base, target, r) \
+  ((base > 0 && value[base].row[r] == value[target].row[r]) -> BASE_ROW(d, base, r) : value[target].row[r])
+
+#if defined(BREAK_BASE) || defined(BREAK_HASH)
+#define HAS_HASH(isDamaged) true
+#else
+#define HAS_HASH(isDamaged) (!isDamaged)
+#endif
+
+/* A request reads the copy between two steps of the daemon. */
+#define READ(d) assert(IS_WHOLE(d))
+#ifdef BREAK_STEP
+#define READ_WITHIN(d) READ(d)
+#else
+#define READ_WITHIN(d) skip
+#endif
+
+/* Handles a received document. */
+inline accept(d, base, target, isDamaged) {
+  if
+  :: IS_NEWER(target, daemon[d].version) && HAS_HASH(isDamaged) ->
+    assert(target > daemon[d].version);
+    daemon[d].row[0] = (isDamaged -> DAMAGED : BUILT(d, base, target, 0));
+    READ_WITHIN(d);
+    daemon[d].row[1] = BUILT(d, base, target, 1);
+    daemon[d].row[2] = BUILT(d, base, target, 2);
+    daemon[d].version = target;
+    daemon[d].known = daemon[d].known | BIT(target);
+#ifdef BREAK_DIGEST
+    daemon[d].digests = daemon[d].digests | BIT(target);
+#endif
+    READ(d)
+  :: else
+  fi
+}
+
+/* A relay watches from version 0 after its start, and then from the last answer. */
+proctype watcher(byte d) {
+end:
+  do
+  :: atomic {
+      daemon[d].watched == 0 && daemon[d].since < newest -> daemon[d].watched = newest
+    }
+  :: atomic {
+      daemon[d].watched > 0 ->
+      accept(d, 0, daemon[d].watched, false);
+      daemon[d].since = daemon[d].watched;
+      daemon[d].watched = 0
+    }
+  od
+}
+
+/* The peer encodes rows when it holds the caller's version, the whole value otherwise. */
+inline fetch(d, peer) {
+  daemon[d].fetched = daemon[peer].version;
+  if
+  :: daemon[d].version > 0 && HOLDS(daemon[peer].known, daemon[d].version) ->
+    daemon[d].fetchBase = daemon[d].version
+  :: else
+  fi
+}
+
+#define IS_ASKED(d, peer) \
+  (daemon[d].fetched == 0 && daemon[peer].version > 0 && !KNOWS_DIGEST(d, daemon[peer].version))
+
+/* A daemon fetches from a peer whose digest differs and is not one of its own. */
+proctype fetcher(byte d) {
+end:
+  do
+  :: atomic { IS_ASKED(d, 0) -> fetch(d, 0) }
+  :: atomic { IS_ASKED(d, 1) -> fetch(d, 1) }
+#if DAEMONS > 2
+  :: atomic { IS_ASKED(d, 2) -> fetch(d, 2) }
+#endif
+  :: atomic {
+      daemon[d].fetched > 0 ->
+      /* A damaged answer is refused, which is the same as a lost one. */
+      if
+      :: true -> accept(d, daemon[d].fetchBase, daemon[d].fetched, false)
+      :: true -> accept(d, daemon[d].fetchBase, daemon[d].fetched, true)
+      fi;
+      daemon[d].fetchBase = 0;
+      daemon[d].fetched = 0
+    }
+  od
+}
+
+/* A daemon restarts with no copy or with an old one; answers in flight are lost. */
+proctype restart() {
+  byte d;
+  byte old;
+
+  atomic {
+    select(d : 0 .. DAEMONS - 1);
+    select(old : 0 .. OPERATORS + 1);
+    if
+    :: HOLDS(daemon[d].known, old) ->
+      daemon[d].version = old;
+      daemon[d].row[0] = value[old].row[0];
+      daemon[d].row[1] = value[old].row[1];
+      daemon[d].row[2] = value[old].row[2];
+      daemon[d].known = BIT(0) | BIT(old);
+      daemon[d].fetchBase = 0;
+      daemon[d].fetched = 0;
+      daemon[d].watched = 0;
+      daemon[d].since = 0
+    :: else
+    fi
+  }
+}
+
+/* Looks at the end, when no other process can make a step. */
+proctype checker() {
+  byte index;
+
+  timeout;
+  atomic {
+    for (index : 0 .. DAEMONS - 1) {
+      assert(daemon[index].version == newest)
+    }
+    for (index : 0 .. OPERATORS - 1) {
+      assert(told[index] != PENDING);
+      assert((told[index] == ACCEPTED) == (applied[index] == 1));
+      assert((told[index] == ACCEPTED) == (HOLDS(value[newest].changes, index) != 0))
+    }
+  }
+}
+
+init {
+  byte index;
+
+  atomic {
+    for (index : 0 .. DAEMONS - 1) {
+      run fetcher(index);
+#ifdef BREAK_DIGEST
+      daemon[index].digests = BIT(0);
+#endif
+      daemon[index].known = BIT(0)
+    }
+    for (index : 0 .. RELAYS - 1) {
+      run watcher(index)
+    }
+    for (index : 0 .. OPERATORS - 1) {
+      run operator(index)
+    }
+    run network();
+    run restart();
+    run checker()
+  }
+}
