Send no new calls to a leaving service, and bound its calls

Cause: the allocation named only engines, so a service VM that the VM list shows as leaving still got calls; a fabric domain without engines had no lease holder, so its cold services never got slots; and services reported no capacity, which left the calls of a daemon without a bound. The age of a load report at the target was lost between daemons.

Ruled out: adopting service VMs as spares, because a planner must never form a group of them; relays reading the VM list, because it is large at target size.

--- a/src/core/allocation/apply-allocation-event.ts
+++ b/src/core/allocation/apply-allocation-event.ts
@@ -112,6 +112,8 @@
       return setGroupState(allocation, event.group, event.generation, event.state);
     case AllocationEventKind.GroupRemoved:
       return removeGroup(allocation, event.group);
+    case AllocationEventKind.LeavingServicesChanged:
+      return { ...allocation, leavingServices: event.vms };
     default:
       return event satisfies never;
   }
--- a/src/core/allocation/events.ts
+++ b/src/core/allocation/events.ts
@@ -9,6 +9,7 @@
   GroupReformed = 'group-reformed',
   GroupStateChanged = 'group-state-changed',
   GroupRemoved = 'group-removed',
+  LeavingServicesChanged = 'leaving-services-changed',
 }
 
 /** What a VM entry holds beside its group. */
@@ -61,6 +62,12 @@
   group: string;
 }
 
+/** Takes over from the VM list which VMs of plain services leave. */
+export interface LeavingServicesChangedEvent {
+  kind: AllocationEventKind.LeavingServicesChanged;
+  vms: string[];
+}
+
 /** A change that the lease holder makes to the allocation. */
 export type AllocationEvent =
   | VmAdoptedEvent
@@ -69,4 +76,5 @@
   | GroupFormedEvent
   | GroupReformedEvent
   | GroupStateChangedEvent
-  | GroupRemovedEvent;
+  | GroupRemovedEvent
+  | LeavingServicesChangedEvent;
--- a/src/core/allocation/types.ts
+++ b/src/core/allocation/types.ts
@@ -56,4 +56,6 @@
   groups: GroupAllocation[];
   /** One entry for each VM, by name. */
   vms: Record<string, VmAllocation>;
+  /** VMs of plain services in this fabric domain that the VM list shows as leaving. */
+  leavingServices?: string[] | undefined;
 }
--- a/src/core/controller/record-event.ts
+++ b/src/core/controller/record-event.ts
@@ -19,6 +19,8 @@
       return { group: event.group, generation: event.generation, state: event.state };
     case AllocationEventKind.GroupRemoved:
       return { group: event.group };
+    case AllocationEventKind.LeavingServicesChanged:
+      return { vms: event.vms.join(',') };
     default:
       return event satisfies never;
   }
--- a/src/core/controller/shared-world.ts
+++ b/src/core/controller/shared-world.ts
@@ -22,7 +22,7 @@
   replicaHomes: HomeBook;
   /** When this process first saw a declared replica without a home, by group. */
   listUnplacedSinceMs(): ReadonlyMap<string, number>;
-  /** Fabric domains with engines or replicas. */
+  /** Fabric domains with engines, replicas or plain services. */
   listDomains(): string[];
   /** True after all kinds were read once. */
   isComplete(): boolean;
@@ -114,7 +114,8 @@
     listDomains() {
       const engines = (vms ?? []).filter(({ role }) => role === VmRole.Engine);
       const homes = [...replicaHomes.listHomes().values()];
-      const names = [...engines, ...homes].map(({ fabricDomain }) => fabricDomain);
+      const services = configuration?.services ?? [];
+      const names = [...engines, ...homes, ...services].map(({ fabricDomain }) => fabricDomain);
       return [...new Set(names)].sort();
     },
     isComplete: () =>
--- a/src/core/documents/schemas.ts
+++ b/src/core/documents/schemas.ts
@@ -39,4 +39,5 @@
   lease: leaseSchema,
   groups: z.array(groupSchema),
   vms: z.record(z.string(), vmSchema),
+  leavingServices: z.array(z.string()).optional(),
 });
--- a/src/core/planning/plan-groups.test.ts
+++ b/src/core/planning/plan-groups.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { GroupState } from '../allocation/index.ts';
-import { EnginePhase, VmState } from '../world/index.ts';
+import { EnginePhase, VmRole, VmState } from '../world/index.ts';
 import { planGroups } from './index.ts';
 import {
   buildAllocation,
@@ -135,6 +135,28 @@
     world: { ...SPARE_WORLD, vms: [buildVm('vm-1'), buildVm('vm-2')] },
     expected: ['vm-removed vm-3'],
   },
+  {
+    title: 'names the services of the domain that leave',
+    world: {
+      ...SPARE_WORLD,
+      vms: [
+        ...SPARE_WORLD.vms,
+        buildVm('order-1', { role: VmRole.Service, state: VmState.Leaving }),
+        buildVm('order-2', { role: VmRole.Service }),
+        buildVm('order-3', { role: VmRole.Service, state: VmState.Leaving, fabricDomain: 'fd-b' }),
+      ],
+    },
+    expected: ['leaving-services-changed order-1'],
+  },
+  {
+    title: 'takes a service back that stays after all',
+    world: {
+      ...SPARE_WORLD,
+      allocation: { ...SPARE_WORLD.allocation, leavingServices: ['order-1'] },
+      vms: [...SPARE_WORLD.vms, buildVm('order-1', { role: VmRole.Service })],
+    },
+    expected: ['leaving-services-changed'],
+  },
   {
     title: 'releases the home of a VM that moved, after it left the allocation',
     world: {
--- a/src/core/planning/plan-vms.ts
+++ b/src/core/planning/plan-vms.ts
@@ -6,7 +6,7 @@
   measureAllocation,
 } from '../allocation/index.ts';
 import type { Vm } from '../world/index.ts';
-import { VmState } from '../world/index.ts';
+import { VmRole, VmState } from '../world/index.ts';
 import type { MemberTable } from './members.ts';
 import { listEngines } from './members.ts';
 import type { PlanAction, PlanningWorld } from './types.ts';
@@ -82,10 +82,28 @@
   });
 }
 
+/** Plain services are not adopted, but a leaving one must get no new calls. */
+function planLeavingServices(world: PlanningWorld): PlanAction[] {
+  const { fabricDomain, leavingServices = [] } = world.allocation;
+  const vms = world.vms
+    .filter((vm) => vm.role === VmRole.Service && vm.fabricDomain === fabricDomain)
+    .filter((vm) => vm.state === VmState.Leaving)
+    .map(({ name }) => name)
+    .sort();
+  if (vms.join() === leavingServices.join()) return [];
+  const event = { kind: AllocationEventKind.LeavingServicesChanged, vms } as const;
+  return [{ kind: PlanActionKind.ChangeAllocation, event }];
+}
+
 /**
  * Plans which VMs the domain holds. A VM is adopted after its home was written at this epoch, and
  * its home is deleted after the VM was removed from the allocation.
  */
 export function planVms(world: PlanningWorld, table: MemberTable): PlanAction[] {
-  return [...planReleases(world, table), ...planMembers(world, table), ...planAdoptions(world)];
+  return [
+    ...planReleases(world, table),
+    ...planLeavingServices(world),
+    ...planMembers(world, table),
+    ...planAdoptions(world),
+  ];
 }
--- a/src/core/planning/planning-fixture.ts
+++ b/src/core/planning/planning-fixture.ts
@@ -1,5 +1,10 @@
 import type { Allocation, GroupAllocation } from '../allocation/index.ts';
-import { createAllocation, GroupState, MAX_ALLOCATION_BYTES } from '../allocation/index.ts';
+import {
+  AllocationEventKind,
+  createAllocation,
+  GroupState,
+  MAX_ALLOCATION_BYTES,
+} from '../allocation/index.ts';
 import type { Configuration } from '../declarations/index.ts';
 import { configurationSchema } from '../declarations/index.ts';
 import type { TargetStatus, Vm } from '../world/index.ts';
@@ -179,7 +184,11 @@
 export function formatAction(action: PlanAction): string {
   switch (action.kind) {
     case PlanActionKind.ChangeAllocation: {
-      const { kind, ...details } = action.event;
+      const { event } = action;
+      if (event.kind === AllocationEventKind.LeavingServicesChanged) {
+        return `${event.kind} ${event.vms.join(' ')}`.trim();
+      }
+      const { kind, ...details } = event;
       const subject = 'vm' in details ? details.vm : details.group;
       if (typeof subject === 'string') {
         const rest = 'members' in details ? details.members.join(' ') : '';
--- a/src/core/probing/reports.ts
+++ b/src/core/probing/reports.ts
@@ -24,18 +24,19 @@
   return report?.state === TargetState.WARM || report?.state === TargetState.COLD;
 }
 
-/** Converts the load of a status answer for the wire; its age is counted into the report's age. */
-export function toReportLoad(load: Omit<TargetLoad, 'ageMs'>): TargetReport['load'] {
+/** Converts the load of a status answer for the wire. */
+export function toReportLoad(load: TargetLoad): TargetReport['load'] {
   return create(TargetLoadSchema, {
     running: Math.round(load.running),
     queued: Math.round(load.queued),
     heldTokens: BigInt(Math.round(load.heldTokens)),
     capacityTokens: BigInt(Math.round(load.capacityTokens)),
     coldLimit: Math.round(load.coldLimit),
+    ageMs: Math.round(load.ageMs),
   });
 }
 
-/** Converts the load of a report; the wire carries no age of the load at the target. */
+/** Converts the load of a report. */
 export function toTargetLoad(load: TargetReport['load']): TargetLoad {
   return {
     running: load?.running ?? 0,
@@ -43,7 +44,7 @@
     heldTokens: Number(load?.heldTokens ?? 0n),
     capacityTokens: Number(load?.capacityTokens ?? 0n),
     coldLimit: load?.coldLimit ?? 0,
-    ageMs: 0,
+    ageMs: load?.ageMs ?? 0,
   };
 }
 
--- a/src/core/probing/target-directory.test.ts
+++ b/src/core/probing/target-directory.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import { GroupState } from '../allocation/index.ts';
 import type { TargetReport } from '../rpc/index.ts';
-import { TargetReportSchema, TargetState } from '../rpc/index.ts';
+import { TargetLoadSchema, TargetReportSchema, TargetState } from '../rpc/index.ts';
 import { AvailabilityZoneState } from '../world/index.ts';
 import {
   buildTestAllocation,
@@ -134,6 +134,42 @@
     });
   }
 
+  // Guards against calls to a service that leaves (I8), and against calls without a bound.
+  it('lists services that stay, with the calls that they take at once', () => {
+    const documents = createFakeDocuments();
+    const load = { running: 2, queued: 1, heldTokens: 0n, capacityTokens: 0n, coldLimit: 1 };
+    const answered = create(TargetReportSchema, {
+      vm: 'order-1',
+      state: TargetState.WARM,
+      instanceId: 'i-1',
+      load: create(TargetLoadSchema, load),
+    });
+    const directory = createTargetDirectory({
+      documents,
+      health: { getReport: () => answered },
+      countSharingDaemons: () => 4,
+    });
+    const target = { address: '127.0.0.1', port: 9_100, availabilityZone: 'sofia-b' };
+    const service = {
+      name: 'order-app',
+      targets: ['order-1', 'order-2'].map((vm) => ({ vm, ...target })),
+      coldLimit: 1,
+      concurrentCalls: 16,
+      fabricDomain: 'fabric-1',
+    };
+    const route = { customer: 'orchard', name: 'orders', servingGroups: [], service: 'order-app' };
+    documents.setConfiguration(1, buildTestConfiguration({ services: [service], routes: [route] }));
+    documents.setAllocation(VERSION, {
+      ...buildTestAllocation([GROUP]),
+      leavingServices: ['order-2'],
+    });
+    const targets = directory.listServiceTargets('orchard', 'orders');
+    expect(targets.map(({ id }) => id)).toEqual(['order-1']);
+    expect(targets[0]?.load).toEqual(
+      expect.subset({ heldTokens: 3, capacityTokens: 16, running: 2 }),
+    );
+  });
+
   it('gives a group the weight of its row, and 0 when only others have rows', () => {
     const documents = createFakeDocuments();
     const reports = buildReports();
--- a/src/core/probing/target-directory.ts
+++ b/src/core/probing/target-directory.ts
@@ -1,6 +1,6 @@
 import type { VmAllocation } from '../allocation/index.ts';
 import { GroupState } from '../allocation/index.ts';
-import type { Configuration, Route, ServiceTarget } from '../declarations/index.ts';
+import type { Configuration, Route, Service, ServiceTarget } from '../declarations/index.ts';
 import type { DocumentStore } from '../documents/index.ts';
 import type { TargetReport } from '../rpc/index.ts';
 import { TargetState } from '../rpc/index.ts';
@@ -109,16 +109,21 @@
   };
 
   const isLeaving = (vm: string): boolean =>
-    documents.listAllocations().some(({ value }) => value.vms[vm]?.leaving === true);
+    documents.listAllocations().some(({ value }) => value.leavingServices?.includes(vm) === true);
 
   const findServiceTarget = (
     configuration: Configuration,
+    service: Service,
     target: ServiceTarget,
   ): Omit<RoutableTarget, 'weight' | 'sharingDaemons'> | undefined => {
     if (isZoneOut(configuration, target.availabilityZone) || isLeaving(target.vm)) return undefined;
     const report = health.getReport(target.vm);
     if (!isReady(report)) return undefined;
-    return { ...buildTarget(target, report), id: target.vm };
+    const built = buildTarget(target, report);
+    const heldTokens = built.load.running + built.load.queued;
+    // A call to a plain service counts as one token of a capacity that the declaration gives.
+    const load = { ...built.load, heldTokens, capacityTokens: service.concurrentCalls };
+    return { ...built, load, id: target.vm };
   };
 
   return {
@@ -143,7 +148,7 @@
       if (configuration === undefined || service === undefined) return [];
       const sharingDaemons = options.countSharingDaemons(customer);
       return service.targets
-        .map((target) => findServiceTarget(configuration, target))
+        .map((target) => findServiceTarget(configuration, service, target))
         .filter((target) => target !== undefined)
         .map((target) => ({ ...target, weight: DEFAULT_WEIGHT, sharingDaemons }));
     },
--- a/src/core/routing/load.ts
+++ b/src/core/routing/load.ts
@@ -21,7 +21,10 @@
 
 /** Returns the tokens of a target that this daemon may use at most. */
 export function computeShare({ target }: TargetCandidate): number {
-  return Math.floor(target.load.capacityTokens / Math.max(1, target.sharingDaemons));
+  const share = Math.floor(target.load.capacityTokens / Math.max(1, target.sharingDaemons));
+  // A service that takes fewer calls than there are daemons must stay usable by each of them; the
+  // reported load then bounds the calls.
+  return target.group === null ? Math.max(1, share) : share;
 }
 
 function computeFreeTokens(candidate: TargetCandidate): number {
