Compare caught errors in tests

Ruled out: matching the message alone, which loses the kind. Change: tests catch the error and compare it.

Before: a wrong expectation passed.

--- a/src/core/allocation/apply-allocation-event.test.ts
+++ b/src/core/allocation/apply-allocation-event.test.ts
@@ -11,6 +11,7 @@
   isHomeOwned,
   measureAllocation,
 } from './index.ts';
+import { catchError } from '../errors/fixtures/catch-error.ts';
 
 const ENTRY = { address: '127.0.0.1', port: 9000, availabilityZone: 'sofia-a', leaving: false };
 const EMPTY = createAllocation('fd-a', { holder: 'first', vm: 'entry-a', durationMs: 30_000 });
@@ -118,7 +119,9 @@
         return;
       }
       const message = expect.includes(testCase.expected);
-      expect(run).toThrow(expect.subset({ kind: ErrorKind.AllocationChangeRefused, message }));
+      expect(catchError(run)).toEqual(
+        expect.subset({ kind: ErrorKind.AllocationChangeRefused, message }),
+      );
     });
   }
 });
@@ -129,7 +132,7 @@
     const allocation = BASE.reduce(applyAllocationEvent, EMPTY);
     const bytes = measureAllocation(allocation);
     assertAllocationFits(allocation, bytes);
-    expect(() => assertAllocationFits(allocation, bytes - 1)).toThrow(
+    expect(catchError(() => assertAllocationFits(allocation, bytes - 1))).toEqual(
       expect.subset({ kind: ErrorKind.AllocationTooLarge }),
     );
   });
--- a/src/core/allocation/lease.test.ts
+++ b/src/core/allocation/lease.test.ts
@@ -10,6 +10,7 @@
   renewLease,
   updateObservation,
 } from './index.ts';
+import { catchError } from '../errors/fixtures/catch-error.ts';
 
 const DURATION_MS = 30_000;
 const FIRST = { holder: 'first', vm: 'entry-a', durationMs: DURATION_MS };
@@ -96,7 +97,7 @@
     const taken = acquireLease(HELD, SECOND);
     expect(taken.lease).toEqual({ ...SECOND, epoch: 2, renewal: 2, released: false });
     expect(isLeaseHeldBy(taken, 'first', 1)).toEqual(false);
-    expect(() => renewLease(taken, 'first', 1)).toThrow(
+    expect(catchError(() => renewLease(taken, 'first', 1))).toEqual(
       expect.subset({ kind: ErrorKind.LeaseLost }),
     );
   });
--- a/src/core/settings/read-settings.test.ts
+++ b/src/core/settings/read-settings.test.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import { ErrorKind } from '../errors/index.ts';
 import { addressSchema, checkValue, parseYaml, portSchema } from './index.ts';
+import { catchError } from '../errors/fixtures/catch-error.ts';
 
 const schema = z.strictObject({
   listen: z.strictObject({ address: addressSchema, port: portSchema }),
@@ -45,7 +46,9 @@
         const value = parseYaml('entry.yaml', testCase.text, ErrorKind.SettingsInvalid);
         return checkValue('entry.yaml', value, schema, ErrorKind.SettingsInvalid);
       };
-      expect(run).toThrow(expect.subset({ message: expect.includes(testCase.expected) }));
+      expect(catchError(run)).toEqual(
+        expect.subset({ message: expect.includes(testCase.expected) }),
+      );
     });
   }
 });
--- a/src/core/streams/streams.test.ts
+++ b/src/core/streams/streams.test.ts
@@ -13,6 +13,7 @@
 import { buildFakeToken } from './fixtures/fake-engine.ts';
 import { createFakeSink } from './fixtures/fake-sink.ts';
 import { createSession } from './fixtures/create-session.ts';
+import { catchError } from '../errors/fixtures/catch-error.ts';
 
 const IDS = { request: 'r1', attempt: 'a1' };
 const STATE: AnswerState = { ...IDS, nextOffset: 3 };
@@ -106,7 +107,7 @@
   for (const token of ['', 'x', 'a~b~c~s~t~1~2~3', 'vm~g~x~s~a~0~1', 'vm~g~1~%E0%A4~a~0~1']) {
     it(`refuses "${token}"`, () => {
       const kind = ErrorKind.ResumeTokenInvalid;
-      expect(() => decodeResumeToken(token)).toThrow(expect.subset({ kind }));
+      expect(catchError(() => decodeResumeToken(token))).toEqual(expect.subset({ kind }));
     });
   }
 });
