--- a/src/cli/controller/index.ts
+++ b/src/cli/controller/index.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { command, flag, option, optional, run, string } from 'cmd-ts';
+import { command, flag, option, optional, string } from 'cmd-ts';
 import { stringify } from 'yaml';
 import type { ControllerSettings } from '../../core/controller/index.ts';
 import {
@@ -12,7 +12,7 @@
 import { createLogger } from '../../core/logs/index.ts';
 import { createPlatformClient } from '../../core/platform/index.ts';
 import type { Daemon } from '../../core/process/index.ts';
-import { getSettingsFile, runDaemon } from '../../core/process/index.ts';
+import { getSettingsFile, runDaemon, runProgram } from '../../core/process/index.ts';
 import { createPeerLinks } from '../../core/rpc/index.ts';
 import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
@@ -86,4 +86,4 @@
   },
 });
 
-await run(controllerCommand, process.argv.slice(2));
+await runProgram(controllerCommand);
--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -1,8 +1,8 @@
-import { command, flag, option, optional, run, string } from 'cmd-ts';
+import { command, flag, option, optional, string } from 'cmd-ts';
 import { stringify } from 'yaml';
 import { createEntryDaemon, entrySettingsSchema } from '../../core/entry/index.ts';
 import { createLogger } from '../../core/logs/index.ts';
-import { getSettingsFile, runDaemon } from '../../core/process/index.ts';
+import { getSettingsFile, runDaemon, runProgram } from '../../core/process/index.ts';
 import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 
@@ -44,4 +44,4 @@
   },
 });
 
-await run(entry, process.argv.slice(2));
+await runProgram(entry);
--- a/src/cli/load/index.ts
+++ b/src/cli/load/index.ts
@@ -1,5 +1,5 @@
 import { writeFileSync } from 'node:fs';
-import { command, flag, multioption, option, optional, run, string, array } from 'cmd-ts';
+import { command, flag, multioption, option, optional, string, array } from 'cmd-ts';
 import {
   formatTextReport,
   parseTarget,
@@ -7,7 +7,7 @@
   runLoad,
   scenarioSchema,
 } from '../../core/load/index.ts';
-import { runCommand } from '../../core/process/index.ts';
+import { runCommand, runProgram } from '../../core/process/index.ts';
 import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 
@@ -41,4 +41,4 @@
     }),
 });
 
-await run(load, process.argv.slice(2));
+await runProgram(load);
--- a/src/cli/standin-platform/index.ts
+++ b/src/cli/standin-platform/index.ts
@@ -1,6 +1,6 @@
-import { command, option, run, string } from 'cmd-ts';
+import { command, option, string } from 'cmd-ts';
 import { createLogger } from '../../core/logs/index.ts';
-import { runDaemon } from '../../core/process/index.ts';
+import { runDaemon, runProgram } from '../../core/process/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import {
   createStandInPlatform,
@@ -29,4 +29,4 @@
     }),
 });
 
-await run(standInPlatform, process.argv.slice(2));
+await runProgram(standInPlatform);
--- a/src/cli/standin-weights/index.ts
+++ b/src/cli/standin-weights/index.ts
@@ -1,6 +1,6 @@
-import { command, option, optional, run, string } from 'cmd-ts';
+import { command, option, optional, string } from 'cmd-ts';
 import { createLogger } from '../../core/logs/index.ts';
-import { getSettingsFile, runDaemon } from '../../core/process/index.ts';
+import { getSettingsFile, runDaemon, runProgram } from '../../core/process/index.ts';
 import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import { createStandInWeights, weightsSettingsSchema } from '../../stand-ins/weights/index.ts';
@@ -21,4 +21,4 @@
     }),
 });
 
-await run(standIn, process.argv.slice(2));
+await runProgram(standIn);
--- a/src/core/process/index.ts
+++ b/src/core/process/index.ts
@@ -1,18 +1,9 @@
 import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
+import { ExitStatus } from './exit-status.ts';
 
-/** Exit statuses of all commands. */
-export enum ExitStatus {
-  Success = 0,
-  /** The work failed; the message names the remedy. */
-  Failure = 1,
-  /** Settings, a declaration or the command line are invalid; nothing was done. */
-  Invalid = 2,
-  /** Another operator's change came first; nothing was done. */
-  Conflict = 3,
-  /** It isn't known whether the change took effect; run the command again as the message says. */
-  Undecided = 4,
-}
+export { ExitStatus } from './exit-status.ts';
+export { runProgram } from './run-program.ts';
 
 const STATUS_BY_KIND: Partial<Record<ErrorKind, ExitStatus>> = {
   [ErrorKind.SettingsInvalid]: ExitStatus.Invalid,
@@ -50,6 +41,8 @@
 
 /** Starts a daemon and stops it gracefully at the first SIGTERM or SIGINT. */
 export async function runDaemon(logger: Logger, start: () => Promise<Daemon>): Promise<void> {
+  // Roarr writes nothing unless it is asked to; a daemon without logs can't be operated.
+  process.env.ROARR_LOG ??= 'true';
   await runCommand(async () => {
     const daemon = await start();
     let isStopping = false;
--- /dev/null
+++ b/src/core/process/run-program.ts
@@ -0,0 +1,17 @@
+import { runSafely } from 'cmd-ts';
+import { ExitStatus } from './exit-status.ts';
+
+/** A command of cmd-ts, or a group of subcommands. */
+export type Program = Parameters<typeof runSafely>[0];
+
+/** Runs a program with the words of its command line; bad usage ends with exit status 2. */
+export async function runProgram(
+  program: Program,
+  words: readonly string[] = process.argv.slice(2),
+): Promise<void> {
+  const result = await runSafely(program, [...words]);
+  if ('value' in result) return;
+  const { exitCode, into, message } = result.error.config;
+  process[into].write(`${message}\n`);
+  if (exitCode !== 0) process.exitCode = ExitStatus.Invalid;
+}
