Refuse addresses before the load generator sends anything to them

Cause: the address book kept the addresses of an answer before the load generator refused them, and asked them first at the next attempt. The test "refuses addresses outside this machine" therefore tried to connect to the documentation address 192.0.2.1 in every run, and took 158 s of 169 s in a full run; no connection was made. Found by the time of that test. Ruled out: a shorter connect deadline, which hides it.

Change: the address book checks an answer before it keeps it, and a refusal ends the request. The test counts the questions.

--- a/src/core/caller/address-book.ts
+++ b/src/core/caller/address-book.ts
@@ -1,7 +1,7 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { AddressAnswer, EntryAddress } from '../addresses/index.ts';
-import { createError, ErrorKind, formatProblem } from '../errors/index.ts';
+import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
 import type { CallerOptions, CallerSeed } from './types.ts';
 
 const HTTP_OK = 200;
@@ -32,7 +32,9 @@
     const url = `${formatBaseUrl(seed)}/v1/addresses?${query.toString()}`;
     const { statusCode, body } = await request(url, { dispatcher });
     if (statusCode !== HTTP_OK) throw new Error(`${url} answered ${statusCode}`);
-    return (await body.json()) as AddressAnswer;
+    const fetched = (await body.json()) as AddressAnswer;
+    options.checkAddresses?.(fetched.addresses);
+    return fetched;
   };
 
   const fetchFirst = async (): Promise<AddressAnswer> => {
@@ -41,6 +43,7 @@
       try {
         return await fetchFrom(seed);
       } catch (error) {
+        if (isServingError(error, ErrorKind.UsageInvalid)) throw error;
         problem = formatProblem(error);
       }
     }
--- a/src/core/caller/run-completion.ts
+++ b/src/core/caller/run-completion.ts
@@ -10,6 +10,12 @@
 const HTTP_OK = 200;
 const RETRYABLE_STATUSES: ReadonlySet<number> = new Set([429, 502, 503]);
 const RETRY_MS = 100;
+
+/** Errors that another attempt can't change. */
+const FINAL_KINDS: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.RequestInvalid,
+  ErrorKind.UsageInvalid,
+]);
 const DEFAULT_MAX_ATTEMPTS = 20;
 const DONE = '[DONE]';
 
@@ -97,7 +103,7 @@
       const { requestId, text, total = 0 } = progress;
       return { requestId, text, total, attempts: attempt + 1 };
     } catch (error) {
-      if (isServingError(error, ErrorKind.RequestInvalid)) throw error;
+      if (isServingError(error) && FINAL_KINDS.has(error.kind)) throw error;
       problem = formatProblem(error);
       book.reset();
       await timers.waitFor(RETRY_MS);
--- a/src/core/caller/types.ts
+++ b/src/core/caller/types.ts
@@ -15,6 +15,8 @@
   availabilityZone?: string;
   seeds: readonly CallerSeed[];
   timers: TimerService;
+  /** Refuses addresses of an answer by throwing; nothing is ever sent to refused addresses. */
+  checkAddresses?: (addresses: readonly CallerSeed[]) => void;
   /** Attempts of a stream or a lookup before the caller gives up. */
   maxAttempts?: number;
 }
--- a/src/core/load/load-run.ts
+++ b/src/core/load/load-run.ts
@@ -54,17 +54,8 @@
   const chooseNumber = ({ min, max }: { min: number; max: number }): number =>
     min + Math.floor(random() * (max - min + 1));
 
-  const createBook = (caller: CallerOptions): AddressBook => {
-    const book = createAddressBook(caller, agent);
-    return {
-      reset: book.reset,
-      async fetchAnswer() {
-        const answer = await book.fetchAnswer();
-        if (isLoopbackOnly) checkSeeds(answer.addresses);
-        return answer;
-      },
-    };
-  };
+  const createBook = (caller: CallerOptions): AddressBook =>
+    createAddressBook(isLoopbackOnly ? { ...caller, checkAddresses: checkSeeds } : caller, agent);
 
   const runAnswer = async (
     load: CustomerLoad,
--- a/src/core/load/load.test.ts
+++ b/src/core/load/load.test.ts
@@ -111,6 +111,8 @@
     const figures = await runLoad({ scenario: buildScenario(entry.port), targets: [], timers });
     expect(figures.outcomes[LoadOutcome.CompletionFailed]).toEqual(12);
     expect(entry.resumed).toEqual(0);
+    // Each request asks this machine once and gives up; none is sent to the address of the answer.
+    expect(entry.addressQueries).toEqual(12);
   });
 
   it('renders a report without outside parts', async () => {
--- /dev/null
+++ b/src/measure/idle-daemons.ts
@@ -0,0 +1,100 @@
+import { mkdirSync, mkdtempSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { createTimerService } from '../core/timers/index.ts';
+import type { RunningProcess } from '../demo/processes.ts';
+import { readResidentMib } from '../demo/session.ts';
+import { waitUntil } from '../demo/wait-until.ts';
+import { createDemoWorld } from '../demo/world.ts';
+import { printRows } from './print-rows.ts';
+import type { MeasureRow } from './print-rows.ts';
+
+/*
+ * Processor time and memory of idle processes: real entry daemons and controllers on loopback that
+ * probe all engines and spread leases and allocations, without requests. Needs `npm run build`.
+ */
+
+const DAEMON_COUNTS = [2, 4, 8];
+const ENGINES = 61;
+const SETTLE_MS = 5_000;
+const MEASURE_MS = 10_000;
+const FORM_DEADLINE_MS = 60_000;
+const OUTPUT_FOLDER = 'out';
+
+/** Ticks of processor time in a second, as Linux reports them in /proc. */
+const TICKS_PER_SECOND = 100;
+
+/** Fields of /proc/PID/stat after the command name: 12th and 13th are user and system time. */
+const USER_TICKS_FIELD = 11;
+const SYSTEM_TICKS_FIELD = 12;
+
+const timers = createTimerService();
+
+function readTicks(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD]);
+}
+
+interface Cost {
+  cpuPercent: number;
+  residentMib: number;
+}
+
+async function measureCosts(processes: readonly RunningProcess[]): Promise<Cost[]> {
+  const startMs = timers.getMonotonicMs();
+  const before = processes.map(({ pid }) => readTicks(pid));
+  await timers.waitFor(MEASURE_MS);
+  const seconds = (timers.getMonotonicMs() - startMs) / 1_000;
+  return processes.map(({ pid }, index) => ({
+    cpuPercent: ((readTicks(pid) - (before[index] ?? 0)) / TICKS_PER_SECOND / seconds) * 100,
+    residentMib: readResidentMib(pid),
+  }));
+}
+
+function computeMean(values: readonly number[]): number {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+  return Math.round(mean * 100) / 100;
+}
+
+function buildRow(role: string, daemons: number, costs: readonly Cost[]): MeasureRow {
+  return {
+    role,
+    daemons,
+    engines: ENGINES,
+    meanCpuPercent: computeMean(costs.map(({ cpuPercent }) => cpuPercent)),
+    maxCpuPercent: computeMean([Math.max(...costs.map(({ cpuPercent }) => cpuPercent))]),
+    meanResidentMib: computeMean(costs.map(({ residentMib }) => residentMib)),
+  };
+}
+
+async function measureFleet(daemons: number): Promise<MeasureRow[]> {
+  mkdirSync(OUTPUT_FOLDER, { recursive: true });
+  const workFolder = mkdtempSync(join(OUTPUT_FOLDER, 'idle-'));
+  const size = { entries: daemons, engines: ENGINES, services: 3, coldMs: 200, tokenMs: 5 };
+  const world = await createDemoWorld({ ...size, buildFolder: 'dist', workFolder, timers });
+  try {
+    await world.startStandIns();
+    const { entries, platformPort } = world.topology;
+    const entryProcesses = entries.map(world.startEntry);
+    await Promise.all(entries.map(world.waitForEntry));
+    const controllers = entries.map(world.startController);
+    await world.runOperator('apply', world.writeDeclaration(), '--base', '0');
+    await waitUntil('forming of all groups', timers, FORM_DEADLINE_MS, async () => {
+      const text = JSON.stringify(await world.sendControl(platformPort, '/objects/allocation'));
+      const serving = text.split('"state":"serving"').length - 1;
+      return serving === Math.floor((ENGINES - 1) / 3) ? true : undefined;
+    });
+    await timers.waitFor(SETTLE_MS);
+    const costs = await measureCosts([...entryProcesses, ...controllers]);
+    return [
+      buildRow('entry daemon', daemons, costs.slice(0, daemons)),
+      buildRow('controller', daemons, costs.slice(daemons)),
+    ];
+  } finally {
+    await world.runner.stopAll();
+  }
+}
+
+const rows: MeasureRow[] = [];
+for (const daemons of DAEMON_COUNTS) rows.push(...(await measureFleet(daemons)));
+printRows(rows, process.argv.includes('--json'));
