Build the commands of both daemons from one function

Cause: entry and controller repeated their options and the printing of settings (found by a search for duplicates). Change: createDaemonCommand; the process module is split by job. Ruled out: a common settings schema, because the two daemons share few settings.

--- /dev/null
+++ b/src/core/process/daemon-command.ts
@@ -0,0 +1,48 @@
+import { command, flag, option, optional, string } from 'cmd-ts';
+import { stringify } from 'yaml';
+import type { z } from 'zod';
+import type { Logger } from '../logs/index.ts';
+import { readSettings } from '../settings/index.ts';
+import type { Daemon } from './run-daemon.ts';
+import { getSettingsFile, runDaemon } from './run-daemon.ts';
+import type { Program } from './run-program.ts';
+
+/** What the command of a daemon consists of. */
+export interface DaemonCommandOptions<Schema extends z.ZodType> {
+  name: string;
+  description: string;
+  logger: Logger;
+  schema: Schema;
+  /** Required settings of the example that `--print-settings` prints with all defaults. */
+  example: z.input<Schema>;
+  start(settings: z.output<Schema>): Promise<Daemon>;
+}
+
+/** Creates the command of a daemon, with `--settings FILE` and `--print-settings`. */
+export function createDaemonCommand<Schema extends z.ZodType>(
+  options: DaemonCommandOptions<Schema>,
+): Program {
+  const { name, description, example, logger, schema, start } = options;
+  return command({
+    name,
+    description,
+    args: {
+      settings: option({
+        type: optional(string),
+        long: 'settings',
+        description: 'YAML settings file',
+      }),
+      printSettings: flag({
+        long: 'print-settings',
+        description: 'print an example with all settings and defaults, and exit',
+      }),
+    },
+    handler: async ({ settings, printSettings }) => {
+      if (printSettings) {
+        process.stdout.write(stringify(schema.parse(example)));
+        return;
+      }
+      await runDaemon(logger, async () => start(readSettings(getSettingsFile(settings), schema)));
+    },
+  });
+}
--- a/src/core/process/index.ts
+++ b/src/core/process/index.ts
@@ -1,72 +1,7 @@
-import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
-import type { Logger } from '../logs/index.ts';
-import { ExitStatus } from './exit-status.ts';
-
+export { createDaemonCommand } from './daemon-command.ts';
+export type { DaemonCommandOptions } from './daemon-command.ts';
 export { ExitStatus } from './exit-status.ts';
+export { getExitStatus, getSettingsFile, runCommand, runDaemon } from './run-daemon.ts';
+export type { Daemon } from './run-daemon.ts';
 export { runProgram } from './run-program.ts';
-
-const STATUS_BY_KIND: Partial<Record<ErrorKind, ExitStatus>> = {
-  [ErrorKind.SettingsInvalid]: ExitStatus.Invalid,
-  [ErrorKind.SettingsUnreadable]: ExitStatus.Invalid,
-  [ErrorKind.DeclarationInvalid]: ExitStatus.Invalid,
-  [ErrorKind.DeclarationTooLarge]: ExitStatus.Invalid,
-  [ErrorKind.UsageInvalid]: ExitStatus.Invalid,
-  [ErrorKind.DeclarationConflict]: ExitStatus.Conflict,
-  [ErrorKind.WriteUndecided]: ExitStatus.Undecided,
-};
-
-/** Returns the exit status for a thrown value. */
-export function getExitStatus(error: unknown): ExitStatus {
-  if (!isServingError(error)) return ExitStatus.Failure;
-  return STATUS_BY_KIND[error.kind] ?? ExitStatus.Failure;
-}
-
-/** Runs a command; an error is printed on standard error and sets the exit status. */
-export async function runCommand(run: () => Promise<void>): Promise<void> {
-  try {
-    await run();
-  } catch (error) {
-    process.stderr.write(`${formatProblem(error)}\n`);
-    process.exitCode = getExitStatus(error);
-  }
-}
-
-/** A started daemon. */
-export interface Daemon {
-  /** Finishes the work in flight and resolves when nothing is left. */
-  stop(): Promise<void>;
-}
-
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
-
-/** Starts a daemon and stops it gracefully at the first SIGTERM or SIGINT. */
-export async function runDaemon(logger: Logger, start: () => Promise<Daemon>): Promise<void> {
-  // Roarr writes nothing unless it is asked to; a daemon without logs can't be operated.
-  process.env.ROARR_LOG ??= 'true';
-  await runCommand(async () => {
-    const daemon = await start();
-    let isStopping = false;
-    const handleSignal = (signal: string): void => {
-      if (isStopping) return;
-      isStopping = true;
-      logger.info('stopping', { signal });
-      daemon
-        .stop()
-        .then(() => logger.info('stopped'))
-        .catch((error: unknown) => {
-          logger.error('graceful shutdown failed', { problem: formatProblem(error) });
-          process.exitCode = ExitStatus.Failure;
-        })
-        // Idle keep-alive sockets and timers of libraries must not keep the process alive.
-        // eslint-disable-next-line n/no-process-exit
-        .finally(() => process.exit());
-    };
-    STOP_SIGNALS.forEach((signal) => process.on(signal, handleSignal));
-  });
-}
-
-/** Returns the value of `--settings FILE`, the only option that every daemon needs. */
-export function getSettingsFile(value: string | undefined): string {
-  if (value !== undefined) return value;
-  throw createError(ErrorKind.UsageInvalid, { problem: 'The option --settings FILE is missing.' });
-}
+export type { Program } from './run-program.ts';
