Split the composition of the entry daemon

Cause: createEntryDaemon constructed all parts in one function of about 110 lines. Change: the parts that know the targets are created, started and stopped together. Ruled out: a container for dependencies, because the order of a planned stop must be readable.

--- a/src/core/entry/create-entry-daemon.ts
+++ b/src/core/entry/create-entry-daemon.ts
@@ -9,22 +9,14 @@
 import { createMembership, openDatagramSocket } from '../membership/index.ts';
 import { createMetrics } from '../metrics/index.ts';
 import { createPlatformClient } from '../platform/index.ts';
-import {
-  createProber,
-  createProberAssignment,
-  createStatusClient,
-  createTargetDirectory,
-  createTargetHealth,
-  createWatchTargetsHandler,
-} from '../probing/index.ts';
 import type { Daemon } from '../process/index.ts';
 import { createPlatformRelay } from '../relay/index.ts';
 import type { Member, PeerLinks } from '../rpc/index.ts';
 import { createPeerLinks, createPeerServer, MemberSchema, MemberState } from '../rpc/index.ts';
-import { createGranter, createSlotClient } from '../slots/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import { createRequestPath } from './create-request-path.ts';
 import { createCustomerSets } from './customer-sets.ts';
+import { createTargetParts } from './create-target-parts.ts';
 import { drainDaemon } from './drain.ts';
 import { createPeerHandlers } from './peer-handlers.ts';
 import type { EntrySettings } from './settings.ts';
@@ -114,26 +106,8 @@
     recorder,
   });
   const sets = createCustomerSets({ documents, membership, timers });
-  const assignment = createProberAssignment(membership);
-  const { queryStatus, close: closeStatusClient } = createStatusClient(timers);
-  const prober = createProber({ timers, documents, membership, assignment, queryStatus, recorder });
-  const health = createTargetHealth({
-    timers,
-    documents,
-    membership,
-    assignment,
-    prober,
-    links,
-    recorder,
-    mayServe: sets.mayServe,
-  });
-  const directory = createTargetDirectory({
-    documents,
-    health,
-    countSharingDaemons: sets.countSharingDaemons,
-  });
-  const granter = createGranter({ timers, documents, health, queryStatus, recorder });
-  const slots = createSlotClient({ timers, documents, membership, links });
+  const targets = createTargetParts({ timers, recorder, documents, membership, links, sets });
+  const { directory, granter, health, slots, watchTargets } = targets;
   const path = createRequestPath({
     settings,
     self,
@@ -151,7 +125,6 @@
   });
   const getStatus = (): ReturnType<typeof buildStatus> =>
     buildStatus({ settings, documents, membership, health, path });
-  const watchTargets = createWatchTargetsHandler(prober, timers);
   const peers = await createPeerServer({
     address: settings.address,
     port: settings.ports.peers,
@@ -166,9 +139,7 @@
       getStatus,
     }),
   });
-  prober.start();
-  health.start();
-  granter.start();
+  targets.start();
   await path.callers.start();
   recorder.record('entry', 'started', { daemon: settings.name });
   logger.info('listening', { name: settings.name, callers: settings.ports.callers });
@@ -176,18 +147,14 @@
   return {
     async stop() {
       await drainDaemon({ settings, timers, recorder, logger, membership, path });
-      granter.stop();
-      slots.close();
-      health.stop();
-      prober.stop();
+      await targets.stop();
       relay.close();
       sync.close();
       sets.stop();
-      assignment.close();
       await peers.close();
       await membership.close();
       links.close();
-      await Promise.all([closeStatusClient(), path.close(), platform.close(), metrics.close()]);
+      await Promise.all([path.close(), platform.close(), metrics.close()]);
     },
   };
 }
--- /dev/null
+++ b/src/core/entry/create-target-parts.ts
@@ -0,0 +1,70 @@
+import type { DocumentStore } from '../documents/index.ts';
+import type { EventRecorder } from '../events/index.ts';
+import type { MembershipView } from '../membership/index.ts';
+import type { TargetDirectory, TargetHealthTask, WatchTargetsHandler } from '../probing/index.ts';
+import {
+  createProber,
+  createProberAssignment,
+  createStatusClient,
+  createTargetDirectory,
+  createTargetHealth,
+  createWatchTargetsHandler,
+} from '../probing/index.ts';
+import type { PeerLinks } from '../rpc/index.ts';
+import type { Granter, SlotClient } from '../slots/index.ts';
+import { createGranter, createSlotClient } from '../slots/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import type { CustomerSets } from './customer-sets.ts';
+
+/** What the parts that know the targets need. */
+export interface TargetPartsOptions {
+  timers: TimerService;
+  recorder: EventRecorder;
+  documents: DocumentStore;
+  membership: MembershipView;
+  links: PeerLinks;
+  sets: CustomerSets;
+}
+
+/** Parts that know the targets: probing, health, directory and slots. */
+export interface TargetParts {
+  health: TargetHealthTask;
+  directory: TargetDirectory;
+  granter: Granter;
+  slots: SlotClient;
+  watchTargets: WatchTargetsHandler;
+  start(): void;
+  stop(): Promise<void>;
+}
+
+/** Creates the parts that know the targets; they probe nothing before `start`. */
+export function createTargetParts(options: TargetPartsOptions): TargetParts {
+  const { documents, membership, recorder, sets, timers } = options;
+  const assignment = createProberAssignment(membership);
+  const { queryStatus, close: closeStatusClient } = createStatusClient(timers);
+  const prober = createProber({ timers, documents, membership, assignment, queryStatus, recorder });
+  const { mayServe, countSharingDaemons } = sets;
+  const health = createTargetHealth({ ...options, assignment, prober, mayServe });
+  const granter = createGranter({ timers, documents, health, queryStatus, recorder });
+  const slots = createSlotClient(options);
+  return {
+    health,
+    directory: createTargetDirectory({ documents, health, countSharingDaemons }),
+    granter,
+    slots,
+    watchTargets: createWatchTargetsHandler(prober, timers),
+    start() {
+      prober.start();
+      health.start();
+      granter.start();
+    },
+    async stop() {
+      granter.stop();
+      slots.close();
+      health.stop();
+      prober.stop();
+      assignment.close();
+      await closeStatusClient();
+    },
+  };
+}
