Format HTTP origins in one place

Cause: three parts each wrote the origin of an IP address, with the brackets of IPv6 (found by reading the whole change). Change: core/origin serves all.

--- a/src/core/caller/address-book.ts
+++ b/src/core/caller/address-book.ts
@@ -1,7 +1,8 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { AddressAnswer, EntryAddress } from '../addresses/index.ts';
+import type { AddressAnswer } from '../addresses/index.ts';
 import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
+import { formatOrigin } from '../origin/index.ts';
 import type { CallerOptions, CallerSeed } from './types.ts';
 
 const HTTP_OK = 200;
@@ -14,11 +15,6 @@
   reset(): void;
 }
 
-/** Formats the base URL of an address. */
-export function formatBaseUrl({ address, port }: CallerSeed | EntryAddress): string {
-  return `http://${address.includes(':') ? `[${address}]` : address}:${port}`;
-}
-
 /** Creates the address book; known addresses are asked before the seeds. */
 export function createAddressBook(options: CallerOptions, dispatcher: Dispatcher): AddressBook {
   const { customer, availabilityZone, seeds, timers } = options;
@@ -29,7 +25,7 @@
   const fetchFrom = async (seed: CallerSeed): Promise<AddressAnswer> => {
     const query = new URLSearchParams({ customer });
     if (availabilityZone !== undefined) query.set('zone', availabilityZone);
-    const url = `${formatBaseUrl(seed)}/v1/addresses?${query.toString()}`;
+    const url = `${formatOrigin(seed)}/v1/addresses?${query.toString()}`;
     const { statusCode, body } = await request(url, { dispatcher });
     if (statusCode !== HTTP_OK) throw new Error(`${url} answered ${statusCode}`);
     const fetched = (await body.json()) as AddressAnswer;
--- a/src/core/caller/run-completion.ts
+++ b/src/core/caller/run-completion.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
 import type { AddressBook } from './address-book.ts';
-import { formatBaseUrl } from './address-book.ts';
+import { formatOrigin } from '../origin/index.ts';
 import { readEvents } from './stream-reader.ts';
 import type { StreamEvent } from './stream-reader.ts';
 import type { CallerOptions, CompletionRequest, CompletionResult } from './types.ts';
@@ -78,7 +78,7 @@
     const place = addresses[attempt % Math.max(1, addresses.length)];
     if (place === undefined) throw new Error('no address serves this customer');
     const { model, prompt, maxTokens } = wanted;
-    const answer = await request(`${formatBaseUrl(place)}/v1/completions`, {
+    const answer = await request(`${formatOrigin(place)}/v1/completions`, {
       method: 'POST',
       dispatcher,
       headers: buildHeaders(),
--- a/src/core/caller/send-order.ts
+++ b/src/core/caller/send-order.ts
@@ -3,7 +3,7 @@
 import { formatProblem } from '../errors/index.ts';
 import { Outcome } from '../world/index.ts';
 import type { AddressBook } from './address-book.ts';
-import { formatBaseUrl } from './address-book.ts';
+import { formatOrigin } from '../origin/index.ts';
 import type { CallerOptions, OrderRequest, OrderResult } from './types.ts';
 
 const HTTP_ACCEPTED = 202;
@@ -34,7 +34,7 @@
     const path = isLookup
       ? `/v1/requests/${encodeURIComponent(requestId)}`
       : `/v1/services/${order.service}${order.path}`;
-    const answer = await request(`${formatBaseUrl(place)}${path}`, {
+    const answer = await request(`${formatOrigin(place)}${path}`, {
       method: isLookup ? 'GET' : 'POST',
       dispatcher,
       headers: {
--- a/src/core/controller/engine-link.ts
+++ b/src/core/controller/engine-link.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici';
 import { createError, ErrorKind } from '../errors/index.ts';
 import { createStatusClient } from '../probing/index.ts';
-import { formatOrigin } from '../targets/format-origin.ts';
+import { formatOrigin } from '../origin/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { EngineLink } from './types.ts';
 import { OrderAnswer } from './types.ts';
--- /dev/null
+++ b/src/core/origin/index.ts
@@ -0,0 +1,10 @@
+/** IP address and TCP port of a process. */
+export interface Endpoint {
+  address: string;
+  port: number;
+}
+
+/** Returns the HTTP origin of an endpoint; an IPv6 address stands in brackets. */
+export function formatOrigin({ address, port }: Endpoint): string {
+  return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+}
--- a/src/core/probing/status-query.ts
+++ b/src/core/probing/status-query.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
-import { formatOrigin } from '../targets/format-origin.ts';
+import { formatOrigin } from '../origin/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import { EnginePhase } from '../world/index.ts';
 import type { TargetStatus } from '../world/index.ts';
--- a/src/core/rpc/peer-links.ts
+++ b/src/core/rpc/peer-links.ts
@@ -1,6 +1,7 @@
 import type { Transport } from '@connectrpc/connect';
 import { createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { formatOrigin } from '../origin/index.ts';
 import {
   DEFAULT_CALL_DEADLINE_MS,
   IDLE_CONNECTION_MS,
@@ -24,11 +25,6 @@
   client: PeerClient;
 }
 
-function formatBaseUrl(address: string, port: number): string {
-  const host = address.includes(':') ? `[${address}]` : address;
-  return `http://${host}:${port}`;
-}
-
 /** Gives unary calls a deadline; streams stay open until one side ends them. */
 function addCallDeadline(transport: Transport, callDeadlineMs: number): Transport {
   return {
@@ -64,7 +60,7 @@
 
   return {
     getClient(address, port) {
-      const baseUrl = formatBaseUrl(address, port);
+      const baseUrl = formatOrigin({ address, port });
       const link = links.get(baseUrl) ?? openLink(baseUrl);
       if (!isClosed) links.set(baseUrl, link);
       return link.client;
--- a/src/core/targets/engine-client.ts
+++ b/src/core/targets/engine-client.ts
@@ -11,7 +11,7 @@
   EngineStream,
   EngineStreamHandlers,
 } from './types.ts';
-import { formatOrigin } from './format-origin.ts';
+import { formatOrigin } from '../origin/index.ts';
 
 /** What the engine client needs. */
 export interface EngineClientOptions {
--- a/src/core/targets/service-client.ts
+++ b/src/core/targets/service-client.ts
@@ -4,7 +4,7 @@
 import type { TimerService } from '../timers/index.ts';
 import { isNotConnected } from './connect-errors.ts';
 import { CONNECT_DEADLINE_MS, MAX_SERVICE_ANSWER_BYTES } from './consts.ts';
-import { formatOrigin } from './format-origin.ts';
+import { formatOrigin } from '../origin/index.ts';
 import type {
   CallHeader,
   ServiceAnswer,
