--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,27 +1,33 @@
-// Bundles each command of src/cli into one file in dist/.
+// Bundles commands of src/cli into one file each: all into dist/, or those named after `--out FOLDER`.
 import { existsSync, readdirSync, rmSync } from 'node:fs';
+import { parseArgs } from 'node:util';
 import { build } from 'esbuild';
 
 const CLI_FOLDER = 'src/cli';
-const OUTPUT_FOLDER = 'dist';
+const DEFAULT_FOLDER = 'dist';
 const OPERATOR_COMMAND = 'operator';
-const OWN_BINARIES = new Set(['entry', 'controller', 'load']);
+const OWN_BINARIES = new Set(['entry', 'controller', 'gateway', 'load']);
 
 function formatBinaryName(command) {
   if (command === OPERATOR_COMMAND) return 'clementinefork';
   return OWN_BINARIES.has(command) ? `clementinefork-${command}` : command;
 }
 
-const commands = readdirSync(CLI_FOLDER).filter((name) =>
-  existsSync(`${CLI_FOLDER}/${name}/index.ts`),
-);
-rmSync(OUTPUT_FOLDER, { recursive: true, force: true });
+const { values, positionals } = parseArgs({
+  options: { out: { type: 'string', default: DEFAULT_FOLDER } },
+  allowPositionals: true,
+});
+const outputFolder = values.out;
+const commands = readdirSync(CLI_FOLDER)
+  .filter((name) => existsSync(`${CLI_FOLDER}/${name}/index.ts`))
+  .filter((name) => positionals.length === 0 || positionals.includes(name));
+rmSync(outputFolder, { recursive: true, force: true });
 await build({
   entryPoints: commands.map((name) => ({
     in: `${CLI_FOLDER}/${name}/index.ts`,
     out: formatBinaryName(name),
   })),
-  outdir: OUTPUT_FOLDER,
+  outdir: outputFolder,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -35,4 +41,4 @@
   },
   logLevel: 'warning',
 });
-console.log(`built ${commands.length} commands in ${OUTPUT_FOLDER}/`);
+console.log(`built ${commands.length} commands in ${outputFolder}/`);
--- /dev/null
+++ b/src/cli/gateway/index.ts
@@ -0,0 +1,57 @@
+import { command, option, optional, string } from 'cmd-ts';
+import { startGateway } from '../../core/gateway/index.ts';
+import { createLogger } from '../../core/logs/index.ts';
+import { runDaemon, runProgram } from '../../core/process/index.ts';
+import { readSettings } from '../../core/settings/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import {
+  createEngineControl,
+  createStoreClient,
+  decodeConfiguration,
+  decodeTarget,
+  gatewaySettingsSchema,
+  platformWireFormat,
+  SETTINGS_VARIABLE,
+  startServicePages,
+} from '../../platform/index.ts';
+
+const logger = createLogger('gateway');
+
+async function start(file: string): ReturnType<typeof startGateway> {
+  const settings = readSettings(file, gatewaySettingsSchema);
+  const timers = createTimerService();
+  return startGateway(settings, {
+    timers,
+    logger,
+    store: createStoreClient(settings.store, timers),
+    control: createEngineControl(timers),
+    wire: platformWireFormat,
+    decodeConfiguration,
+    decodeTarget,
+    startPages: (pages) =>
+      startServicePages({
+        ...pages,
+        directory: settings.directory,
+        readiness: settings.readiness,
+        metrics: { host: settings.ip, port: settings.metricsPort },
+      }),
+    // eslint-disable-next-line no-restricted-properties -- The only source of randomness here.
+    random: () => Math.random(),
+  });
+}
+
+await runProgram(
+  command({
+    name: 'clementinefork-gateway',
+    description: 'Serves callers on the platform and forms the groups of its engines.',
+    args: {
+      settings: option({
+        type: optional(string),
+        long: 'settings',
+        description: `settings file of the platform; ${SETTINGS_VARIABLE} names it otherwise`,
+      }),
+    },
+    handler: ({ settings }) =>
+      runDaemon(logger, () => start(settings ?? process.env[SETTINGS_VARIABLE] ?? '')),
+  }),
+);
--- /dev/null
+++ b/src/core/duty/index.ts
@@ -0,0 +1,2 @@
+export { startDuty } from './create-duty.ts';
+export type { Duty } from './create-duty.ts';
--- /dev/null
+++ b/src/core/fleet/fleet.ts
@@ -0,0 +1,52 @@
+import type { EngineGroup, Target } from './types.ts';
+import { listGroups } from './groups.ts';
+
+/** The targets that this process knows from the store, and the groups that they form. */
+export interface Fleet {
+  /** Replaces all targets by the result of a listing. */
+  resetTargets(targets: readonly Target[]): void;
+  setTarget(target: Target): void;
+  removeTarget(id: string): void;
+  findTarget(id: string): Target | undefined;
+  listTargets(service: string): readonly Target[];
+  listAllTargets(): Iterable<Target>;
+  listServiceGroups(service: string): readonly EngineGroup[];
+  /** Increases with each change, so that derived values can be kept until then. */
+  getRevision(): number;
+}
+
+/** Creates an empty fleet. */
+export function createFleet(): Fleet {
+  const targets = new Map<string, Target>();
+  let revision = 0;
+  let groupsRevision = -1;
+  let groups: EngineGroup[] = [];
+
+  const getGroups = (): EngineGroup[] => {
+    if (groupsRevision !== revision) {
+      groups = listGroups(targets.values());
+      groupsRevision = revision;
+    }
+    return groups;
+  };
+
+  return {
+    resetTargets(list) {
+      targets.clear();
+      list.forEach((target) => targets.set(target.id, target));
+      revision++;
+    },
+    setTarget(target) {
+      targets.set(target.id, target);
+      revision++;
+    },
+    removeTarget(id) {
+      if (targets.delete(id)) revision++;
+    },
+    findTarget: (id) => targets.get(id),
+    listTargets: (service) => [...targets.values()].filter((target) => target.service === service),
+    listAllTargets: () => targets.values(),
+    listServiceGroups: (service) => getGroups().filter((group) => group.service === service),
+    getRevision: () => revision,
+  };
+}
--- /dev/null
+++ b/src/core/fleet/groups.ts
@@ -0,0 +1,41 @@
+import type { EngineGroup, Target } from './types.ts';
+import { GroupState } from './types.ts';
+
+/** Collects the groups that the entries of engines name. */
+export function listGroups(targets: Iterable<Target>): EngineGroup[] {
+  const groups = new Map<string, EngineGroup>();
+  for (const target of targets) {
+    const { group } = target;
+    if (group === undefined) continue;
+    const key = `${target.service}/${group.name}/${group.epoch}`;
+    const known = groups.get(key) ?? {
+      name: group.name,
+      epoch: group.epoch,
+      service: target.service,
+      model: target.loadedModel,
+      fabricDomain: target.fabricDomain,
+      members: [],
+      head: undefined,
+    };
+    known.members[group.rank] = target;
+    if (group.rank === 0) {
+      known.head = target;
+      known.model = target.loadedModel ?? known.model;
+    }
+    groups.set(key, known);
+  }
+  return [...groups.values()];
+}
+
+/** States of a member that takes part in serving. */
+const SERVING_STATES: ReadonlySet<GroupState> = new Set([GroupState.Ready, GroupState.Open]);
+
+/** Tells whether every member of a group has an entry and is ready, whatever the head's state. */
+export function isWhole(group: EngineGroup, groupSize: number): boolean {
+  if (group.head === undefined || group.members.length !== groupSize) return false;
+  for (let rank = 0; rank < groupSize; rank++) {
+    const state = group.members[rank]?.group?.state;
+    if (state === undefined || !SERVING_STATES.has(state)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/core/fleet/target-monitor.ts
@@ -0,0 +1,197 @@
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
+
+/** Work in progress at a target, as the monitor sees it. */
+export interface MonitoredWork {
+  /** Called once if the target says nothing for too long. */
+  handleSilence(): void;
+}
+
+/** Handle of one piece of work. */
+export interface WorkHandle {
+  /** Bytes of the answer arrived. */
+  recordEvent(): void;
+  /** The work ended; `isFailure` tells that the target failed it. */
+  recordEnd(isFailure: boolean): void;
+}
+
+/** Requests in progress at a target, as one process counts them. */
+export interface TargetLoad {
+  targetId: string;
+  inFlight: number;
+}
+
+/** What this process and its peers have seen of targets lately. */
+export interface TargetMonitor {
+  startWork(targetId: string, work: MonitoredWork): WorkHandle;
+  /** Marks a target that refuses connections or has gone silent. */
+  markSuspect(targetId: string, reason: string): void;
+  /** A peer reports that it found the target silent. */
+  markSuspectByPeer(targetId: string): void;
+  isSuspect(targetId: string): boolean;
+  /** Targets that this process itself found silent. */
+  listSuspects(): string[];
+  setPeerLoads(peer: string, loads: readonly TargetLoad[]): void;
+  removePeer(peer: string): void;
+  /** Requests in progress over all processes. */
+  countInFlight(targetId: string): number;
+  listOwnLoads(): TargetLoad[];
+  /** Share of recent requests that the target failed, 0 to 1. */
+  getFailureShare(targetId: string): number;
+  stop(): void;
+}
+
+/** What the monitor needs. */
+export interface TargetMonitorOptions {
+  timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>;
+  /** Called when this process finds a target silent or unreachable. */
+  handleSuspect(targetId: string, reason: string): void;
+}
+
+/** Period of the check for silence. */
+export const CHECK_PERIOD_MS = 20;
+/** An open group sends an event to each of its streams every 25 to 80 ms; 180 ms at p99.9. */
+export const STREAM_SILENCE_MS = 200;
+/** The first event takes up to 260 ms at p95, behind other prompts longer. */
+export const FIRST_EVENT_SILENCE_MS = 600;
+/** A check that comes this much late means that this process itself stood still. */
+const LOOP_LAG_MS = 60;
+/** A suspect gets no requests for this long, unless all others are suspect too. */
+const SUSPECT_MS = 1_500;
+/** More silent targets than this share of those in use at once: the fault is on our side. */
+const MASS_SILENCE_SHARE = 0.6;
+const MASS_SILENCE_MIN = 4;
+/** Weight of the newest result in the share of failures. */
+const FAILURE_WEIGHT = 0.15;
+
+interface Work extends MonitoredWork {
+  startedMs: number;
+  hasEvents: boolean;
+}
+
+interface TargetRecord {
+  works: Set<Work>;
+  lastHeardMs: number;
+  suspectUntilMs: number;
+  isOwnSuspicion: boolean;
+  failureShare: number;
+}
+
+/** Creates the monitor of targets. */
+export function createTargetMonitor(options: TargetMonitorOptions): TargetMonitor {
+  const { timers, handleSuspect } = options;
+  const records = new Map<string, TargetRecord>();
+  const peerLoads = new Map<string, Map<string, number>>();
+  let lastCheckMs = timers.getMonotonicMs();
+  let checkAfterMs = 0;
+
+  const getRecord = (targetId: string): TargetRecord => {
+    const known = records.get(targetId);
+    if (known !== undefined) return known;
+    const created: TargetRecord = {
+      works: new Set(),
+      lastHeardMs: 0,
+      suspectUntilMs: 0,
+      isOwnSuspicion: false,
+      failureShare: 0,
+    };
+    records.set(targetId, created);
+    return created;
+  };
+
+  const isSilent = (record: TargetRecord, now: number): boolean => {
+    let oldestWaitMs = 0;
+    let isWriting = false;
+    for (const work of record.works) {
+      isWriting ||= work.hasEvents;
+      oldestWaitMs = Math.max(oldestWaitMs, now - Math.max(work.startedMs, record.lastHeardMs));
+    }
+    return oldestWaitMs > (isWriting ? STREAM_SILENCE_MS : FIRST_EVENT_SILENCE_MS);
+  };
+
+  const reportSilence = (targetId: string, record: TargetRecord, now: number): void => {
+    record.suspectUntilMs = now + SUSPECT_MS;
+    record.isOwnSuspicion = true;
+    handleSuspect(targetId, 'silent');
+    const works = [...record.works];
+    works.forEach((work) => work.handleSilence());
+  };
+
+  const checkSilence = (): void => {
+    const now = timers.getMonotonicMs();
+    const lateMs = now - lastCheckMs - CHECK_PERIOD_MS;
+    lastCheckMs = now;
+    // After a pause of this process, answers that arrived meanwhile are read first.
+    if (lateMs > LOOP_LAG_MS) checkAfterMs = now + STREAM_SILENCE_MS;
+    if (now < checkAfterMs) return;
+    const busy = [...records].filter(([, record]) => record.works.size > 0);
+    const silent = busy.filter(([, record]) => isSilent(record, now));
+    const isOurFault =
+      silent.length >= MASS_SILENCE_MIN && silent.length > busy.length * MASS_SILENCE_SHARE;
+    if (isOurFault) return;
+    silent.forEach(([targetId, record]) => reportSilence(targetId, record, now));
+  };
+
+  const stopChecks: Unsubscribe = timers.subscribe(CHECK_PERIOD_MS, checkSilence);
+
+  return {
+    startWork(targetId, work) {
+      const record = getRecord(targetId);
+      const entry: Work = {
+        startedMs: timers.getMonotonicMs(),
+        hasEvents: false,
+        handleSilence: () => work.handleSilence(),
+      };
+      record.works.add(entry);
+      return {
+        recordEvent() {
+          entry.hasEvents = true;
+          record.lastHeardMs = timers.getMonotonicMs();
+          record.suspectUntilMs = 0;
+        },
+        recordEnd(isFailure) {
+          if (!record.works.delete(entry)) return;
+          const result = isFailure ? 1 : 0;
+          record.failureShare += FAILURE_WEIGHT * (result - record.failureShare);
+        },
+      };
+    },
+    markSuspect(targetId, reason) {
+      const record = getRecord(targetId);
+      record.suspectUntilMs = timers.getMonotonicMs() + SUSPECT_MS;
+      record.isOwnSuspicion = true;
+      handleSuspect(targetId, reason);
+    },
+    markSuspectByPeer(targetId) {
+      const record = getRecord(targetId);
+      const now = timers.getMonotonicMs();
+      // What this process has heard itself counts more than a peer's word.
+      if (now - record.lastHeardMs < STREAM_SILENCE_MS || record.suspectUntilMs > now) return;
+      record.suspectUntilMs = now + SUSPECT_MS;
+      record.isOwnSuspicion = false;
+    },
+    isSuspect: (targetId) => (records.get(targetId)?.suspectUntilMs ?? 0) > timers.getMonotonicMs(),
+    listSuspects() {
+      const now = timers.getMonotonicMs();
+      return [...records]
+        .filter(([, record]) => record.suspectUntilMs > now && record.isOwnSuspicion)
+        .map(([targetId]) => targetId);
+    },
+    setPeerLoads(peer, loads) {
+      peerLoads.set(peer, new Map(loads.map(({ targetId, inFlight }) => [targetId, inFlight])));
+    },
+    removePeer: (peer) => {
+      peerLoads.delete(peer);
+    },
+    countInFlight(targetId) {
+      let total = records.get(targetId)?.works.size ?? 0;
+      for (const loads of peerLoads.values()) total += loads.get(targetId) ?? 0;
+      return total;
+    },
+    listOwnLoads: () =>
+      [...records]
+        .filter(([, record]) => record.works.size > 0)
+        .map(([targetId, record]) => ({ targetId, inFlight: record.works.size })),
+    getFailureShare: (targetId) => records.get(targetId)?.failureShare ?? 0,
+    stop: stopChecks,
+  };
+}
--- /dev/null
+++ b/src/core/formation/create-formation.ts
@@ -0,0 +1,274 @@
+import type { Fleet, Target, TargetMonitor } from '../fleet/index.ts';
+import { GroupState } from '../fleet/index.ts';
+import type { Logger } from '../logs/index.ts';
+import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { createOperations } from './operations.ts';
+import type { FormationAction } from './plan-formation.ts';
+import { planFormation } from './plan-formation.ts';
+import type { EngineControl } from './types.ts';
+import { OrderResult } from './types.ts';
+
+/** What the formation of groups needs. */
+export interface FormationOptions {
+  timers: TimerService;
+  logger: Logger;
+  fleet: Fleet;
+  monitor: TargetMonitor;
+  control: EngineControl;
+  /** Services whose engines form groups, in the configuration in force. */
+  listEngineServices(): readonly ServiceSpec[];
+  /** Term of the duty under which orders may be given now; 0 without. */
+  getTerm(): number;
+  /** Whether the copy of the entries is recent enough to act on. */
+  isViewFresh(): boolean;
+  /** Whether any gateway has seen a request. */
+  hasTraffic(): boolean;
+  isZoneOut(availabilityZone: string): boolean;
+  stallMs: number;
+}
+
+/** Forms, repairs and ends groups while this process holds the duty. */
+export interface Formation {
+  /** A target was found silent or unreachable by a gateway. */
+  handleSuspect(targetId: string): void;
+  stop(): void;
+}
+
+/** Period of the planner. */
+const PLAN_PERIOD_MS = 60;
+/** Epochs of one term; a term never forms more groups than this. */
+const EPOCHS_PER_TERM = 100_000;
+/** An engine that did not answer is left out for this long, then asked again. */
+const UNREACHABLE_MS = 4_000;
+/** An engine whose order failed is left out of plans for this long. */
+const FAILED_MS = 1_000;
+/** An engine is asked at most this often whether it is there. */
+const ASK_PERIOD_MS = 500;
+/** Time of a join on an engine whose last group had the same model. */
+const SAME_MODEL_JOIN_MS = 200;
+/** Loads before the first request take this part of their time. */
+const EARLY_LOAD_PART = 0.1;
+/** Concurrent loads beyond the first few slow each other down. */
+const CONCURRENT_EARLY_LOADS = 60;
+/** Window of the ceiling on loads, with a margin below the permitted five. */
+const LOAD_WINDOW_MS = 1_000;
+/** Time after the start of a term in which groups of an earlier holder may still be opening. */
+const TAKEOVER_MS = 700;
+
+interface Operation {
+  ids: string[];
+  model: string | undefined;
+}
+
+/** Starts the planner. */
+export function startFormation(options: FormationOptions): Formation {
+  const { timers, logger, fleet, monitor, control, getTerm, isZoneOut } = options;
+  const operations = new Set<Operation>();
+  const unreachable = new Map<string, number>();
+  const askedMs = new Map<string, number>();
+  const staging = new Map<string, string>();
+  /** Last entries of heads, to close groups whose head has lost its entry. */
+  const lostHeads = new Map<string, { sinceMs: number; isReleased: boolean }>();
+  let loadStartsMs: number[] = [];
+  let term = 0;
+  let termSinceMs = 0;
+  let epochCount = 0;
+
+  const mayAct = (): boolean => term !== 0 && getTerm() === term;
+
+  const steps = createOperations({
+    timers,
+    control,
+    logger,
+    findTarget: (id) => fleet.findTarget(id),
+    mayAct,
+  });
+
+  const markUnreachable = (ids: readonly string[], forMs: number): void => {
+    const untilMs = timers.getMonotonicMs() + forMs;
+    ids.forEach((id) => unreachable.set(id, untilMs));
+  };
+
+  const runOperation = (ids: string[], model: string | undefined, run: () => Promise<void>) => {
+    const operation = { ids, model };
+    operations.add(operation);
+    run()
+      .catch((error: unknown) => logger.error('an operation failed', { problem: String(error) }))
+      .finally(() => operations.delete(operation));
+  };
+
+  const computeExpectedMs = (model: ModelSpec, members: readonly Target[]): number => {
+    const needed = members.map((one) => {
+      if (one.loadedModel === model.name) return SAME_MODEL_JOIN_MS;
+      if (one.stagedModels.includes(model.name)) return model.warmJoinMs;
+      return model.loadMs * (options.hasTraffic() ? 1 : EARLY_LOAD_PART * 10);
+    });
+    return Math.max(...needed);
+  };
+
+  const form = (model: ModelSpec, members: Target[]): void => {
+    const epoch = term * EPOCHS_PER_TERM + epochCount++;
+    const name = `g${epoch}`;
+    const ids = members.map(({ id }) => id);
+    runOperation(ids, model.name, async () => {
+      const startMs = timers.getMonotonicMs();
+      const expectedMs = computeExpectedMs(model, members);
+      const result = await steps.formGroup(name, epoch, model, members, expectedMs);
+      markUnreachable(result.failedIds, FAILED_MS);
+      if (!result.isOpen) return;
+      const tookMs = Math.round(timers.getMonotonicMs() - startMs);
+      logger.info('formed a group', {
+        group: name,
+        model: model.name,
+        members: ids.join(' '),
+        domain: members[0]?.fabricDomain ?? '',
+        tookMs,
+      });
+      await timers.waitFor(openMsOf(members[0]) + 200);
+    });
+  };
+
+  const openMsOf = (member: Target | undefined): number =>
+    options.listEngineServices().find(({ name }) => name === member?.service)?.engine?.openMs ?? 0;
+
+  const stage = (engine: Target, model: ModelSpec): void => {
+    staging.set(engine.id, model.name);
+    loadStartsMs.push(timers.getMonotonicMs());
+    void control.sendOrder(engine, { kind: 'stage', model: model.name }).then(async (result) => {
+      logger.info('staged a model', { engine: engine.id, model: model.name, result });
+      const limitMs = result === OrderResult.Accepted ? model.loadMs * 2 : FAILED_MS;
+      const untilMs = timers.getMonotonicMs() + limitMs;
+      while (timers.getMonotonicMs() < untilMs) {
+        if (fleet.findTarget(engine.id)?.stagedModels.includes(model.name) !== false) break;
+        await timers.waitFor(100);
+      }
+      staging.delete(engine.id);
+    });
+  };
+
+  const dissolve = (action: Extract<FormationAction, { kind: 'dissolve' }>): void => {
+    const { group } = action;
+    const ids = group.members.flatMap((member) => member?.id ?? []);
+    runOperation(ids, undefined, async () => {
+      const isClosed = await steps.closeGroup(group);
+      logger.info('closed a group', { group: group.name, epoch: group.epoch, isClosed });
+      if (!isClosed && group.head !== undefined) await askMembers([group.head]);
+    });
+  };
+
+  const apply = (action: FormationAction): void => {
+    if (action.kind === 'form') form(action.model, action.members);
+    else if (action.kind === 'stage') stage(action.engine, action.model);
+    else dissolve(action);
+  };
+
+  /** Asks engines whether they are there, each at most so often. */
+  const askMembers = async (members: readonly Target[]): Promise<void> => {
+    const now = timers.getMonotonicMs();
+    const due = members.filter(({ id }) => now - (askedMs.get(id) ?? -Infinity) > ASK_PERIOD_MS);
+    due.forEach(({ id }) => askedMs.set(id, now));
+    const found = await Promise.all(due.map((member) => steps.isReachable(member)));
+    const gone = due.filter((_, index) => !found[index]).map(({ id }) => id);
+    if (gone.length === 0) return;
+    logger.warn('engines do not answer', { engines: gone.join(' ') });
+    markUnreachable(gone, UNREACHABLE_MS);
+  };
+
+  /** Engines whose head is silent or has lost its entry, and may still be open there. */
+  const listHeldIds = (service: string): Set<string> => {
+    const held = new Set<string>();
+    const now = timers.getMonotonicMs();
+    for (const group of fleet.listServiceGroups(service)) {
+      const key = `${group.name}/${group.epoch}`;
+      const { head } = group;
+      const isGone = head === undefined;
+      const isSilent = head !== undefined && unreachable.has(head.id);
+      if (!isGone && !isSilent) {
+        lostHeads.delete(key);
+        continue;
+      }
+      const state = head?.group?.state;
+      if (state === GroupState.Ready || state === GroupState.Broken) continue;
+      const lost = lostHeads.get(key) ?? { sinceMs: now, isReleased: false };
+      lostHeads.set(key, lost);
+      // A head that is only cut off breaks its group by itself after the stall.
+      const limitMs = isGone ? 0 : options.stallMs;
+      if (now - lost.sinceMs >= limitMs) continue;
+      group.members.forEach((member) => {
+        if (member !== undefined) held.add(member.id);
+      });
+    }
+    return held;
+  };
+
+  const countLoadBudget = (spec: EngineSpec): number => {
+    const now = timers.getMonotonicMs();
+    if (!options.hasTraffic()) return CONCURRENT_EARLY_LOADS;
+    loadStartsMs = loadStartsMs.filter((startMs) => now - startMs < LOAD_WINDOW_MS);
+    const byRate = Math.floor(spec.loadsPerSecond) - 1 - loadStartsMs.length;
+    return Math.min(byRate, spec.concurrentLoads - staging.size);
+  };
+
+  const planService = (service: ServiceSpec, spec: EngineSpec): void => {
+    const isBeforeTraffic = !options.hasTraffic();
+    const actions = planFormation({
+      spec,
+      engines: fleet.listTargets(service.name),
+      groups: fleet.listServiceGroups(service.name),
+      busyEngineIds: new Set([...operations].flatMap(({ ids }) => ids)),
+      formingModels: [...operations].flatMap(({ model }) => model ?? []),
+      unreachableIds: new Set(unreachable.keys()),
+      heldIds: listHeldIds(service.name),
+      staging,
+      isZoneOut,
+      isBeforeTraffic,
+      loadBudget: countLoadBudget(spec),
+      engineShares: new Map(spec.models.map((model) => [model.name, computeShare(spec, model)])),
+    });
+    actions.forEach(apply);
+  };
+
+  const updateTerm = (): void => {
+    const current = getTerm();
+    if (current === term) return;
+    term = current;
+    termSinceMs = timers.getMonotonicMs();
+    epochCount = 0;
+    staging.clear();
+  };
+
+  const plan = (): void => {
+    updateTerm();
+    const now = timers.getMonotonicMs();
+    for (const [id, untilMs] of unreachable) if (now >= untilMs) unreachable.delete(id);
+    if (term === 0 || !options.isViewFresh()) return;
+    if (term > 1 && now - termSinceMs < TAKEOVER_MS) return;
+    for (const service of options.listEngineServices()) {
+      if (service.engine !== undefined) planService(service, service.engine);
+    }
+  };
+
+  const stopPlanning = timers.subscribe(PLAN_PERIOD_MS, plan);
+
+  return {
+    handleSuspect(targetId) {
+      if (!mayAct()) return;
+      const target = fleet.findTarget(targetId);
+      if (target?.group === undefined) return;
+      const { name, epoch } = target.group;
+      const group = fleet
+        .listServiceGroups(target.service)
+        .find((one) => one.name === name && one.epoch === epoch);
+      if (group === undefined) return;
+      void askMembers(group.members.filter((member) => member !== undefined));
+    },
+    stop: stopPlanning,
+  };
+}
+
+/** Engines that a model should have, as a share: small groups serve more requests an engine. */
+function computeShare(spec: EngineSpec, model: ModelSpec): number {
+  const total = spec.models.reduce((sum, one) => sum + one.initialShare, 0);
+  return model.initialShare / Math.max(total, Number.EPSILON);
+}
--- /dev/null
+++ b/src/core/formation/operations.ts
@@ -0,0 +1,168 @@
+import type { EngineGroup, Target } from '../fleet/index.ts';
+import { GroupState } from '../fleet/index.ts';
+import type { Logger } from '../logs/index.ts';
+import type { ModelSpec } from '../serving/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import type { EngineControl, EngineOrder, EngineReport } from './types.ts';
+import { OrderResult } from './types.ts';
+
+/** What operations on groups need. */
+export interface OperationOptions {
+  timers: TimerService;
+  control: EngineControl;
+  logger: Logger;
+  findTarget(id: string): Target | undefined;
+  /** Whether this process may give orders now. */
+  mayAct(): boolean;
+}
+
+/** Sends of one order: an engine may leave an order unanswered and carry it out later. */
+const ORDER_TRIES = 4;
+/** Period at which the state of an engine is looked at. */
+const LOOK_PERIOD_MS = 40;
+/** Time after which an engine is asked itself, if the store does not show the expected state. */
+const ASK_AFTER_MS = 350;
+/** Time for the answer to a question. */
+const ASK_TIMEOUT_MS = 250;
+/** Time beyond the expected one after which a join is given up. */
+const JOIN_SLACK_MS = 3_000;
+const OPEN_TRIES = 6;
+/** Pause before an open is sent again to a head that is not ready. */
+const OPEN_PERIOD_MS = 60;
+const CLOSE_TIMEOUT_MS = 700;
+
+/** Steps that change groups, each safe to give up at any point. */
+export interface Operations {
+  /** Returns whether the group serves, and the engines that did not do what was asked. */
+  formGroup(
+    name: string,
+    epoch: number,
+    model: ModelSpec,
+    members: readonly Target[],
+    expectedMs: number,
+  ): Promise<{ isOpen: boolean; failedIds: string[] }>;
+  /** Closes a group at its head; true if the head has stopped serving it. */
+  closeGroup(group: EngineGroup): Promise<boolean>;
+  /** Asks an engine whether it is there. */
+  isReachable(target: Target): Promise<boolean>;
+}
+
+/** Creates the operations. */
+export function createOperations(options: OperationOptions): Operations {
+  const { timers, control, logger, findTarget, mayAct } = options;
+
+  const sendRepeatedly = async (target: Target, order: EngineOrder): Promise<OrderResult> => {
+    let result = OrderResult.NotSent;
+    for (let count = 0; count < ORDER_TRIES && mayAct(); count++) {
+      result = await control.sendOrder(target, order);
+      if (result !== OrderResult.Unknown && result !== OrderResult.NotSent) return result;
+    }
+    return result;
+  };
+
+  const isInState = (
+    state: EngineReport['group'],
+    name: string,
+    epoch: number,
+    wanted: ReadonlySet<GroupState>,
+  ): boolean => state?.name === name && state.epoch === epoch && wanted.has(state.state);
+
+  /** Waits until an engine is in a state of a group, by its entry or by its own word. */
+  const waitForState = async (
+    target: Target,
+    name: string,
+    epoch: number,
+    wanted: ReadonlySet<GroupState>,
+    limitMs: number,
+    askAfterMs: number,
+  ): Promise<boolean> => {
+    const startMs = timers.getMonotonicMs();
+    let nextAskMs = startMs + askAfterMs;
+    for (;;) {
+      const entry = findTarget(target.id);
+      if (isInState(entry?.group, name, epoch, wanted)) return true;
+      const now = timers.getMonotonicMs();
+      if (now - startMs > limitMs || !mayAct()) return false;
+      if (now >= nextAskMs) {
+        const report = await control.fetchReport(target, ASK_TIMEOUT_MS);
+        if (isInState(report?.group, name, epoch, wanted)) return true;
+        nextAskMs = timers.getMonotonicMs() + ASK_AFTER_MS;
+      }
+      await timers.waitFor(LOOK_PERIOD_MS);
+    }
+  };
+
+  const leaveAll = async (members: readonly Target[], group: string, epoch: number) => {
+    await Promise.all(
+      members.map((member) => control.sendOrder(member, { kind: 'leave', group, epoch })),
+    );
+  };
+
+  const openGroup = async (head: Target, group: string, epoch: number): Promise<boolean> => {
+    for (let count = 0; count < OPEN_TRIES && mayAct(); count++) {
+      const result = await sendRepeatedly(head, { kind: 'open', group, epoch });
+      if (result === OrderResult.Accepted) return true;
+      if (result !== OrderResult.Refused) return false;
+      await timers.waitFor(OPEN_PERIOD_MS);
+    }
+    return false;
+  };
+
+  const READY = new Set([GroupState.Ready, GroupState.Open]);
+  const STOPPED = new Set([GroupState.Ready, GroupState.Broken, GroupState.Joining]);
+
+  return {
+    async formGroup(name, epoch, model, members, expectedMs) {
+      const ids = members.map(({ id }) => id);
+      const order: EngineOrder = {
+        kind: 'join',
+        group: name,
+        epoch,
+        model: model.name,
+        members: ids,
+      };
+      const results = await Promise.all(members.map((one) => sendRepeatedly(one, order)));
+      let failedIds = ids.filter((_, index) => results[index] !== OrderResult.Accepted);
+      if (failedIds.length === 0) {
+        const ready = await Promise.all(
+          members.map((one) =>
+            waitForState(
+              one,
+              name,
+              epoch,
+              READY,
+              expectedMs + JOIN_SLACK_MS,
+              expectedMs + ASK_AFTER_MS,
+            ),
+          ),
+        );
+        failedIds = ids.filter((_, index) => !ready[index]);
+      }
+      const [head] = members;
+      const isOpen =
+        failedIds.length === 0 && head !== undefined && (await openGroup(head, name, epoch));
+      if (isOpen) return { isOpen, failedIds };
+      logger.warn('a group was not formed', {
+        group: name,
+        epoch,
+        model: model.name,
+        failed: failedIds.join(' '),
+        results: results.join(' '),
+      });
+      if (mayAct()) await leaveAll(members, name, epoch);
+      return { isOpen, failedIds };
+    },
+    async closeGroup({ name, epoch, head }) {
+      if (head === undefined) return false;
+      const result = await sendRepeatedly(head, { kind: 'close', group: name, epoch });
+      if (result === OrderResult.Outdated) return true;
+      if (result !== OrderResult.Accepted) return false;
+      return waitForState(head, name, epoch, STOPPED, CLOSE_TIMEOUT_MS, LOOK_PERIOD_MS);
+    },
+    async isReachable(target) {
+      const first = await control.fetchReport(target, ASK_TIMEOUT_MS);
+      if (first !== undefined) return true;
+      return (await control.fetchReport(target, ASK_TIMEOUT_MS)) !== undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/core/forwarding/event-parser.ts
@@ -0,0 +1,52 @@
+/** One complete event of a stream, with its bytes as the target sent them. */
+export interface StreamEvent {
+  id: string | undefined;
+  bytes: Buffer;
+}
+
+/** Splits the bytes of a stream into complete events. */
+export interface EventParser {
+  /** Adds bytes and returns the events that they complete. */
+  addChunk(chunk: Buffer): StreamEvent[];
+  /** Returns bytes of an event that is not complete. */
+  countPending(): number;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_LINE = /^id:[ ]?(.*)$/m;
+
+/** Returns the offset after the blank line that ends the first event, or -1. */
+function findEventEnd(bytes: Buffer, from: number): number {
+  for (let index = from; index < bytes.length; index++) {
+    if (bytes[index] !== LINE_FEED) continue;
+    const next = bytes[index + 1];
+    if (next === LINE_FEED) return index + 2;
+    if (next === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3;
+  }
+  return -1;
+}
+
+function parseEventId(bytes: Buffer): string | undefined {
+  return ID_LINE.exec(bytes.toString('latin1'))?.[1]?.replace(/\r$/, '');
+}
+
+/** Creates a parser for one `text/event-stream` body. */
+export function createEventParser(): EventParser {
+  let pending: Buffer = Buffer.alloc(0);
+  return {
+    addChunk(chunk) {
+      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const events: StreamEvent[] = [];
+      let start = 0;
+      for (let end = findEventEnd(pending, 0); end >= 0; end = findEventEnd(pending, start)) {
+        const bytes = pending.subarray(start, end);
+        events.push({ id: parseEventId(bytes), bytes });
+        start = end;
+      }
+      pending = pending.subarray(start);
+      return events;
+    },
+    countPending: () => pending.length,
+  };
+}
--- /dev/null
+++ b/src/core/forwarding/relay.ts
@@ -0,0 +1,407 @@
+import type { Fleet, Target, TargetMonitor, WorkHandle } from '../fleet/index.ts';
+import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
+import { RequestKind } from '../serving/index.ts';
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
+import type { TargetChooser } from './choose-target.ts';
+import { createEventParser } from './event-parser.ts';
+import type { EventParser } from './event-parser.ts';
+import type { RetryBudget } from './retry-budget.ts';
+import type { CallerSink } from './sink.ts';
+import type { Exchange, TargetClient } from './target-client.ts';
+import type { AnswerHead, CallerRequest, WireFormat } from './types.ts';
+import { FailureReason, Outcome } from './types.ts';
+
+/** One request with everything that was decided about it when it arrived. */
+export interface RelayRequest {
+  request: CallerRequest;
+  body: Buffer;
+  route: CustomerRoute;
+  service: ServiceSpec;
+  customer: string | undefined;
+  /** Monotonic time of arrival. */
+  arrivedMs: number;
+  /** Version of the configuration that decided about the request. */
+  configurationVersion: number;
+  /** Monotonic time by which the final answer is due. */
+  dueMs: number;
+}
+
+/** How a relayed request ended. */
+export interface RelayResult {
+  outcome: Outcome;
+  reason: FailureReason | undefined;
+  status: number | undefined;
+  /** Targets that the request was sent to, in order. */
+  targetIds: string[];
+  /** Time from arrival to the first byte of the answer. */
+  firstByteMs: number | undefined;
+}
+
+/** What relays share. */
+export interface RelayServices {
+  timers: TimerService;
+  wire: WireFormat;
+  client: TargetClient;
+  fleet: Fleet;
+  monitor: TargetMonitor;
+  chooser: TargetChooser;
+  budget: RetryBudget;
+  random(): number;
+  /** Called for each send after the first, with the reason. */
+  recordRetry(request: RelayRequest, targetId: string, reason: string): void;
+}
+
+/** A request in progress. */
+export interface Relay {
+  /** The caller has closed its connection. */
+  abandon(): void;
+}
+
+const HTTP_OK_MIN = 200;
+const HTTP_OK_MAX = 299;
+const HTTP_SERVER_ERROR = 500;
+const HTTP_BAD_GATEWAY = 502;
+const HTTP_UNAVAILABLE = 503;
+const HTTP_GATEWAY_TIMEOUT = 504;
+/** Statuses by which a target refuses a request that it has not run. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([421, 429, HTTP_UNAVAILABLE]);
+
+/** Pause before looking again for a target. */
+const CHOICE_PERIOD_MS = 15;
+/** Part of the latency objective for which a request may wait for a target. */
+const WAIT_PART = 1 / 8;
+/** A stream that has begun waits longer for a target to continue on. */
+const RESUME_WAIT_MS = 1_500;
+/** An idempotent call without an answer for this part of its objective is sent once more. */
+const SECOND_SEND_PART = 1.5;
+/** Least time left with which a target can still do something. */
+const MIN_REMAINING_MS = 10;
+/** When a refused caller is told to come back: spread, so that refused callers do not return together. */
+const RETRY_AFTER_MIN_MS = 150;
+const RETRY_AFTER_SPREAD_MS = 350;
+/** Most sends of one request, refusals included. */
+const MAX_SENDS = 4;
+/** Largest whole answer that is held until it is complete. */
+const MAX_HELD_BYTES = 4 * 1024 * 1024;
+
+interface Attempt {
+  target: Target;
+  exchange: Exchange;
+  work: WorkHandle;
+  head: AnswerHead | undefined;
+  parser: EventParser | undefined;
+  parts: Buffer[];
+  heldBytes: number;
+  wasSent: boolean;
+  cancelSecondSend: Unsubscribe | undefined;
+}
+
+function isSuccess(status: number): boolean {
+  return status >= HTTP_OK_MIN && status <= HTTP_OK_MAX;
+}
+
+function isStreamHead(head: AnswerHead): boolean {
+  for (let index = 0; index < head.passedHeaders.length; index += 2) {
+    const isType = head.passedHeaders[index]?.toLowerCase() === 'content-type';
+    if (isType && head.passedHeaders[index + 1]?.startsWith('text/event-stream')) return true;
+  }
+  return false;
+}
+
+/** Returns the number of an event id, or undefined if it is no number. */
+function parseEventNumber(id: string | undefined): number | undefined {
+  return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
+}
+
+/**
+ * Relays one request: sends it to a target, passes the answer on, and sends it again where the
+ * kind of request, the attempts and the shared budget allow. A stream continues on another target
+ * after its last event.
+ */
+export function startRelay(
+  input: RelayRequest,
+  sink: CallerSink,
+  services: RelayServices,
+  finish: (result: RelayResult) => void,
+): Relay {
+  const { request, route, service } = input;
+  const { timers, client, monitor, chooser, budget, wire } = services;
+  const isStreaming = route.kind === RequestKind.Streaming;
+  const isRepeatable = route.kind === RequestKind.Idempotent || (isStreaming && route.isResumable);
+
+  const excludedIds = new Set<string>();
+  const targetIds: string[] = [];
+  let lastEventId = request.lastEventId;
+  let isBodyStarted = false;
+  let isDone = false;
+  let mayHaveRun = false;
+  let runs = 0;
+  let firstByteMs: number | undefined;
+  let current: Attempt | undefined;
+  let cancelWait: Unsubscribe | undefined;
+  let retryReason = '';
+
+  const getRemainingMs = (): number => input.dueMs - timers.getMonotonicMs();
+
+  const endAttempt = (isFailure: boolean): void => {
+    current?.cancelSecondSend?.();
+    current?.work.recordEnd(isFailure);
+    current?.exchange.cancel();
+    current = undefined;
+  };
+
+  const complete = (outcome: Outcome, status?: number, reason?: FailureReason): void => {
+    if (isDone) return;
+    isDone = true;
+    cancelWait?.();
+    cancelDue();
+    finish({ outcome, reason, status, targetIds, firstByteMs });
+  };
+
+  const sendOwnAnswer = (status: number, retryAfterMs: number | undefined): void => {
+    const headers = retryAfterMs === undefined ? [] : wire.buildRetryHeaders(retryAfterMs);
+    sink.sendAnswer(status, headers, Buffer.alloc(0));
+  };
+
+  /** Ends the request without a target's answer, as truthfully as what is known allows. */
+  const fail = (reason: FailureReason): void => {
+    endAttempt(false);
+    if (isBodyStarted) {
+      sink.breakOff();
+      complete(Outcome.BrokenOff, undefined, reason);
+      return;
+    }
+    if (!mayHaveRun) {
+      const retryAfterMs = RETRY_AFTER_MIN_MS + services.random() * RETRY_AFTER_SPREAD_MS;
+      sendOwnAnswer(HTTP_UNAVAILABLE, retryAfterMs);
+      complete(Outcome.NotRun, HTTP_UNAVAILABLE, reason);
+      return;
+    }
+    const isLate = reason === FailureReason.TimeLimit;
+    const status = isLate ? HTTP_GATEWAY_TIMEOUT : HTTP_BAD_GATEWAY;
+    sendOwnAnswer(status, undefined);
+    complete(isLate ? Outcome.TimedOut : Outcome.Unknown, status, reason);
+  };
+
+  const cancelDue = timers.scheduleOnce(Math.max(0, getRemainingMs()), () => {
+    if (current?.wasSent === true) mayHaveRun = true;
+    fail(FailureReason.TimeLimit);
+  });
+
+  /** Looks for a target again a little later, for as long as the request may wait. */
+  const waitForTarget = (sinceMs: number, reason: FailureReason): void => {
+    const limitMs = isBodyStarted ? RESUME_WAIT_MS : route.latencyObjectiveMs * WAIT_PART;
+    if (timers.getMonotonicMs() - sinceMs >= limitMs) {
+      fail(reason);
+      return;
+    }
+    cancelWait = timers.scheduleOnce(CHOICE_PERIOD_MS, () => startAttempt(sinceMs));
+  };
+
+  const startAttempt = (waitingSinceMs = timers.getMonotonicMs()): void => {
+    if (isDone) return;
+    if (getRemainingMs() < MIN_REMAINING_MS) return;
+    const target = chooser.chooseTarget({ service, model: request.model, excludedIds });
+    if (target === undefined) {
+      waitForTarget(waitingSinceMs, FailureReason.NoTarget);
+      return;
+    }
+    if (targetIds.length > 0) {
+      if (!budget.takeRetry(service.name)) {
+        fail(FailureReason.RetryBudget);
+        return;
+      }
+      services.recordRetry(input, target.id, retryReason);
+    }
+    sendTo(target);
+  };
+
+  /** Tries another target after one that did not answer, if the request allows it. */
+  const retry = (reason: string, failure: FailureReason): void => {
+    if (isDone) return;
+    retryReason = reason;
+    const isAllowed = isRepeatable || !mayHaveRun;
+    if (!isAllowed || runs >= route.maxAttempts || targetIds.length >= MAX_SENDS) {
+      fail(isAllowed ? FailureReason.AttemptsUsed : failure);
+      return;
+    }
+    startAttempt();
+  };
+
+  const sendTo = (target: Target): void => {
+    excludedIds.add(target.id);
+    const attempt: Attempt = {
+      target,
+      exchange: undefined as unknown as Exchange,
+      work: monitor.startWork(target.id, { handleSilence: () => handleSilence(attempt) }),
+      head: undefined,
+      parser: undefined,
+      parts: [],
+      heldBytes: 0,
+      wasSent: false,
+      cancelSecondSend: undefined,
+    };
+    current = attempt;
+    const remainingMs = getRemainingMs();
+    attempt.exchange = client.send(
+      { request, body: input.body, target, remainingMs, customer: input.customer, lastEventId },
+      {
+        handleSent: () => handleSent(attempt),
+        handleHead: (head) => handleHead(attempt, head),
+        handleData: (chunk) => handleData(attempt, chunk),
+        handleEnd: () => handleEnd(attempt),
+        handleError: (wasSent, problem) => handleError(attempt, wasSent, problem),
+      },
+    );
+  };
+
+  const handleSent = (attempt: Attempt): void => {
+    attempt.wasSent = true;
+    runs++;
+    targetIds.push(attempt.target.id);
+    if (route.kind !== RequestKind.Idempotent) return;
+    const delayMs = route.latencyObjectiveMs * SECOND_SEND_PART;
+    attempt.cancelSecondSend = timers.scheduleOnce(delayMs, () => handleSilence(attempt));
+  };
+
+  /** The target says nothing: a request that may run again continues elsewhere. */
+  const handleSilence = (attempt: Attempt): void => {
+    if (isDone || attempt !== current || !attempt.wasSent) return;
+    const canMove = isRepeatable && runs < route.maxAttempts;
+    if (!canMove) return;
+    const query = { service, model: request.model, excludedIds };
+    if (chooser.chooseTarget(query) === undefined) return;
+    mayHaveRun = true;
+    endAttempt(true);
+    retry('silent', FailureReason.TargetFailed);
+  };
+
+  const handleHead = (attempt: Attempt, head: AnswerHead): void => {
+    if (attempt !== current || head.status < HTTP_OK_MIN) return;
+    attempt.head = head;
+    const isForeign = head.attemptId !== undefined && head.attemptId !== request.attemptId;
+    const isSpoiled = isSuccess(head.status) && (!head.isSigned || head.isEncoded);
+    if (isForeign || isSpoiled) {
+      failAttempt(attempt, 'spoiled');
+      return;
+    }
+    if (isStreaming && isSuccess(head.status) && isStreamHead(head)) {
+      attempt.parser = createEventParser();
+    }
+  };
+
+  /** Ends an attempt whose request may have run, and tries another target if allowed. */
+  const failAttempt = (attempt: Attempt, reason: string): void => {
+    if (attempt !== current) return;
+    mayHaveRun ||= attempt.wasSent;
+    endAttempt(true);
+    retry(reason, FailureReason.TargetFailed);
+  };
+
+  const handleData = (attempt: Attempt, chunk: Buffer): void => {
+    if (attempt !== current) return;
+    attempt.work.recordEvent();
+    attempt.cancelSecondSend?.();
+    if (attempt.parser !== undefined) {
+      passEvents(attempt, attempt.parser, chunk);
+      return;
+    }
+    attempt.heldBytes += chunk.length;
+    if (attempt.heldBytes > MAX_HELD_BYTES) {
+      failAttempt(attempt, 'too-large');
+      return;
+    }
+    attempt.parts.push(chunk);
+  };
+
+  const passEvents = (attempt: Attempt, parser: EventParser, chunk: Buffer): void => {
+    const parts: Buffer[] = [];
+    for (const event of parser.addChunk(chunk)) {
+      const number = parseEventNumber(event.id);
+      const last = parseEventNumber(lastEventId);
+      if (number !== undefined && last !== undefined && number <= last) continue;
+      lastEventId = event.id ?? lastEventId;
+      parts.push(event.bytes);
+    }
+    if (parts.length === 0) return;
+    startBody(attempt);
+    const isRead = sink.writeBody(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
+    if (isRead) return;
+    attempt.exchange.pause();
+    sink.onDrain(() => attempt.exchange.resume());
+  };
+
+  const startBody = (attempt: Attempt): void => {
+    if (isBodyStarted || attempt.head === undefined) return;
+    isBodyStarted = true;
+    firstByteMs = timers.getMonotonicMs() - input.arrivedMs;
+    sink.startBody(attempt.head.status, attempt.head.passedHeaders);
+  };
+
+  const handleEnd = (attempt: Attempt): void => {
+    if (attempt !== current || attempt.head === undefined) return;
+    const { head } = attempt;
+    if (head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status))) {
+      handleRefusal(attempt, head);
+      return;
+    }
+    if (attempt.parser !== undefined) {
+      endStream(attempt, attempt.parser);
+      return;
+    }
+    const canRetry = isRepeatable && runs < route.maxAttempts;
+    if (head.status >= HTTP_SERVER_ERROR && (canRetry || isBodyStarted)) {
+      failAttempt(attempt, `status ${head.status}`);
+      return;
+    }
+    if (isBodyStarted) {
+      failAttempt(attempt, `status ${head.status}`);
+      return;
+    }
+    current = undefined;
+    attempt.cancelSecondSend?.();
+    attempt.work.recordEnd(head.status >= HTTP_SERVER_ERROR);
+    firstByteMs = timers.getMonotonicMs() - input.arrivedMs;
+    sink.sendAnswer(head.status, head.passedHeaders, Buffer.concat(attempt.parts));
+    complete(Outcome.Answered, head.status);
+  };
+
+  const endStream = (attempt: Attempt, parser: EventParser): void => {
+    if (parser.countPending() > 0) {
+      failAttempt(attempt, 'ended inside an event');
+      return;
+    }
+    startBody(attempt);
+    current = undefined;
+    attempt.work.recordEnd(false);
+    sink.endBody();
+    complete(Outcome.Answered, attempt.head?.status);
+  };
+
+  /** The target has not run the request; its attempt does not count. */
+  const handleRefusal = (attempt: Attempt, head: AnswerHead): void => {
+    runs--;
+    if (head.faultyTargetId !== undefined && service.engine !== undefined) {
+      monitor.markSuspect(attempt.target.id, `refused, fault at ${head.faultyTargetId}`);
+    }
+    endAttempt(false);
+    retry(`refused with ${head.status}`, FailureReason.AllBusy);
+  };
+
+  const handleError = (attempt: Attempt, wasSent: boolean, problem: string): void => {
+    if (attempt !== current) return;
+    if (!wasSent) monitor.markSuspect(attempt.target.id, problem);
+    failAttempt(attempt, problem);
+  };
+
+  budget.recordRequest(service.name);
+  startAttempt();
+
+  return {
+    abandon() {
+      if (isDone) return;
+      endAttempt(false);
+      complete(Outcome.Abandoned);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/forwarding/retry-budget.ts
@@ -0,0 +1,65 @@
+import type { TimerService } from '../timers/index.ts';
+
+/** The limits that all gateways together keep for each service. */
+export interface RetryBudgetOptions {
+  timers: Pick<TimerService, 'getMonotonicMs'>;
+  /** Second sends allowed per request, over all gateways. */
+  ratio: number;
+  /** Second sends allowed in addition per window, over all gateways. */
+  slack: number;
+  windowMs: number;
+  /** Gateways that share the slack. */
+  countGateways(): number;
+}
+
+/** This gateway's part of the second sends that a service may get. */
+export interface RetryBudget {
+  recordRequest(service: string): void;
+  /** Takes one second send from the budget; false if none is left. */
+  takeRetry(service: string): boolean;
+}
+
+/** Part of the limits that is used; the rest covers restarts, which forget what was used. */
+const USED_PART = 0.8;
+/** Buckets of a window. */
+const BUCKETS = 10;
+
+interface Bucket {
+  index: number;
+  requests: number;
+  retries: number;
+}
+
+/** Creates the budget; it counts over one window plus the current bucket. */
+export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
+  const { timers, ratio, slack, windowMs, countGateways } = options;
+  const bucketMs = windowMs / BUCKETS;
+  const byService = new Map<string, Bucket[]>();
+
+  const getCurrent = (service: string): { buckets: Bucket[]; current: Bucket } => {
+    const index = Math.floor(timers.getMonotonicMs() / bucketMs);
+    const buckets = (byService.get(service) ?? []).filter((one) => one.index >= index - BUCKETS);
+    byService.set(service, buckets);
+    let current = buckets.at(-1);
+    if (current?.index !== index) {
+      current = { index, requests: 0, retries: 0 };
+      buckets.push(current);
+    }
+    return { buckets, current };
+  };
+
+  return {
+    recordRequest(service) {
+      getCurrent(service).current.requests++;
+    },
+    takeRetry(service) {
+      const { buckets, current } = getCurrent(service);
+      const requests = buckets.reduce((total, one) => total + one.requests, 0);
+      const retries = buckets.reduce((total, one) => total + one.retries, 0);
+      const allowed = USED_PART * (ratio * requests + slack / Math.max(1, countGateways()));
+      if (retries + 1 > allowed) return false;
+      current.retries++;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/core/gateway/caller-server.ts
@@ -0,0 +1,100 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+import type { CallerSink, WireFormat } from '../forwarding/index.ts';
+import type { RequestHandler } from './request-handler.ts';
+
+/** What the server for callers needs. */
+export interface CallerServerOptions {
+  host: string;
+  port: number;
+  wire: WireFormat;
+  handler: RequestHandler;
+  /** Whether answers tell callers to close their connection. */
+  isLeaving(): boolean;
+}
+
+/** The server that callers connect to. */
+export interface CallerServer {
+  /** Closes connections on which no request is in progress. */
+  closeIdle(): void;
+  close(): Promise<void>;
+}
+
+/** Largest body that is read; the configuration may set a lower limit. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+/** Largest head of a request; the configuration of the sheets names the same. */
+const MAX_HEADER_BYTES = 16 * 1024;
+/** Longer than the idle time after which callers give a connection up by themselves (15 s). */
+const KEEP_ALIVE_MS = 20_000;
+/** Time for the head of a request; the configuration of the sheets names 3 s. */
+const HEADERS_TIMEOUT_MS = 4_000;
+/** Bytes held for a slow caller before reading from the target stops. */
+const HIGH_WATER_BYTES = 64 * 1024;
+
+/** Creates the caller's side of one request on a response of Node.js. */
+function createSink(response: ServerResponse, isLeaving: () => boolean): CallerSink {
+  const listConnectionFields = (): string[] => (isLeaving() ? ['Connection', 'close'] : []);
+  return {
+    sendAnswer(status, headers, body) {
+      const length = ['Content-Length', String(body.length)];
+      response.writeHead(status, [...headers, ...length, ...listConnectionFields()]);
+      response.end(body);
+    },
+    startBody(status, headers) {
+      response.writeHead(status, [...headers, ...listConnectionFields()]);
+    },
+    writeBody(part) {
+      response.write(part);
+      return response.writableLength < HIGH_WATER_BYTES;
+    },
+    endBody: () => {
+      response.end();
+    },
+    breakOff: () => {
+      response.destroy();
+    },
+    onDrain: (listener) => {
+      response.once('drain', listener);
+    },
+  };
+}
+
+/** Starts the server for callers. */
+export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
+  const { host, port, wire, handler, isLeaving } = options;
+  const app: FastifyInstance = fastify({
+    bodyLimit: MAX_BODY_BYTES,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    exposeHeadRoutes: false,
+    forceCloseConnections: false,
+    http: { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS },
+  });
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+  app.setErrorHandler((error: { statusCode?: number }, _request, reply) => {
+    void reply.code(error.statusCode ?? 500).send('');
+  });
+
+  const handle = (raw: IncomingMessage, response: ServerResponse, body: Buffer): void => {
+    const request = wire.parseRequest(raw.method ?? 'GET', raw.url ?? '/', raw.rawHeaders);
+    const relay = handler.handleRequest(request, body, createSink(response, isLeaving));
+    response.on('close', () => {
+      if (!response.writableFinished) relay?.abandon();
+    });
+  };
+
+  app.all('*', (request, reply) => {
+    reply.hijack();
+    const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
+    handle(request.raw, reply.raw, body);
+  });
+  await app.listen({ host, port });
+  return {
+    closeIdle: () => app.server.closeIdleConnections(),
+    async close() {
+      app.server.closeAllConnections();
+      await app.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/gateway/choose-service.ts
@@ -0,0 +1,14 @@
+import type { CustomerRoute } from '../serving/index.ts';
+
+/** Chooses one of a route's services by their weights; `random` returns 0 to 1. */
+export function chooseService(route: CustomerRoute, random: () => number): string | undefined {
+  const [first] = route.services;
+  if (route.services.length <= 1) return first?.service;
+  const total = route.services.reduce((sum, { weight }) => sum + Math.max(0, weight), 0);
+  let rest = random() * total;
+  for (const { service, weight } of route.services) {
+    rest -= Math.max(0, weight);
+    if (rest < 0) return service;
+  }
+  return first?.service;
+}
--- /dev/null
+++ b/src/core/gateway/request-handler.ts
@@ -0,0 +1,119 @@
+import type { CallerRequest, CallerSink, Relay, RelayServices } from '../forwarding/index.ts';
+import { FailureReason, Outcome, startRelay } from '../forwarding/index.ts';
+import type { RequestLog } from './request-log.ts';
+import type { CustomerRoute } from '../serving/index.ts';
+import { chooseService } from './choose-service.ts';
+import type { RoutingTable } from './routing-table.ts';
+
+/** What the handler of callers' requests needs. */
+export interface RequestHandlerOptions {
+  services: RelayServices;
+  log: RequestLog;
+  /** Table in force; undefined before the first configuration is known. */
+  getTable(): RoutingTable | undefined;
+  /** Whether this process stops soon and takes no new requests. */
+  isRefusing(): boolean;
+}
+
+/** Handles callers' requests. */
+export interface RequestHandler {
+  /** Returns undefined if the request was answered at once. */
+  handleRequest(request: CallerRequest, body: Buffer, sink: CallerSink): Relay | undefined;
+  countInProgress(): number;
+  hasRequests(): boolean;
+}
+
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+const HTTP_TOO_LARGE = 413;
+const HTTP_UNAVAILABLE = 503;
+
+/** When a caller is told to come back to another gateway after this one refused. */
+const STOPPING_RETRY_MS = 50;
+/** When a caller is told to come back to a gateway that has just started. */
+const STARTING_RETRY_MS = 250;
+
+const EMPTY_BODY = Buffer.alloc(0);
+
+/** The customer of a request, or why it is not allowed. */
+type Access = { customer: string | undefined } | { isDenied: true };
+
+function checkAccess(request: CallerRequest, route: CustomerRoute, table: RoutingTable): Access {
+  if (!table.hasKeys()) return { customer: undefined };
+  const customer = request.key === undefined ? undefined : table.findCustomer(request.key);
+  if (customer !== undefined) return { customer: customer.name };
+  return route.isAnonymousAllowed ? { customer: undefined } : { isDenied: true };
+}
+
+/** Creates the handler. */
+export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
+  const { services, log, getTable, isRefusing } = options;
+  let inProgress = 0;
+  let hasRequests = false;
+
+  const reject = (
+    request: CallerRequest,
+    sink: CallerSink,
+    status: number,
+    reason: FailureReason,
+    retryAfterMs?: number,
+  ): undefined => {
+    const headers = retryAfterMs === undefined ? [] : services.wire.buildRetryHeaders(retryAfterMs);
+    sink.sendAnswer(status, headers, EMPTY_BODY);
+    const outcome = status === HTTP_UNAVAILABLE ? Outcome.NotRun : Outcome.Rejected;
+    log.recordRejection(request, status, outcome, reason, getTable()?.version);
+    return undefined;
+  };
+
+  return {
+    handleRequest(request, body, sink) {
+      hasRequests = true;
+      const arrivedMs = services.timers.getMonotonicMs();
+      const table = getTable();
+      if (table === undefined) {
+        return reject(
+          request,
+          sink,
+          HTTP_UNAVAILABLE,
+          FailureReason.NoConfiguration,
+          STARTING_RETRY_MS,
+        );
+      }
+      if (isRefusing()) {
+        return reject(request, sink, HTTP_UNAVAILABLE, FailureReason.Stopping, STOPPING_RETRY_MS);
+      }
+      const route = table.findRoute(request.host, request.path);
+      if (route === undefined) return reject(request, sink, HTTP_NOT_FOUND, FailureReason.NoRoute);
+      const access = checkAccess(request, route, table);
+      if ('isDenied' in access) {
+        return reject(request, sink, HTTP_UNAUTHORIZED, FailureReason.UnknownKey);
+      }
+      if (body.length > table.configuration.limits.maxBodyBytes) {
+        return reject(request, sink, HTTP_TOO_LARGE, FailureReason.TooLarge);
+      }
+      const service = table.findService(chooseService(route, services.random) ?? '');
+      if (service === undefined) {
+        return reject(request, sink, HTTP_UNAVAILABLE, FailureReason.NoTarget, STARTING_RETRY_MS);
+      }
+      inProgress++;
+      const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
+      const { customer } = access;
+      const input = {
+        request,
+        body,
+        route,
+        service,
+        customer,
+        arrivedMs,
+        dueMs: arrivedMs + limitMs,
+        configurationVersion: table.version,
+      };
+      return startRelay(input, sink, services, (result) => {
+        inProgress--;
+        log.recordResult(input, result);
+      });
+    },
+    countInProgress: () => inProgress,
+    hasRequests: () => hasRequests,
+  };
+}
--- /dev/null
+++ b/src/core/gateway/request-log.ts
@@ -0,0 +1,102 @@
+import type { CallerRequest, RelayRequest, RelayResult } from '../forwarding/index.ts';
+import type { FailureReason } from '../forwarding/index.ts';
+import { Outcome } from '../forwarding/index.ts';
+import type { Logger } from '../logs/index.ts';
+import type { TimerService } from '../timers/index.ts';
+
+/** Results of requests since the start, by outcome, kind and reason. */
+export interface RequestCount {
+  outcome: Outcome;
+  kind: string;
+  reason: string;
+  count: number;
+}
+
+/** Writes a line for each request that was not simply answered, and counts all. */
+export interface RequestLog {
+  recordRejection(
+    request: CallerRequest,
+    status: number,
+    outcome: Outcome,
+    reason: FailureReason,
+    configurationVersion: number | undefined,
+  ): void;
+  recordRetry(input: RelayRequest, targetId: string, reason: string): void;
+  recordResult(input: RelayRequest, result: RelayResult): void;
+  listCounts(): RequestCount[];
+}
+
+/** Lines that the log may hold per second; the rest is counted. */
+const LINES_PER_SECOND = 60;
+const MS_PER_SECOND = 1_000;
+
+/** Creates the log. */
+export function createRequestLog(
+  logger: Logger,
+  timers: Pick<TimerService, 'getMonotonicMs'>,
+): RequestLog {
+  const counts = new Map<string, RequestCount>();
+  let second = 0;
+  let lines = 0;
+  let omitted = 0;
+
+  const takeLine = (): boolean => {
+    const current = Math.floor(timers.getMonotonicMs() / MS_PER_SECOND);
+    if (current !== second) {
+      if (omitted > 0) logger.warn('lines were left out', { omitted });
+      second = current;
+      lines = 0;
+      omitted = 0;
+    }
+    lines++;
+    if (lines > LINES_PER_SECOND) omitted++;
+    return lines <= LINES_PER_SECOND;
+  };
+
+  const count = (outcome: Outcome, kind: string, reason: string): void => {
+    const key = `${outcome} ${kind} ${reason}`;
+    const known = counts.get(key) ?? { outcome, kind, reason, count: 0 };
+    known.count++;
+    counts.set(key, known);
+  };
+
+  return {
+    recordRejection(request, status, outcome, reason, configurationVersion) {
+      count(outcome, 'none', reason);
+      if (!takeLine()) return;
+      logger.info('refused a request', {
+        request: request.attemptId ?? '',
+        status,
+        reason,
+        configuration: configurationVersion ?? 0,
+      });
+    },
+    recordRetry(input, targetId, reason) {
+      count(Outcome.NotRun, 'retry', reason.slice(0, 24));
+      if (!takeLine()) return;
+      logger.info('sent a request again', {
+        request: input.request.attemptId ?? '',
+        target: targetId,
+        reason,
+        sinceMs: Math.round(timers.getMonotonicMs() - input.arrivedMs),
+      });
+    },
+    recordResult(input, result) {
+      count(result.outcome, input.route.kind, result.reason ?? '');
+      const isPlain = result.outcome === Outcome.Answered || result.outcome === Outcome.Abandoned;
+      if (isPlain || !takeLine()) return;
+      logger.warn('a request was not answered', {
+        request: input.request.attemptId ?? '',
+        route: input.route.name,
+        model: input.request.model ?? '',
+        outcome: result.outcome,
+        reason: result.reason ?? '',
+        status: result.status ?? 0,
+        targets: result.targetIds.join(' '),
+        configuration: input.configurationVersion,
+        tookMs: Math.round(timers.getMonotonicMs() - input.arrivedMs),
+      });
+    },
+    listCounts: () => [...counts.values()],
+  };
+}
--- /dev/null
+++ b/src/core/serving/index.ts
@@ -0,0 +1,1 @@
+export * from './types.ts';
--- /dev/null
+++ b/src/core/store/index.ts
@@ -0,0 +1,9 @@
+export { StoreFailure, StoreKind } from './types.ts';
+export type {
+  StoreChanges,
+  StoreClient,
+  StoreEvent,
+  StoreList,
+  StoreObject,
+  StoreResult,
+} from './types.ts';
--- /dev/null
+++ b/src/platform/decode-target.ts
@@ -0,0 +1,55 @@
+import { z } from 'zod';
+import { GroupState } from '../core/fleet/index.ts';
+import type { Target } from '../core/fleet/index.ts';
+import type { StoreObject } from '../core/store/index.ts';
+
+const READY_WORD = 'ready';
+const DRAINING_WORD = 'draining';
+
+const groupSchema = z.object({
+  name: z.string(),
+  epoch: z.number(),
+  rank: z.number(),
+  state: z.enum(GroupState),
+});
+
+/** Fields that an engine says of itself, in its entry and in its report. */
+export const engineStateSchema = z.object({
+  domain: z.union([z.string(), z.number()]).optional(),
+  staged: z.array(z.string()).nullish(),
+  models: z.array(z.object({ name: z.string() })).nullish(),
+  group: groupSchema.nullish(),
+  born: z.number().optional(),
+});
+
+const targetSchema = engineStateSchema.extend({
+  service: z.string(),
+  address: z.string().regex(/^[\d.]+:\d+$/),
+  zone: z.string(),
+  state: z.enum([READY_WORD, DRAINING_WORD]),
+  cold_remaining_ms: z.number().default(0),
+});
+
+/**
+ * Decodes an entry of the kind `servers`; `nowMs` is the monotonic time of its arrival.
+ * Returns undefined for an entry that names no target to use.
+ */
+export function decodeTarget(object: StoreObject, nowMs: number): Target | undefined {
+  const result = targetSchema.safeParse(object.spec);
+  if (!result.success) return undefined;
+  const entry = result.data;
+  return {
+    id: object.name,
+    service: entry.service,
+    address: entry.address,
+    availabilityZone: entry.zone,
+    isDraining: entry.state === DRAINING_WORD,
+    coldRemainingMs: entry.cold_remaining_ms,
+    receivedMs: nowMs,
+    startedWallMs: entry.born ?? 0,
+    fabricDomain: entry.domain === undefined ? '' : String(entry.domain),
+    stagedModels: entry.staged ?? [],
+    loadedModel: entry.models?.[0]?.name,
+    group: entry.group ?? undefined,
+  };
+}
--- /dev/null
+++ b/src/platform/engine-control.ts
@@ -0,0 +1,120 @@
+import { Client } from 'undici';
+import { z } from 'zod';
+import type { Target } from '../core/fleet/index.ts';
+import { OrderResult } from '../core/formation/types.ts';
+import type { EngineControl, EngineOrder } from '../core/formation/types.ts';
+import { formatProblem } from '../core/errors/index.ts';
+import type { TimerService } from '../core/timers/index.ts';
+import { engineStateSchema } from './decode-target.ts';
+
+/** Time for the answer to an order; an engine answers in a round trip of a few ms. */
+const ORDER_TIMEOUT_MS = 600;
+
+const HTTP_OK = 200;
+const HTTP_ACCEPTED = 202;
+const HTTP_PRECONDITION_FAILED = 412;
+
+/** `close_mode` that ends the work of the head instead of waiting for it. */
+const CLOSE_AT_ONCE = 'abort';
+
+function encodeOrder(order: EngineOrder): object {
+  switch (order.kind) {
+    case 'stage':
+      return { operation: 'stage', model: order.model };
+    case 'join': {
+      const { group, epoch, model, members } = order;
+      return { operation: 'join', group, epoch, model, members };
+    }
+    case 'close':
+      return {
+        operation: 'close',
+        group: order.group,
+        epoch: order.epoch,
+        close_mode: CLOSE_AT_ONCE,
+      };
+    default:
+      return { operation: order.kind, group: order.group, epoch: order.epoch };
+  }
+}
+
+function toOrderResult(status: number): OrderResult {
+  if (status === HTTP_OK || status === HTTP_ACCEPTED) return OrderResult.Accepted;
+  if (status === HTTP_PRECONDITION_FAILED) return OrderResult.Outdated;
+  return OrderResult.Refused;
+}
+
+const reportSchema = engineStateSchema.pick({ group: true, staged: true });
+
+interface CallResult {
+  /** Undefined without an answer. */
+  status: number | undefined;
+  text: string;
+  wasSent: boolean;
+  problem: string;
+}
+
+/** Creates the client of the engines' own interface. Each call uses a connection of its own. */
+export function createEngineControl(timers: Pick<TimerService, 'scheduleOnce'>): EngineControl {
+  const sendCall = async (
+    target: Target,
+    method: 'GET' | 'POST',
+    path: string,
+    body: object | undefined,
+    timeoutMs: number,
+  ): Promise<CallResult> => {
+    const client = new Client(`http://${target.address}`, { headersTimeout: 0, bodyTimeout: 0 });
+    let wasSent = false;
+    client.on('connect', () => {
+      wasSent = true;
+    });
+    const controller = new AbortController();
+    const cancelDeadline = timers.scheduleOnce(timeoutMs, () => controller.abort());
+    const headers: Record<string, string> = { 'x-expect-instance': target.id };
+    if (body !== undefined) headers['content-type'] = 'application/json';
+    try {
+      const answer = await client.request({
+        method,
+        path,
+        headers,
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: controller.signal,
+        reset: true,
+      });
+      const text = await answer.body.text();
+      return { status: answer.statusCode, text, wasSent, problem: '' };
+    } catch (error) {
+      return { status: undefined, text: '', wasSent, problem: formatProblem(error) };
+    } finally {
+      cancelDeadline();
+      void client.destroy();
+    }
+  };
+
+  return {
+    async sendOrder(target, order) {
+      const body = encodeOrder(order);
+      const result = await sendCall(target, 'POST', '/order', body, ORDER_TIMEOUT_MS);
+      if (result.status !== undefined) return toOrderResult(result.status);
+      return result.wasSent ? OrderResult.Unknown : OrderResult.NotSent;
+    },
+    async fetchReport(target, timeoutMs) {
+      const result = await sendCall(target, 'GET', '/report', undefined, timeoutMs);
+      if (result.status !== HTTP_OK) return undefined;
+      const parsed = reportSchema.safeParse(parseJson(result.text));
+      if (!parsed.success) return undefined;
+      return {
+        group: parsed.data.group ?? undefined,
+        stagedModels: parsed.data.staged ?? [],
+      };
+    },
+  };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // A body that is not JSON fails the schema that follows.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,7 @@
+export { decodeConfiguration } from './decode-configuration.ts';
+export { decodeTarget } from './decode-target.ts';
+export { createEngineControl } from './engine-control.ts';
+export { startServicePages } from './service-pages.ts';
+export { gatewaySettingsSchema, SETTINGS_VARIABLE } from './settings.ts';
+export { createStoreClient } from './store-client.ts';
+export { platformWireFormat } from './wire-format.ts';
--- /dev/null
+++ b/src/platform/store-client.ts
@@ -0,0 +1,213 @@
+import { Client } from 'undici';
+import type { Dispatcher } from 'undici';
+import { z } from 'zod';
+import { createError, ErrorKind, formatProblem } from '../core/errors/index.ts';
+import { StoreFailure, StoreKind } from '../core/store/index.ts';
+import type { StoreClient, StoreList, StoreObject, StoreResult } from '../core/store/index.ts';
+import type { TimerService } from '../core/timers/index.ts';
+import type { SocketAddress } from './settings.ts';
+
+/** Names of the kinds on the wire; the platform calls targets servers. */
+const NAME_BY_KIND: Readonly<Record<StoreKind, string>> = {
+  [StoreKind.Configuration]: 'config',
+  [StoreKind.Evacuations]: 'evacuations',
+  [StoreKind.Targets]: 'servers',
+  [StoreKind.Gateways]: 'clementinefork-gateways',
+  [StoreKind.Duties]: 'clementinefork-duties',
+};
+
+const objectSchema = z.object({
+  metadata: z.object({
+    name: z.string(),
+    revision: z.number(),
+    deleting: z.boolean().optional(),
+  }),
+  spec: z.unknown(),
+  status: z.unknown(),
+});
+
+/** Time for an answer; the store answers in 4 ms, and slow days multiply that by up to 60. */
+const CALL_TIMEOUT_MS = 1_500;
+/** Time to establish a connection; a round trip takes a few ms. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+const HTTP_OK = 200;
+const HTTP_CREATED = 201;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+const HTTP_GONE = 410;
+const HTTP_TOO_MANY_REQUESTS = 429;
+const HTTP_UNAVAILABLE = 503;
+
+const FAILURE_BY_STATUS: Readonly<Record<number, StoreFailure>> = {
+  [HTTP_NOT_FOUND]: StoreFailure.NotFound,
+  [HTTP_CONFLICT]: StoreFailure.Conflict,
+  [HTTP_GONE]: StoreFailure.HistoryGone,
+  [HTTP_TOO_MANY_REQUESTS]: StoreFailure.NotDone,
+  [HTTP_UNAVAILABLE]: StoreFailure.NotDone,
+};
+
+const listSchema = z.object({
+  items: z.array(objectSchema),
+  more: z.boolean().default(false),
+  // The store's revision at which the list was read.
+  as_of: z.number(),
+});
+const changesSchema = z.object({
+  events: z.array(z.object({ object: objectSchema, deleted: z.boolean().default(false) })),
+  as_of: z.number(),
+});
+
+interface StoreCall {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  path: string;
+  body?: unknown;
+  timeoutMs?: number;
+}
+
+function toStoreObject(object: z.infer<typeof objectSchema>): StoreObject {
+  const { name, revision } = object.metadata;
+  return { name, revision, spec: object.spec, status: object.status };
+}
+
+function formatPath(kind: StoreKind, name?: string): string {
+  const path = `/objects/${NAME_BY_KIND[kind]}`;
+  return name === undefined ? path : `${path}/${encodeURIComponent(name)}`;
+}
+
+/** Creates the client of the platform's store. Every call has its own deadline. */
+export function createStoreClient(
+  address: SocketAddress,
+  timers: Pick<TimerService, 'scheduleOnce'>,
+): StoreClient {
+  const origin = `http://${address.host}:${address.port}`;
+  const idle: Client[] = [];
+
+  const createClient = (): Client =>
+    new Client(origin, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      // Deadlines come from the timer service.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+
+  const sendCall = async <Schema extends z.ZodType>(
+    call: StoreCall,
+    schema: Schema,
+  ): Promise<StoreResult<z.output<Schema>>> => {
+    const client = idle.pop() ?? createClient();
+    const controller = new AbortController();
+    const cancelDeadline = timers.scheduleOnce(call.timeoutMs ?? CALL_TIMEOUT_MS, () =>
+      controller.abort(),
+    );
+    try {
+      const answer = await client.request({
+        method: call.method as Dispatcher.HttpMethod,
+        path: call.path,
+        headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+        signal: controller.signal,
+      });
+      const text = await answer.body.text();
+      idle.push(client);
+      return parseAnswer(call, answer.statusCode, text, schema);
+    } catch (error) {
+      // After a lost answer the connection returns nothing further.
+      void client.destroy();
+      return {
+        kind: StoreFailure.Unknown,
+        problem: `${call.method} ${call.path}: ${formatProblem(error)}`,
+      };
+    } finally {
+      cancelDeadline();
+    }
+  };
+
+  const listPage = async (
+    kind: StoreKind,
+    after: string | undefined,
+  ): Promise<StoreResult<z.infer<typeof listSchema>>> => {
+    // The field that continues a list holds a name, although it is called a revision.
+    const query = after === undefined ? '' : `?after_rev=${encodeURIComponent(after)}`;
+    return sendCall({ method: 'GET', path: `${formatPath(kind)}${query}` }, listSchema);
+  };
+
+  return {
+    async listObjects(kind) {
+      const objects: StoreObject[] = [];
+      let revision: number | undefined;
+      for (;;) {
+        const page = await listPage(kind, objects.at(-1)?.name);
+        if (page.kind !== 'ok') return page;
+        objects.push(...page.value.items.map(toStoreObject));
+        // Changes during the listing are seen again by a watch from the first page's revision.
+        revision ??= page.value.as_of;
+        if (!page.value.more || page.value.items.length === 0) break;
+      }
+      return { kind: 'ok', value: { objects, revision } };
+    },
+    async watchObjects(kind, sinceRevision, waitMs) {
+      const path = `${formatPath(kind)}?watch=${sinceRevision}&wait_ms=${Math.round(waitMs)}`;
+      const call: StoreCall = { method: 'GET', path, timeoutMs: waitMs + CALL_TIMEOUT_MS };
+      const result = await sendCall(call, changesSchema);
+      if (result.kind !== 'ok') return result;
+      const events = result.value.events.map(({ object, deleted }) => ({
+        object: toStoreObject(object),
+        isDeleted: deleted,
+      }));
+      return { kind: 'ok', value: { events, revision: result.value.as_of } };
+    },
+    async fetchObject(kind, name) {
+      const result = await sendCall({ method: 'GET', path: formatPath(kind, name) }, objectSchema);
+      return result.kind === 'ok' ? { kind: 'ok', value: toStoreObject(result.value) } : result;
+    },
+    async createObject(kind, name, spec) {
+      const body = { metadata: { name }, spec };
+      const result = await sendCall({ method: 'POST', path: formatPath(kind), body }, objectSchema);
+      return result.kind === 'ok' ? { kind: 'ok', value: toStoreObject(result.value) } : result;
+    },
+    async replaceObject(kind, name, revision, spec) {
+      const body = { metadata: { name, revision }, spec };
+      const call: StoreCall = { method: 'PUT', path: formatPath(kind, name), body };
+      const result = await sendCall(call, objectSchema);
+      return result.kind === 'ok' ? { kind: 'ok', value: toStoreObject(result.value) } : result;
+    },
+    async deleteObject(kind, name) {
+      const result = await sendCall(
+        { method: 'DELETE', path: formatPath(kind, name) },
+        z.unknown(),
+      );
+      return result.kind === 'ok' ? { kind: 'ok', value: undefined } : result;
+    },
+    async close() {
+      await Promise.all(idle.splice(0).map((client) => client.destroy()));
+    },
+  };
+}
+
+function parseAnswer<Schema extends z.ZodType>(
+  call: StoreCall,
+  status: number,
+  text: string,
+  schema: Schema,
+): StoreResult<z.output<Schema>> {
+  const operation = `${call.method} ${call.path}`;
+  if (status !== HTTP_OK && status !== HTTP_CREATED) {
+    const kind = FAILURE_BY_STATUS[status] ?? StoreFailure.Unknown;
+    return { kind, problem: `${operation}: HTTP status ${status}` };
+  }
+  try {
+    const parsed = schema.safeParse(text === '' ? undefined : JSON.parse(text));
+    if (parsed.success) return { kind: 'ok', value: parsed.data };
+    return {
+      kind: StoreFailure.Unknown,
+      problem: `${operation}: ${z.prettifyError(parsed.error)}`,
+    };
+  } catch (error) {
+    const refused = createError(ErrorKind.PlatformUnavailable, {
+      operation,
+      problem: formatProblem(error),
+    });
+    return { kind: StoreFailure.Unknown, problem: refused.message };
+  }
+}
--- /dev/null
+++ b/src/platform/wire-format.ts
@@ -0,0 +1,135 @@
+import type {
+  AnswerHead,
+  CallerRequest,
+  HeaderList,
+  TargetRequest,
+  WireFormat,
+} from '../core/forwarding/types.ts';
+import { Header, KEY_SCHEME } from './headers.ts';
+
+const HTTP_MISDIRECTED = 421;
+const MS_PER_SECOND = 1_000;
+
+/** Fields that concern one connection only (RFC 9110, section 7.6.1), and framing. */
+const CONNECTION_FIELDS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'content-length',
+  'expect',
+]);
+
+/** Fields that the gateway sets itself, whatever the caller sent. */
+const OWN_REQUEST_FIELDS: ReadonlySet<string> = new Set([
+  Header.Authorization,
+  Header.Customer,
+  Header.DeadlineMs,
+  Header.ExpectedTarget,
+  Header.LastEventId,
+  Header.Urgency,
+]);
+
+/** Returns the fields that the `Connection` field names as concerning this connection only. */
+function listConnectionOptions(rawHeaders: readonly string[]): Set<string> {
+  const options = new Set<string>();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() !== 'connection') continue;
+    for (const option of (rawHeaders[index + 1] ?? '').split(',')) {
+      options.add(option.trim().toLowerCase());
+    }
+  }
+  return options;
+}
+
+function selectFields(
+  rawHeaders: readonly string[],
+  isPassed: (name: string) => boolean,
+): HeaderList {
+  const options = listConnectionOptions(rawHeaders);
+  const passed: HeaderList = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? '';
+    const lower = name.toLowerCase();
+    if (CONNECTION_FIELDS.has(lower) || options.has(lower) || !isPassed(lower)) continue;
+    passed.push(name, rawHeaders[index + 1] ?? '');
+  }
+  return passed;
+}
+
+function findField(rawHeaders: readonly string[], wanted: string): string | undefined {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === wanted) return rawHeaders[index + 1];
+  }
+  return undefined;
+}
+
+function parseCount(text: string | undefined): number | undefined {
+  if (text === undefined || !/^\d+(\.\d+)?$/.test(text.trim())) return undefined;
+  return Number(text);
+}
+
+function parseKey(authorization: string | undefined): string | undefined {
+  if (authorization === undefined) return undefined;
+  const [scheme = '', key] = authorization.trim().split(/ +/);
+  return scheme.toLowerCase() === KEY_SCHEME.toLowerCase() ? key : undefined;
+}
+
+function parseRequest(method: string, path: string, rawHeaders: readonly string[]): CallerRequest {
+  const [promptTokens] = (findField(rawHeaders, Header.TokenUsage) ?? '').split(',');
+  return {
+    method,
+    path,
+    host: (findField(rawHeaders, 'host') ?? '').toLowerCase().replace(/:\d+$/, ''),
+    attemptId: findField(rawHeaders, Header.AttemptId),
+    deadlineMs: parseCount(findField(rawHeaders, Header.DeadlineMs)),
+    key: parseKey(findField(rawHeaders, Header.Authorization)),
+    model: findField(rawHeaders, Header.Model),
+    promptTokens: parseCount(promptTokens) ?? 0,
+    lastEventId: findField(rawHeaders, Header.LastEventId),
+    passedHeaders: selectFields(rawHeaders, (name) => !OWN_REQUEST_FIELDS.has(name)),
+  };
+}
+
+function buildTargetHeaders({
+  request,
+  target,
+  remainingMs,
+  customer,
+  lastEventId,
+}: TargetRequest): HeaderList {
+  const headers = [...request.passedHeaders];
+  headers.push('X-Deadline-Ms', String(Math.max(1, Math.floor(remainingMs))));
+  headers.push('X-Expect-Instance', target.id);
+  if (customer !== undefined) headers.push('X-Tenant', customer);
+  if (lastEventId !== undefined) headers.push('Last-Event-Id', lastEventId);
+  return headers;
+}
+
+function parseAnswerHead(status: number, rawHeaders: readonly string[]): AnswerHead {
+  return {
+    status,
+    isSigned: findField(rawHeaders, Header.Signature) !== undefined,
+    isNotRun: findField(rawHeaders, Header.NotRun) !== undefined || status === HTTP_MISDIRECTED,
+    attemptId: findField(rawHeaders, Header.AttemptId),
+    faultyTargetId: findField(rawHeaders, Header.FaultyTarget),
+    isEncoded: findField(rawHeaders, 'content-encoding') !== undefined,
+    passedHeaders: selectFields(rawHeaders, () => true),
+  };
+}
+
+/** The platform's header fields for requests and answers. */
+export const platformWireFormat: WireFormat = {
+  parseRequest,
+  buildTargetHeaders,
+  parseAnswerHead,
+  buildRetryHeaders: (retryAfterMs) => [
+    'Retry-After',
+    (Math.max(0, retryAfterMs) / MS_PER_SECOND).toFixed(2),
+  ],
+};
