--- a/src/cli/controller/index.ts
+++ b/src/cli/controller/index.ts
@@ -1,3 +1,4 @@
+import '../../core/logs/enable.ts';
 import { randomUUID } from 'node:crypto';
 import type { ControllerSettings } from '../../core/controller/index.ts';
 import {
--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -1,3 +1,4 @@
+import '../../core/logs/enable.ts';
 import { createEntryDaemon, entrySettingsSchema } from '../../core/entry/index.ts';
 import { createLogger } from '../../core/logs/index.ts';
 import { createDaemonCommand, runProgram } from '../../core/process/index.ts';
--- a/src/cli/gateway/index.ts
+++ b/src/cli/gateway/index.ts
@@ -1,3 +1,4 @@
+import '../../core/logs/enable.ts';
 import { command, option, optional, string } from 'cmd-ts';
 import { startGateway } from '../../core/gateway/index.ts';
 import { createLogger } from '../../core/logs/index.ts';
--- a/src/core/fleet/target-monitor.ts
+++ b/src/core/fleet/target-monitor.ts
@@ -109,9 +109,10 @@
   };
 
   const reportSilence = (targetId: string, record: TargetRecord, now: number): void => {
+    const isNew = record.suspectUntilMs <= now || !record.isOwnSuspicion;
     record.suspectUntilMs = now + SUSPECT_MS;
     record.isOwnSuspicion = true;
-    handleSuspect(targetId, 'silent');
+    if (isNew) handleSuspect(targetId, 'silent');
     const works = [...record.works];
     works.forEach((work) => work.handleSilence());
   };
@@ -157,9 +158,11 @@
     },
     markSuspect(targetId, reason) {
       const record = getRecord(targetId);
-      record.suspectUntilMs = timers.getMonotonicMs() + SUSPECT_MS;
+      const now = timers.getMonotonicMs();
+      const isNew = record.suspectUntilMs <= now || !record.isOwnSuspicion;
+      record.suspectUntilMs = now + SUSPECT_MS;
       record.isOwnSuspicion = true;
-      handleSuspect(targetId, reason);
+      if (isNew) handleSuspect(targetId, reason);
     },
     markSuspectByPeer(targetId) {
       const record = getRecord(targetId);
--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -56,6 +56,11 @@
 /** Time after the start of a term in which groups of an earlier holder may still be opening. */
 const TAKEOVER_MS = 700;
 
+/** At the first start, engines register over some seconds; the plan waits until none came for this long. */
+const SETTLE_MS = 600;
+/** The first plan is made at the latest this long after the first engine. */
+const SETTLE_LIMIT_MS = 5_000;
+
 interface Operation {
   ids: string[];
   model: string | undefined;
@@ -70,6 +75,7 @@
   const staging = new Map<string, string>();
   /** Last entries of heads, to close groups whose head has lost its entry. */
   const lostHeads = new Map<string, { sinceMs: number; isReleased: boolean }>();
+  const arrivals = new Map<string, { count: number; sinceMs: number; changedMs: number }>();
   let loadStartsMs: number[] = [];
   let term = 0;
   let termSinceMs = 0;
@@ -210,8 +216,22 @@
     return Math.min(byRate, spec.concurrentLoads - staging.size);
   };
 
+  /** Tells whether the engines of the first start are all there, as far as one can know. */
+  const hasSettled = (service: string): boolean => {
+    const now = timers.getMonotonicMs();
+    const count = fleet.listTargets(service).length;
+    const known = arrivals.get(service) ?? { count: 0, sinceMs: now, changedMs: now };
+    if (known.count !== count) {
+      known.count = count;
+      known.changedMs = now;
+    }
+    arrivals.set(service, known);
+    return now - known.changedMs >= SETTLE_MS || now - known.sinceMs >= SETTLE_LIMIT_MS;
+  };
+
   const planService = (service: ServiceSpec, spec: EngineSpec): void => {
     const isBeforeTraffic = !options.hasTraffic();
+    if (isBeforeTraffic && !hasSettled(service.name)) return;
     const actions = planFormation({
       spec,
       engines: fleet.listTargets(service.name),
--- a/src/core/formation/plan-formation.ts
+++ b/src/core/formation/plan-formation.ts
@@ -112,7 +112,7 @@
 function computeWantedGroups(input: FormationInput, model: ModelSpec): number {
   const usable = input.engines.filter((engine) => isHealthyMember(engine, input)).length;
   const share = input.engineShares.get(model.name) ?? 0;
-  return Math.max(1, (share * usable) / model.groupSize);
+  return Math.max(1, Math.floor((share * usable) / model.groupSize));
 }
 
 /** Counts the groups that serve a model or are being formed for it. */
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -38,8 +38,6 @@
 
 /** Starts a daemon and stops it gracefully at the first SIGTERM or SIGINT. */
 export async function runDaemon(logger: Logger, start: () => Promise<Daemon>): Promise<void> {
-  // Roarr writes nothing unless it is asked to; a daemon without logs can't be operated.
-  process.env.ROARR_LOG ??= 'true';
   await runCommand(async () => {
     const daemon = await start();
     let isStopping = false;
