--- a/src/core/duty/create-duty.ts
+++ b/src/core/duty/create-duty.ts
@@ -5,7 +5,7 @@
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 
 /** What the duty needs. */
-export interface DutyOptions {
+export interface DutyOptions<Notes> {
   /** Name of the duty's object. */
   name: string;
   vmName: string;
@@ -15,8 +15,12 @@
   logger: Logger;
   /** Whether a gateway that says it holds the duty has been heard lately. */
   isHolderHeard(): boolean;
-  /** Called when this process takes or loses the duty; the term is 0 without it. */
-  handleTerm(term: number): void;
+  /** What the next holder has to know; it is stored with each renewal. */
+  getNotes(): Notes;
+  notesSchema: z.ZodType<Notes>;
+  /** Called when this process takes the duty, with what the holder before it stored. */
+  handleTaken(term: number, notes: Notes | undefined): void;
+  handleLost(): void;
 }
 
 /** Work that one gateway does for all, under a lease in the store. */
@@ -36,6 +40,7 @@
   term: z.number(),
   /** Increases with each renewal, so that the object changes. */
   renewals: z.number(),
+  notes: z.unknown(),
 });
 type DutyRecord = z.infer<typeof recordSchema>;
 
@@ -51,8 +56,8 @@
 const SUSPENDED_MS = 500;
 
 /** Starts to compete for a duty. */
-export function startDuty(options: DutyOptions): Duty {
-  const { name, vmName, incarnation, store, timers, logger, isHolderHeard, handleTerm } = options;
+export function startDuty<Notes>(options: DutyOptions<Notes>): Duty {
+  const { name, vmName, incarnation, store, timers, logger, isHolderHeard, getNotes } = options;
   let held: DutyRecord | undefined;
   let revision = 0;
   let leaseEndMs = 0;
@@ -61,7 +66,12 @@
   let isStopped = false;
   let cancelNext: Unsubscribe | undefined;
 
-  const markHeld = (record: DutyRecord, object: StoreObject, sentMs: number): void => {
+  const markHeld = (
+    record: DutyRecord,
+    object: StoreObject,
+    sentMs: number,
+    notesBefore?: unknown,
+  ): void => {
     const isNew = held?.term !== record.term;
     held = record;
     revision = object.revision;
@@ -69,7 +79,8 @@
     clockOffsetMs = timers.getWallMs() - timers.getMonotonicMs();
     if (!isNew) return;
     logger.info('took the duty', { duty: name, term: record.term, revision });
-    handleTerm(record.term);
+    const stored = options.notesSchema.safeParse(notesBefore);
+    options.handleTaken(record.term, stored.data);
   };
 
   const markLost = (reason: string): void => {
@@ -77,12 +88,12 @@
     logger.warn('lost the duty', { duty: name, term: held.term, reason });
     held = undefined;
     seen = undefined;
-    handleTerm(0);
+    options.handleLost();
   };
 
   const renew = async (record: DutyRecord): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    const next = { ...record, renewals: record.renewals + 1 };
+    const next = { ...record, renewals: record.renewals + 1, notes: getNotes() };
     const result = await store.replaceObject(StoreKind.Duties, name, revision, next);
     if (held !== record) return;
     if (result.kind === 'ok') markHeld(next, result.value, sentMs);
@@ -103,15 +114,17 @@
 
   const take = async (object: StoreObject, record: DutyRecord): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    const next = { holder: vmName, incarnation, term: record.term + 1, renewals: 0 };
+    const { notes } = record;
+    const next = { holder: vmName, incarnation, term: record.term + 1, renewals: 0, notes };
     const result = await store.replaceObject(StoreKind.Duties, name, object.revision, next);
-    if (result.kind === 'ok') markHeld(next, result.value, sentMs);
+    if (result.kind === 'ok') markHeld(next, result.value, sentMs, notes);
     else logger.info('the duty was not taken', { duty: name, problem: result.problem });
   };
 
   const createRecord = async (): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    const first = { holder: vmName, incarnation, term: 1, renewals: 0 };
+    const notes = getNotes();
+    const first = { holder: vmName, incarnation, term: 1, renewals: 0, notes };
     const result = await store.createObject(StoreKind.Duties, name, first);
     if (result.kind === 'ok') markHeld(first, result.value, sentMs);
   };
@@ -131,6 +144,7 @@
       incarnation: 0,
       term: object.revision,
       renewals: 0,
+      notes: undefined,
     };
     const now = timers.getMonotonicMs();
     if (seen?.revision !== object.revision) seen = { revision: object.revision, sinceMs: now };
@@ -175,7 +189,11 @@
       const record = held;
       if (record === undefined) return;
       markLost('given up');
-      await store.replaceObject(StoreKind.Duties, name, revision, { ...record, holder: '' });
+      await store.replaceObject(StoreKind.Duties, name, revision, {
+        ...record,
+        holder: '',
+        notes: getNotes(),
+      });
     },
     stop() {
       isStopped = true;
--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -3,6 +3,8 @@
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import { createHeadBook, formatGroupKey } from './head-book.ts';
+import type { HeadNote } from './head-book.ts';
 import { createOperations } from './operations.ts';
 import type { FormationAction } from './plan-formation.ts';
 import { planFormation } from './plan-formation.ts';
@@ -33,6 +35,10 @@
 export interface Formation {
   /** A target was found silent or unreachable by a gateway. */
   handleSuspect(targetId: string): void;
+  /** Heads of the groups, for the next holder of the duty. */
+  listHeadNotes(): HeadNote[];
+  /** Takes over what the holder before wrote down. */
+  addHeadNotes(notes: readonly HeadNote[]): void;
   stop(): void;
 }
 
@@ -64,39 +70,6 @@
 
 /** Time for which an engine's entry may show a state from before an order. */
 const ENTRY_LAG_MS = 6_000;
-/**
- * A new holder that has never seen the head of a group leaves its members alone for this long:
- * twice the time in which a head without its members breaks its group.
- */
-const UNKNOWN_HEAD_MS = 10_000;
-/** A group without a trace of its head or members is forgotten after this time. */
-const FORGET_MS = 60_000;
-
-/** What is known of the head of a group. */
-interface HeadRecord {
-  /** Last entry of the head; undefined if this process never saw one. */
-  head?: Target | undefined;
-  seenMs?: number;
-  /** Since when the head has no entry, or answers nobody. */
-  missingSinceMs?: number | undefined;
-  /** Whether the head serves the group no more, or is gone itself. */
-  isEnded: boolean;
-  isAsked: boolean;
-}
-
-/** States of a head in which its group takes requests or finishes them. */
-const ACTIVE_STATES: ReadonlySet<GroupState | undefined> = new Set([
-  GroupState.Open,
-  GroupState.Closing,
-]);
-
-function getHeadState(group: EngineGroup): GroupState | undefined {
-  return group.head?.group?.state;
-}
-
-function formatGroupKey(group: EngineGroup): string {
-  return `${group.service}/${group.name}/${group.epoch}`;
-}
 
 function listMembers(group: EngineGroup): Target[] {
   return group.members.filter((member) => member !== undefined);
@@ -109,15 +82,16 @@
 
 /** Starts the planner. */
 export function startFormation(options: FormationOptions): Formation {
-  const { timers, logger, fleet, control, getTerm, isZoneOut } = options;
+  const { timers, logger, fleet, control, getTerm, isZoneOut, stallMs } = options;
   const operations = new Set<Operation>();
   const unreachable = new Map<string, number>();
   const askedMs = new Map<string, number>();
   const staging = new Map<string, string>();
   /** Epochs of joins that were ordered, until the engines' entries show them or later ones. */
   const orderedEpochs = new Map<string, { epoch: number; untilMs: number }>();
-  /** Groups with the last entry of their head, to close those whose head loses its entry. */
-  const headBook = new Map<string, HeadRecord>();
+  /** Groups that were closed, with the time, until the entries show it. */
+  const closedGroups = new Map<string, number>();
+  const heads = createHeadBook({ timers, isUnreachable: (id) => unreachable.has(id), stallMs });
   const arrivals = new Map<string, { count: number; sinceMs: number; changedMs: number }>();
   let loadStartsMs: number[] = [];
   let term = 0;
@@ -204,6 +178,7 @@
     runOperation(ids, undefined, async () => {
       const isClosed = await steps.closeGroup(group);
       logger.info('closed a group', { group: group.name, epoch: group.epoch, isClosed });
+      if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
       if (!isClosed && group.head !== undefined) await askMembers([group.head]);
     });
   };
@@ -227,66 +202,42 @@
   };
 
   /** Closes a group at a head without an entry; a head that does not answer counts as dead. */
-  const endGroup = (group: EngineGroup, record: HeadRecord): void => {
-    const { head } = record;
-    if (head === undefined) return;
-    record.isAsked = true;
+  const endGroup = (group: EngineGroup, head: Target): void => {
+    heads.markAsked(group);
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
       const isClosed = await steps.closeGroup({ ...group, head });
       const isAlive =
         !isClosed && (options.isServingElsewhere(head.id) || (await steps.isReachable(head)));
-      const current = headBook.get(formatGroupKey(group)) ?? record;
-      current.isEnded = !isAlive;
-      current.isAsked = !isAlive;
+      heads.setEnded(group, !isAlive);
       const context = { group: group.name, head: head.id, isClosed, isAlive };
       logger.info('ended a group whose head has no entry', context);
     });
   };
 
-  /** Notes the heads of all groups; also without the duty, for the time after a takeover. */
-  const updateHeadBook = (service: string): void => {
-    const now = timers.getMonotonicMs();
-    for (const group of fleet.listServiceGroups(service)) {
-      const key = formatGroupKey(group);
-      const record = headBook.get(key) ?? { isEnded: false, isAsked: false };
-      const { head } = group;
-      const isPresent = head !== undefined && !unreachable.has(head.id);
-      headBook.set(key, {
-        head: head ?? record.head,
-        seenMs: now,
-        missingSinceMs: isPresent ? undefined : (record.missingSinceMs ?? now),
-        isEnded: record.isEnded && !isPresent,
-        isAsked: record.isAsked && !isPresent,
-      });
-    }
-    for (const [key, { seenMs }] of headBook)
-      if (now - (seenMs ?? now) > FORGET_MS) headBook.delete(key);
-  };
-
-  /** Tells whether a group may still be open at a head that is missing. */
-  const mayBeOpen = (group: EngineGroup, record: HeadRecord): boolean => {
-    if (record.missingSinceMs === undefined || record.isEnded) return false;
-    if (group.head !== undefined && !ACTIVE_STATES.has(getHeadState(group))) return false;
-    const missingMs = timers.getMonotonicMs() - record.missingSinceMs;
-    // A head that answers nobody breaks its group by itself after the stall.
-    if (group.head !== undefined) return missingMs <= options.stallMs;
-    if (record.head === undefined) return missingMs <= UNKNOWN_HEAD_MS;
-    return true;
-  };
-
   /** Returns members whose group may still be open, and asks their heads to close it. */
   const listHeldIds = (service: string): Set<string> => {
     const held = new Set<string>();
     for (const group of fleet.listServiceGroups(service)) {
-      const record = headBook.get(formatGroupKey(group));
-      if (record === undefined || !mayBeOpen(group, record)) continue;
+      if (!heads.mayBeOpen(group)) continue;
       listMembers(group).forEach(({ id }) => held.add(id));
-      if (group.head === undefined && !record.isAsked) endGroup(group, record);
+      const head = heads.findHeadToAsk(group);
+      if (head !== undefined) endGroup(group, head);
     }
     return held;
   };
 
+  /** Groups as their entries show them, but for those that were closed meanwhile. */
+  const listGroupsAsClosed = (service: string): EngineGroup[] => {
+    const now = timers.getMonotonicMs();
+    for (const [key, closedMs] of closedGroups) {
+      if (now - closedMs > ENTRY_LAG_MS) closedGroups.delete(key);
+    }
+    return fleet
+      .listServiceGroups(service)
+      .filter((group) => !closedGroups.has(formatGroupKey(group)));
+  };
+
   /** Engines whose entry does not show yet what was ordered. */
   const listLaggingIds = (): string[] => {
     const now = timers.getMonotonicMs();
@@ -324,7 +275,7 @@
     const actions = planFormation({
       spec,
       engines: fleet.listTargets(service.name),
-      groups: fleet.listServiceGroups(service.name),
+      groups: listGroupsAsClosed(service.name),
       busyEngineIds: new Set([...[...operations].flatMap(({ ids }) => ids), ...listLaggingIds()]),
       formingModels: [...operations].flatMap(({ model }) => model ?? []),
       unreachableIds: new Set(unreachable.keys()),
@@ -351,7 +302,7 @@
     updateTerm();
     const now = timers.getMonotonicMs();
     for (const [id, untilMs] of unreachable) if (now >= untilMs) unreachable.delete(id);
-    options.listEngineServices().forEach(({ name }) => updateHeadBook(name));
+    options.listEngineServices().forEach(({ name }) => heads.update(fleet.listServiceGroups(name)));
     if (term === 0 || !options.isViewFresh()) return;
     if (term > 1 && now - termSinceMs < TAKEOVER_MS) return;
     for (const service of options.listEngineServices()) {
@@ -373,6 +324,8 @@
       if (group === undefined) return;
       void askMembers(listMembers(group));
     },
+    listHeadNotes: heads.listNotes,
+    addHeadNotes: heads.addNotes,
     stop: stopPlanning,
   };
 }
--- a/src/core/formation/operations.ts
+++ b/src/core/formation/operations.ts
@@ -23,7 +23,7 @@
 /** Time after which an engine is asked itself, if the store does not show the expected state. */
 const ASK_AFTER_MS = 350;
 /** Time for the answer to a question. */
-const ASK_TIMEOUT_MS = 250;
+const ASK_TIMEOUT_MS = 150;
 /** Time beyond the expected one after which a join is given up. */
 const JOIN_SLACK_MS = 3_000;
 const OPEN_TRIES = 6;
@@ -55,7 +55,7 @@
     let result = OrderResult.NotSent;
     for (let count = 0; count < ORDER_TRIES && mayAct(); count++) {
       result = await control.sendOrder(target, order);
-      if (result !== OrderResult.Unknown && result !== OrderResult.NotSent) return result;
+      if (result !== OrderResult.Unknown) return result;
     }
     return result;
   };
@@ -108,6 +108,13 @@
     return false;
   };
 
+  /** After a refused close: the head has left the group, or its group is not open any more. */
+  const hasEnded = async (head: Target, name: string, epoch: number): Promise<boolean> => {
+    const report = await control.fetchReport(head, ASK_TIMEOUT_MS);
+    return report !== undefined && !isInState(report.group, name, epoch, ACTIVE);
+  };
+
+  const ACTIVE = new Set([GroupState.Open, GroupState.Closing]);
   const READY = new Set([GroupState.Ready, GroupState.Open]);
   const STOPPED = new Set([GroupState.Ready, GroupState.Broken, GroupState.Joining]);
 
@@ -156,6 +163,7 @@
       if (head === undefined) return false;
       const result = await sendRepeatedly(head, { kind: 'close', group: name, epoch });
       if (result === OrderResult.Outdated) return true;
+      if (result === OrderResult.Refused) return hasEnded(head, name, epoch);
       if (result !== OrderResult.Accepted) return false;
       return waitForState(head, name, epoch, STOPPED, CLOSE_TIMEOUT_MS, LOOK_PERIOD_MS);
     },
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -267,7 +267,7 @@
   /** The target says nothing: a request that may run again continues elsewhere. */
   const handleSilence = (attempt: Attempt): void => {
     if (isDone || attempt !== current || !attempt.wasSent) return;
-    const canMove = isRepeatable && runs < route.maxAttempts;
+    const canMove = isRepeatable && runs < route.maxAttempts && budget.hasRetry(service.name);
     if (!canMove) return;
     const query = { service, model: request.model, excludedIds };
     if (chooser.chooseTarget(query) === undefined) return;
--- a/src/core/forwarding/retry-budget.ts
+++ b/src/core/forwarding/retry-budget.ts
@@ -15,6 +15,7 @@
 /** This gateway's part of the second sends that a service may get. */
 export interface RetryBudget {
   recordRequest(service: string): void;
+  hasRetry(service: string): boolean;
   /** Takes one second send from the budget; false if none is left. */
   takeRetry(service: string): boolean;
 }
@@ -48,17 +49,22 @@
     return { buckets, current };
   };
 
+  const hasRetry = (service: string): boolean => {
+    const { buckets } = getCurrent(service);
+    const requests = buckets.reduce((total, one) => total + one.requests, 0);
+    const retries = buckets.reduce((total, one) => total + one.retries, 0);
+    const allowed = USED_PART * (ratio * requests + slack / Math.max(1, countGateways()));
+    return retries + 1 <= allowed;
+  };
+
   return {
     recordRequest(service) {
       getCurrent(service).current.requests++;
     },
+    hasRetry,
     takeRetry(service) {
-      const { buckets, current } = getCurrent(service);
-      const requests = buckets.reduce((total, one) => total + one.requests, 0);
-      const retries = buckets.reduce((total, one) => total + one.retries, 0);
-      const allowed = USED_PART * (ratio * requests + slack / Math.max(1, countGateways()));
-      if (retries + 1 > allowed) return false;
-      current.retries++;
+      if (!hasRetry(service)) return false;
+      getCurrent(service).current.retries++;
       return true;
     },
   };
--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -72,9 +72,19 @@
 /* Guards against an answer that broke off and passes for complete (MIXED on rodopi-wax fresh-f391). */
 describe('target client', () => {
   const cases = [
-    { name: 'chunks that end', bytes: `${CHUNKED}3\r\nabc\r\n0\r\n\r\n`, reset: false, want: 'complete' },
+    {
+      name: 'chunks that end',
+      bytes: `${CHUNKED}3\r\nabc\r\n0\r\n\r\n`,
+      reset: false,
+      want: 'complete',
+    },
     { name: 'chunks cut by a reset', bytes: `${CHUNKED}3\r\nabc\r\n`, reset: true, want: 'broken' },
-    { name: 'chunks cut by a close', bytes: `${CHUNKED}3\r\nabc\r\n`, reset: false, want: 'broken' },
+    {
+      name: 'chunks cut by a close',
+      bytes: `${CHUNKED}3\r\nabc\r\n`,
+      reset: false,
+      want: 'broken',
+    },
     { name: 'no length, closed', bytes: `${UNFRAMED}abc`, reset: false, want: 'complete' },
     { name: 'no length, reset', bytes: `${UNFRAMED}abc`, reset: true, want: 'broken' },
   ];
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -1,8 +1,9 @@
+import { z } from 'zod';
 import { startDuty } from '../duty/index.ts';
 import { startFeed } from '../feed/index.ts';
 import { createFleet, createTargetMonitor } from '../fleet/index.ts';
 import type { Target } from '../fleet/index.ts';
-import { startFormation } from '../formation/index.ts';
+import { headNoteSchema, startFormation } from '../formation/index.ts';
 import type { EngineControl } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
 import type { WireFormat } from '../forwarding/index.ts';
@@ -190,7 +191,13 @@
     timers,
     logger,
     isHolderHeard: () => peers.listPeers().some(({ status }) => status.dutyTerm > 0),
-    handleTerm: () => peers.sendNow(),
+    getNotes: () => formation.listHeadNotes(),
+    notesSchema: z.array(headNoteSchema),
+    handleTaken(_term, notes) {
+      formation.addHeadNotes(notes ?? []);
+      peers.sendNow();
+    },
+    handleLost: () => peers.sendNow(),
   });
 
   const applyConfiguration = (object: StoreObject): void => {
--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -10,6 +10,9 @@
 /** Time for the answer to an order; an engine answers in a round trip of a few ms. */
 const ORDER_TIMEOUT_MS = 600;
 
+/** Time to establish a connection; a round trip takes 1 to 3 ms. */
+const CONNECT_LIMIT_MS = 150;
+
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_PRECONDITION_FAILED = 412;
@@ -67,8 +70,13 @@
     client.on('connect', () => {
       wasSent = true;
     });
-    const controller = new AbortController();
-    const cancelDeadline = timers.scheduleOnce(timeoutMs, () => controller.abort());
+    // An abort signal has no effect before the connection stands; ending the client has.
+    const cancelDeadline = timers.scheduleOnce(timeoutMs, () => {
+      void client.destroy(new Error('no answer in time'));
+    });
+    const cancelConnectLimit = timers.scheduleOnce(CONNECT_LIMIT_MS, () => {
+      if (!wasSent) void client.destroy(new Error('no connection in time'));
+    });
     const headers: Record<string, string> = { 'x-expect-instance': target.id };
     if (body !== undefined) headers['content-type'] = 'application/json';
     try {
@@ -77,7 +85,6 @@
         path,
         headers,
         body: body === undefined ? null : JSON.stringify(body),
-        signal: controller.signal,
         reset: true,
       });
       const text = await answer.body.text();
@@ -86,6 +93,7 @@
       return { status: undefined, text: '', wasSent, problem: formatProblem(error) };
     } finally {
       cancelDeadline();
+      cancelConnectLimit();
       void client.destroy();
     }
   };
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -98,17 +98,16 @@
     schema: Schema,
   ): Promise<StoreResult<z.output<Schema>>> => {
     const client = idle.pop() ?? createClient();
-    const controller = new AbortController();
-    const cancelDeadline = timers.scheduleOnce(call.timeoutMs ?? CALL_TIMEOUT_MS, () =>
-      controller.abort(),
-    );
+    // An abort signal has no effect before the connection stands; ending the client has.
+    const cancelDeadline = timers.scheduleOnce(call.timeoutMs ?? CALL_TIMEOUT_MS, () => {
+      void client.destroy(new Error('no answer in time'));
+    });
     try {
       const answer = await client.request({
         method: call.method as Dispatcher.HttpMethod,
         path: call.path,
         headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
         body: call.body === undefined ? null : JSON.stringify(call.body),
-        signal: controller.signal,
       });
       const text = await answer.body.text();
       idle.push(client);
