--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -68,6 +68,8 @@
 /** The first plan is made at the latest this long after the first engine. */
 const SETTLE_LIMIT_MS = 5_000;
 
+/** Pause before a head that serves, or does not answer, is asked again whether it is idle. */
+const CONFIRM_PERIOD_MS = 400;
 /** Time for which an engine's entry may show a state from before an order. */
 const ENTRY_LAG_MS = 6_000;
 
@@ -215,6 +217,19 @@
     });
   };
 
+  /** Asks a head that shows as ready whether it has opened its group meanwhile. */
+  const confirmIdle = (group: EngineGroup): void => {
+    const head = heads.findHeadToConfirm(group);
+    const ids = listMembers(group).map(({ id }) => id);
+    const isBusy = [...operations].some((one) => one.ids.some((id) => ids.includes(id)));
+    if (head === undefined || isBusy) return;
+    runOperation(ids, undefined, async () => {
+      const isIdle = await steps.hasEnded(head, group.name, group.epoch);
+      heads.setIdle(group, isIdle);
+      if (!isIdle) await timers.waitFor(CONFIRM_PERIOD_MS);
+    });
+  };
+
   /** Returns members whose group may still be open, and asks their heads to close it. */
   const listHeldIds = (service: string): Set<string> => {
     const held = new Set<string>();
@@ -223,6 +238,7 @@
       listMembers(group).forEach(({ id }) => held.add(id));
       const head = heads.findHeadToAsk(group);
       if (head !== undefined) endGroup(group, head);
+      confirmIdle(group);
     }
     return held;
   };
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -63,6 +63,20 @@
     fake.formation.stop();
   });
 
+  // Guards against joining members of a group that opened after its last entry (TWO on trouble-3).
+  it('asks a head that shows as ready before its members are used', async () => {
+    const fake = await startServing();
+    const { head } = findOpenPair(fake);
+    if (head.group === undefined) throw new Error('no group');
+    head.group.state = GroupState.Ready;
+    fake.setEntriesFollowing(true);
+    fake.setEntriesFollowing(false);
+    head.group.state = GroupState.Open;
+    await fake.timers.runForAsync(3_000);
+    expect(fake.violations).toEqual([]);
+    fake.formation.stop();
+  });
+
   // Guards against joining members of a head that lost only its entry (TWO on rodopi-wax scale-1).
   it('closes a group at a head without an entry before its members join another', async () => {
     const fake = await startServing();
--- a/src/core/formation/head-book.ts
+++ b/src/core/formation/head-book.ts
@@ -17,13 +17,16 @@
 /** What is known of the heads of groups, also after they lost their entries. */
 export interface HeadBook {
   update(groups: readonly EngineGroup[]): void;
-  /** Tells whether a group may still be open at a head that is missing. */
+  /** Tells whether a group that does not show as open may be open all the same. */
   mayBeOpen(group: EngineGroup): boolean;
   /** Returns the head of a group that lost its entry and has not been asked to close it. */
   findHeadToAsk(group: EngineGroup): Target | undefined;
   markAsked(group: EngineGroup): void;
   /** Notes whether the group has ended; if not, its head is asked again. */
   setEnded(group: EngineGroup, isEnded: boolean): void;
+  /** Returns the head of a group that shows as ready and has not been asked whether it is open. */
+  findHeadToConfirm(group: EngineGroup): Target | undefined;
+  setIdle(group: EngineGroup, isIdle: boolean): void;
   listNotes(): HeadNote[];
   addNotes(notes: readonly HeadNote[]): void;
 }
@@ -55,6 +58,8 @@
   /** Whether the head serves the group no more, or is gone itself. */
   isEnded: boolean;
   isAsked: boolean;
+  /** Whether the head itself said that it does not serve the group. */
+  isIdle: boolean;
 }
 
 /** States of a head in which its group takes requests or finishes them. */
@@ -63,6 +68,16 @@
   GroupState.Closing,
 ]);
 
+/** States that an entry shows of a head that may have opened since. */
+const UNCERTAIN_STATES: ReadonlySet<GroupState | undefined> = new Set([
+  GroupState.Ready,
+  GroupState.Joining,
+]);
+
+function isUncertain(head: Target | undefined): boolean {
+  return UNCERTAIN_STATES.has(head?.group?.state);
+}
+
 /** Returns the key of a group: names are used once per epoch. */
 export function formatGroupKey(group: EngineGroup): string {
   return `${group.service}/${group.name}/${group.epoch}`;
@@ -90,6 +105,7 @@
       missingSinceMs: isPresent ? undefined : (record?.missingSinceMs ?? now),
       isEnded: record?.isEnded === true && !isPresent,
       isAsked: record?.isAsked === true && !isPresent,
+      isIdle: record?.isIdle === true && !ACTIVE_STATES.has(head?.group?.state),
     });
   };
 
@@ -109,8 +125,10 @@
     },
     mayBeOpen(group) {
       const record = records.get(formatGroupKey(group));
-      if (record?.missingSinceMs === undefined || record.isEnded) return false;
+      if (record === undefined || record.isEnded) return false;
       const { head } = group;
+      // An entry may be older than the order that opened the group.
+      if (record.missingSinceMs === undefined) return isUncertain(head) && !record.isIdle;
       if (head !== undefined && !ACTIVE_STATES.has(head.group?.state)) return false;
       const missingMs = timers.getMonotonicMs() - record.missingSinceMs;
       // A head that answers nobody breaks its group by itself after the stall.
@@ -123,6 +141,14 @@
       if (record === undefined || group.head !== undefined || record.isAsked) return undefined;
       return findKnownHead(group, record);
     },
+    findHeadToConfirm(group) {
+      const record = records.get(formatGroupKey(group));
+      if (record === undefined || record.missingSinceMs !== undefined || record.isIdle) {
+        return undefined;
+      }
+      return isUncertain(group.head) ? group.head : undefined;
+    },
+    setIdle: (group, isIdle) => setRecord(group, { isIdle }),
     markAsked: (group) => setRecord(group, { isAsked: true }),
     setEnded: (group, isEnded) => setRecord(group, { isEnded, isAsked: isEnded }),
     listNotes: () =>
@@ -145,6 +171,7 @@
             missingSinceMs: undefined,
             isEnded: false,
             isAsked: false,
+            isIdle: false,
           });
         }
       }
--- a/src/core/formation/operations.ts
+++ b/src/core/formation/operations.ts
@@ -43,6 +43,8 @@
   ): Promise<{ isOpen: boolean; failedIds: string[] }>;
   /** Closes a group at its head; true if the head has stopped serving it. */
   closeGroup(group: EngineGroup): Promise<boolean>;
+  /** Asks a head whether it has stopped serving a group; false without an answer. */
+  hasEnded(head: Target, name: string, epoch: number): Promise<boolean>;
   /** Asks an engine whether it is there. */
   isReachable(target: Target): Promise<boolean>;
 }
@@ -108,7 +110,6 @@
     return false;
   };
 
-  /** After a refused close: the head has left the group, or its group is not open any more. */
   const hasEnded = async (head: Target, name: string, epoch: number): Promise<boolean> => {
     const report = await control.fetchReport(head, ASK_TIMEOUT_MS);
     return report !== undefined && !isInState(report.group, name, epoch, ACTIVE);
@@ -167,6 +168,7 @@
       if (result !== OrderResult.Accepted) return false;
       return waitForState(head, name, epoch, STOPPED, CLOSE_TIMEOUT_MS, LOOK_PERIOD_MS);
     },
+    hasEnded,
     async isReachable(target) {
       const first = await control.fetchReport(target, ASK_TIMEOUT_MS);
       if (first !== undefined) return true;
