--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -30,12 +30,16 @@
 };
 
 /** Runs one exchange with a server that writes the bytes and then ends its connection. */
-async function runExchange(bytes: string, end: (socket: Socket) => void): Promise<string> {
+async function runExchange(
+  bytes: string,
+  isLate: boolean,
+  end: (socket: Socket) => void,
+): Promise<string> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    // A reset right after a write can arrive as an orderly end.
     const endLater = () => timers.scheduleOnce(END_DELAY_MS, () => end(socket));
-    socket.once('data', () => socket.write(bytes, endLater));
+    const endNow = () => end(socket);
+    socket.once('data', () => socket.write(bytes, isLate ? endLater : endNow));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -89,11 +93,14 @@
     { name: 'no length, reset', bytes: `${UNFRAMED}abc`, reset: true, want: 'broken' },
   ];
   for (const { name, bytes, reset, want } of cases) {
-    it(`reports ${want} for ${name}`, async () => {
-      const result = await runExchange(bytes, (socket) =>
-        reset ? socket.resetAndDestroy() : socket.end(),
-      );
-      expect(result).toEqual(want);
-    });
+    // The end of a connection may arrive together with the last bytes or after them.
+    for (const isLate of [false, true]) {
+      it(`reports ${want} for ${name}, ${isLate ? 'later' : 'at once'}`, async () => {
+        const result = await runExchange(bytes, isLate, (socket) =>
+          reset ? socket.resetAndDestroy() : socket.end(),
+        );
+        expect(result).toEqual(want);
+      });
+    }
   }
 });
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -1,3 +1,4 @@
+import type { Writable } from 'node:stream';
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import { formatProblem } from '../errors/index.ts';
@@ -39,6 +40,25 @@
 interface ConnectionState {
   /** Set if the connection broke; an answer without a length must not pass for complete then. */
   failure: Error | undefined;
+  socket: Writable | undefined;
+  /** Whether the answer names a length or comes in chunks, so that its end is certain. */
+  isFramed: boolean;
+}
+
+const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
+
+function hasFraming(rawHeaders: readonly string[]): boolean {
+  return rawHeaders.some(
+    (field, index) => index % 2 === 0 && FRAMING_FIELDS.has(field.toLowerCase()),
+  );
+}
+
+/**
+ * Finds out whether a connection that ended was reset. A reset that arrives together with data
+ * shows as an orderly end; writing nothing tells them apart, because it fails after a reset.
+ */
+function checkReset(socket: Writable, report: (error: Error | undefined) => void): void {
+  socket.write('', (error) => report(error ?? undefined));
 }
 
 /** Creates a client for one request, which notes how its connection ended. */
@@ -47,7 +67,9 @@
   return new Client(`http://${address}`, {
     connect: (options, callback) => {
       connect(options, (...result) => {
-        result[1]?.on('error', (error: Error) => {
+        const [, socket] = result;
+        state.socket = socket ?? undefined;
+        socket?.on('error', (error: Error) => {
           state.failure = error;
         });
         callback(...result);
@@ -70,7 +92,7 @@
 
   return {
     send(request, listener) {
-      const state: ConnectionState = { failure: undefined };
+      const state: ConnectionState = { failure: undefined, socket: undefined, isFramed: false };
       const client = createConnection(request.target.address, state);
       open.add(client);
       let isDone = false;
@@ -87,6 +109,9 @@
       const fail = (problem: string): void => {
         if (finish()) listener.handleError(wasSent, problem);
       };
+      const complete = (): void => {
+        if (finish()) listener.handleEnd();
+      };
       const cancelConnectLimit = timers.scheduleOnce(CONNECT_LIMIT_MS, () => {
         if (!wasSent) fail('no connection in time');
       });
@@ -112,6 +137,7 @@
             if (isDone) return;
             const raw = (controller as { rawHeaders?: Buffer[] }).rawHeaders ?? [];
             const fields = raw.map((field) => field.toString('latin1'));
+            state.isFramed = hasFraming(fields);
             listener.handleHead(wire.parseAnswerHead(status, fields));
           },
           onResponseData(_controller, chunk) {
@@ -120,7 +146,13 @@
           onResponseEnd() {
             // The client takes a reset for the end of an answer on a connection that closes.
             if (state.failure !== undefined) fail(formatProblem(state.failure));
-            else if (finish()) listener.handleEnd();
+            else if (state.isFramed || state.socket === undefined) complete();
+            else {
+              checkReset(state.socket, (error) => {
+                if (error === undefined) complete();
+                else fail(formatProblem(error));
+              });
+            }
           },
           onResponseError(_controller, error) {
             fail(formatProblem(error));
