--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,9 @@
 import prettier from 'eslint-config-prettier/flat';
 
 export default [
-  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'src/core/rpc/generated/**'] },
+  {
+    ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'src/core/rpc/generated/**'],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -26,6 +26,8 @@
   /** Whether any gateway has seen a request. */
   hasTraffic(): boolean;
   isZoneOut(availabilityZone: string): boolean;
+  /** Requests in progress at a target, over all gateways. */
+  countInFlight(targetId: string): number;
   /** Whether another gateway has requests in progress at a target that answers it. */
   isServingElsewhere(targetId: string): boolean;
   stallMs: number;
@@ -70,6 +72,8 @@
 
 /** Pause before a head that serves, or does not answer, is asked again whether it is idle. */
 const CONFIRM_PERIOD_MS = 400;
+/** A domain that could not form what it gave up groups for forms others again after this time. */
+const COLLECT_LIMIT_MS = 7_000;
 /** Time for which an engine's entry may show a state from before an order. */
 const ENTRY_LAG_MS = 6_000;
 
@@ -91,6 +95,8 @@
   const staging = new Map<string, string>();
   /** Epochs of joins that were ordered, until the engines' entries show them or later ones. */
   const orderedEpochs = new Map<string, { epoch: number; untilMs: number }>();
+  /** Domains that give up groups for a model, until the group is formed. */
+  const collecting = new Map<string, { model: string; untilMs: number }>();
   /** Groups that were closed, with the time, until the entries show it. */
   const closedGroups = new Map<string, number>();
   const heads = createHeadBook({ timers, isUnreachable: (id) => unreachable.has(id), stallMs });
@@ -133,6 +139,8 @@
   };
 
   const form = (model: ModelSpec, members: Target[]): void => {
+    const domain = members[0]?.fabricDomain ?? '';
+    if (collecting.get(domain)?.model === model.name) collecting.delete(domain);
     const epoch = term * EPOCHS_PER_TERM + epochCount++;
     const name = `g${epoch}`;
     const ids = members.map(({ id }) => id);
@@ -149,7 +157,7 @@
         group: name,
         model: model.name,
         members: ids.join(' '),
-        domain: members[0]?.fabricDomain ?? '',
+        domain,
         tookMs,
       });
       await timers.waitFor(openMsOf(members[0]) + 200);
@@ -178,15 +186,31 @@
     const { group } = action;
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isClosed = await steps.closeGroup(group);
+      const isClosed = await steps.closeGroup(group, false);
       logger.info('closed a group', { group: group.name, epoch: group.epoch, isClosed });
       if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
       if (!isClosed && group.head !== undefined) await askMembers([group.head]);
     });
   };
 
+  const retire = (group: EngineGroup, model: ModelSpec): void => {
+    const domain = group.fabricDomain;
+    collecting.set(domain, {
+      model: model.name,
+      untilMs: timers.getMonotonicMs() + COLLECT_LIMIT_MS,
+    });
+    const ids = listMembers(group).map(({ id }) => id);
+    runOperation(ids, undefined, async () => {
+      const isClosed = await steps.closeGroup(group, true);
+      const context = { group: group.name, domain, forModel: model.name, isClosed };
+      logger.info('retired a group for another model', context);
+      if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
+    });
+  };
+
   const apply = (action: FormationAction): void => {
     if (action.kind === 'form') form(action.model, action.members);
+    else if (action.kind === 'retire') retire(action.group, action.model);
     else if (action.kind === 'stage') stage(action.engine, action.model);
     else dissolve(action);
   };
@@ -208,7 +232,7 @@
     heads.markAsked(group);
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isClosed = await steps.closeGroup({ ...group, head });
+      const isClosed = await steps.closeGroup({ ...group, head }, false);
       const isAlive =
         !isClosed && (options.isServingElsewhere(head.id) || (await steps.isReachable(head)));
       heads.setEnded(group, !isAlive);
@@ -297,6 +321,8 @@
       unreachableIds: new Set(unreachable.keys()),
       heldIds: listHeldIds(service.name),
       staging,
+      collecting: new Map([...collecting].map(([domain, { model }]) => [domain, model])),
+      countInFlight: options.countInFlight,
       isZoneOut,
       isBeforeTraffic,
       loadBudget: countLoadBudget(spec),
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -98,6 +98,21 @@
     fake.formation.stop();
   });
 
+  // Guards against the slow loss of all large groups (quote-draft 0.15 on rodopi-wax fresh-f391).
+  it('replaces a large group that lost a member by giving up a small one', async () => {
+    const fake = await startServing();
+    const [head] = fake.listOpenGroups('large');
+    const lost = [...fake.engines.values()].find(
+      ({ group }) => group?.name === head?.group?.name && group?.rank === 3,
+    );
+    fake.engines.delete(lost?.id ?? '');
+    fake.setEntriesFollowing(true);
+    await fake.timers.runForAsync(3_500);
+    expect(fake.listOpenGroups('large').length).toEqual(7);
+    expect(fake.violations).toEqual([]);
+    fake.formation.stop();
+  });
+
   it('forms a lost group anew from survivors within a second', async () => {
     const fake = await startServing();
     const pairs = fake
--- a/src/core/formation/operations.ts
+++ b/src/core/formation/operations.ts
@@ -30,6 +30,16 @@
 /** Pause before an open is sent again to a head that is not ready. */
 const OPEN_PERIOD_MS = 60;
 const CLOSE_TIMEOUT_MS = 700;
+/** Longest stream of the sheets, 87 events of 50 ms, and a margin. */
+const GRACEFUL_CLOSE_TIMEOUT_MS = 6_000;
+
+const ACTIVE: ReadonlySet<GroupState> = new Set([GroupState.Open, GroupState.Closing]);
+const READY: ReadonlySet<GroupState> = new Set([GroupState.Ready, GroupState.Open]);
+const STOPPED: ReadonlySet<GroupState> = new Set([
+  GroupState.Ready,
+  GroupState.Broken,
+  GroupState.Joining,
+]);
 
 /** Steps that change groups, each safe to give up at any point. */
 export interface Operations {
@@ -42,7 +52,7 @@
     expectedMs: number,
   ): Promise<{ isOpen: boolean; failedIds: string[] }>;
   /** Closes a group at its head; true if the head has stopped serving it. */
-  closeGroup(group: EngineGroup): Promise<boolean>;
+  closeGroup(group: EngineGroup, isGraceful: boolean): Promise<boolean>;
   /** Asks a head whether it has stopped serving a group; false without an answer. */
   hasEnded(head: Target, name: string, epoch: number): Promise<boolean>;
   /** Asks an engine whether it is there. */
@@ -115,10 +125,6 @@
     return report !== undefined && !isInState(report.group, name, epoch, ACTIVE);
   };
 
-  const ACTIVE = new Set([GroupState.Open, GroupState.Closing]);
-  const READY = new Set([GroupState.Ready, GroupState.Open]);
-  const STOPPED = new Set([GroupState.Ready, GroupState.Broken, GroupState.Joining]);
-
   return {
     async formGroup(name, epoch, model, members, expectedMs) {
       const ids = members.map(({ id }) => id);
@@ -160,13 +166,19 @@
       if (mayAct()) await leaveAll(members, name, epoch);
       return { isOpen, failedIds };
     },
-    async closeGroup({ name, epoch, head }) {
+    async closeGroup({ name, epoch, head }, isGraceful) {
       if (head === undefined) return false;
-      const result = await sendRepeatedly(head, { kind: 'close', group: name, epoch });
+      const result = await sendRepeatedly(head, {
+        kind: 'close',
+        group: name,
+        epoch,
+        isGraceful,
+      });
       if (result === OrderResult.Outdated) return true;
       if (result === OrderResult.Refused) return hasEnded(head, name, epoch);
       if (result !== OrderResult.Accepted) return false;
-      return waitForState(head, name, epoch, STOPPED, CLOSE_TIMEOUT_MS, LOOK_PERIOD_MS);
+      const limitMs = isGraceful ? GRACEFUL_CLOSE_TIMEOUT_MS : CLOSE_TIMEOUT_MS;
+      return waitForState(head, name, epoch, STOPPED, limitMs, ASK_AFTER_MS);
     },
     hasEnded,
     async isReachable(target) {
--- a/src/core/formation/plan-formation.ts
+++ b/src/core/formation/plan-formation.ts
@@ -22,15 +22,26 @@
   isBeforeTraffic: boolean;
   /** Loads that may start now. */
   loadBudget: number;
+  /** Models for which a domain gives up groups of another model, by domain. */
+  collecting: ReadonlyMap<string, string>;
+  countInFlight(targetId: string): number;
   /** Share of the engines that each model should have, by model name. */
   engineShares: ReadonlyMap<string, number>;
 }
 
+/**
+ * A model gives up a group only if it is better supplied afterwards than the other was before, by
+ * this much; otherwise engines would move to and fro.
+ */
+const DONOR_MARGIN = 0.05;
+
 /** One step of the plan. */
 export type FormationAction =
   | { kind: 'form'; model: ModelSpec; members: Target[] }
   /** Ends a group that lost a member or has to leave. */
   | { kind: 'dissolve'; group: EngineGroup }
+  /** Ends a group after its work, so that its engines can serve a model that lacks more. */
+  | { kind: 'retire'; group: EngineGroup; model: ModelSpec }
   | { kind: 'stage'; engine: Target; model: ModelSpec };
 
 function hasWarm(engine: Target, model: string): boolean {
@@ -125,40 +136,124 @@
     .filter(({ head }) => head?.group?.state === GroupState.Open)
     .forEach(({ model }) => add(model));
   input.formingModels.forEach(add);
+  input.collecting.forEach(add);
   return counts;
 }
 
+/** A model that the free engines of a domain could serve, and how well it is supplied. */
+interface ModelChoice {
+  model: ModelSpec;
+  /** Engines that can join soon, fastest first. */
+  able: Target[];
+  /** Groups that the model has, against those that it should have. */
+  supply: number;
+}
+
+/** Lists the models of a domain, the one that lacks most first. */
+function listChoices(
+  input: FormationInput,
+  free: readonly Target[],
+  counts: ReadonlyMap<string, number>,
+): ModelChoice[] {
+  return input.spec.models
+    .map((model) => ({
+      model,
+      able: free
+        .filter((one) => hasWarm(one, model.name) || input.isBeforeTraffic)
+        .sort(compareForModel(model.name)),
+      supply: (counts.get(model.name) ?? 0) / computeWantedGroups(input, model),
+    }))
+    .sort(
+      (left, right) =>
+        Number(left.supply >= 1) - Number(right.supply >= 1) ||
+        // Domains of large groups only leave survivors that can form a large group again.
+        (input.isBeforeTraffic ? right.model.groupSize - left.model.groupSize : 0) ||
+        left.supply - right.supply,
+    );
+}
+
 /** Forms as many groups as the free engines of one domain allow, most wanted model first. */
 function planDomain(
   input: FormationInput,
   free: readonly Target[],
   counts: Map<string, number>,
 ): FormationAction[] {
+  const domain = free[0]?.fabricDomain ?? '';
+  const choices = listChoices(input, free, counts);
+  const collected = input.collecting.get(domain);
+  if (collected !== undefined) return planCollected(choices, collected);
+  const choice = choices.find(({ model, able }) => able.length >= model.groupSize);
+  const [neediest] = choices;
+  const isNeedy = neediest !== undefined && neediest.supply < 1 && neediest !== choice;
+  if (isNeedy && !input.isBeforeTraffic) {
+    const retirements = planRetirements(input, neediest, domain, counts);
+    if (retirements.length > 0) return retirements;
+  }
+  if (choice === undefined) return [];
+  const members = choice.able.slice(0, choice.model.groupSize);
+  const rest = free.filter((one) => !members.includes(one));
+  counts.set(choice.model.name, (counts.get(choice.model.name) ?? 0) + 1);
+  return [{ kind: 'form', model: choice.model, members }, ...planDomain(input, rest, counts)];
+}
+
+/** Forms the group for which a domain gave up others; until then its free engines wait. */
+function planCollected(choices: readonly ModelChoice[], collected: string): FormationAction[] {
+  const choice = choices.find(({ model }) => model.name === collected);
+  if (choice === undefined || choice.able.length < choice.model.groupSize) return [];
+  const members = choice.able.slice(0, choice.model.groupSize);
+  return [{ kind: 'form', model: choice.model, members }];
+}
+
+/** Retires groups of better supplied models where their engines complete a group of another. */
+function planRetirements(
+  input: FormationInput,
+  needy: ModelChoice,
+  domain: string,
+  counts: Map<string, number>,
+): FormationAction[] {
+  const { model } = needy;
   const actions: FormationAction[] = [];
-  let rest = [...free];
-  for (;;) {
-    const choice = input.spec.models
-      .map((model) => {
-        const able = rest
-          .filter((one) => hasWarm(one, model.name) || input.isBeforeTraffic)
-          .sort(compareForModel(model.name));
-        const satisfied = (counts.get(model.name) ?? 0) / computeWantedGroups(input, model);
-        return { model, able, satisfied };
-      })
-      .filter(({ model, able }) => able.length >= model.groupSize)
-      .sort(
-        (left, right) =>
-          Number(left.satisfied >= 1) - Number(right.satisfied >= 1) ||
-          (input.isBeforeTraffic ? right.model.groupSize - left.model.groupSize : 0) ||
-          left.satisfied - right.satisfied,
-      )[0];
-    if (choice === undefined) return actions;
-    const members = choice.able.slice(0, choice.model.groupSize);
-    const taken = new Set(members);
-    rest = rest.filter((one) => !taken.has(one));
-    counts.set(choice.model.name, (counts.get(choice.model.name) ?? 0) + 1);
-    actions.push({ kind: 'form', model: choice.model, members });
+  let available = needy.able.length;
+  for (const group of listDonors(input, model, domain, counts)) {
+    if (available >= model.groupSize) break;
+    available += group.members.length;
+    actions.push({ kind: 'retire', group, model });
   }
+  if (available < model.groupSize) return [];
+  counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
+  return actions;
+}
+
+/** Groups that a domain can give up and leave their model better supplied, idle ones first. */
+function listDonors(
+  input: FormationInput,
+  needy: ModelSpec,
+  domain: string,
+  counts: ReadonlyMap<string, number>,
+): EngineGroup[] {
+  const supply = (counts.get(needy.name) ?? 0) / computeWantedGroups(input, needy);
+  return input.groups
+    .filter((group) => {
+      const spec = input.spec.models.find(({ name }) => name === group.model);
+      if (spec === undefined || spec.name === needy.name) return false;
+      if (group.fabricDomain !== domain || group.head?.group?.state !== GroupState.Open) {
+        return false;
+      }
+      const left = ((counts.get(spec.name) ?? 0) - 1) / computeWantedGroups(input, spec);
+      return (
+        left >= supply + DONOR_MARGIN &&
+        group.members.every(
+          (one) =>
+            hasWarm(one, needy.name) &&
+            isHealthyMember(one, input) &&
+            !input.busyEngineIds.has(one.id),
+        )
+      );
+    })
+    .sort(
+      (left, right) =>
+        input.countInFlight(left.head?.id ?? '') - input.countInFlight(right.head?.id ?? ''),
+    );
 }
 
 /** Stages the model that an engine cannot join quickly, most wanted model first. */
--- a/src/core/formation/types.ts
+++ b/src/core/formation/types.ts
@@ -4,8 +4,8 @@
 export type EngineOrder =
   | { kind: 'join'; group: string; epoch: number; model: string; members: string[] }
   | { kind: 'open'; group: string; epoch: number }
-  /** Ends the head's work at once and returns it to ready. */
-  | { kind: 'close'; group: string; epoch: number }
+  /** Returns the head to ready: at once, or when its work is done. */
+  | { kind: 'close'; group: string; epoch: number; isGraceful: boolean }
   | { kind: 'leave'; group: string; epoch: number }
   /** Loads a model's weights onto the engine's host. */
   | { kind: 'stage'; model: string };
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -300,6 +300,7 @@
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < FRESH_MS,
     hasTraffic: () => !settings.isFirstStart || hasPeerRequests || handler.hasRequests(),
     isZoneOut,
+    countInFlight: monitor.countInFlight,
     isServingElsewhere: (targetId) => monitor.hasPeerWork(targetId),
     stallMs: settings.stallMs,
   });
--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -17,8 +17,9 @@
 const HTTP_ACCEPTED = 202;
 const HTTP_PRECONDITION_FAILED = 412;
 
-/** `close_mode` that ends the work of the head instead of waiting for it. */
+/** Values of `close_mode`: end the work of the head at once, or wait until it is done. */
 const CLOSE_AT_ONCE = 'abort';
+const CLOSE_AFTER_WORK = 'queue';
 
 function encodeOrder(order: EngineOrder): object {
   switch (order.kind) {
@@ -33,7 +34,7 @@
         operation: 'close',
         group: order.group,
         epoch: order.epoch,
-        close_mode: CLOSE_AT_ONCE,
+        close_mode: order.isGraceful ? CLOSE_AFTER_WORK : CLOSE_AT_ONCE,
       };
     default:
       return { operation: order.kind, group: order.group, epoch: order.epoch };
