--- a/src/core/duty/create-duty.ts
+++ b/src/core/duty/create-duty.ts
@@ -15,16 +15,22 @@
   logger: Logger;
   /** Whether a gateway that says it holds the duty has been heard lately. */
   isHolderHeard(): boolean;
+  notesSchema: z.ZodType<Notes>;
+}
+
+/** What the holder does with the duty. */
+export interface DutyListener<Notes> {
   /** What the next holder has to know; it is stored with each renewal. */
   getNotes(): Notes;
-  notesSchema: z.ZodType<Notes>;
   /** Called when this process takes the duty, with what the holder before it stored. */
   handleTaken(term: number, notes: Notes | undefined): void;
   handleLost(): void;
 }
 
 /** Work that one gateway does for all, under a lease in the store. */
-export interface Duty {
+export interface Duty<Notes> {
+  /** Starts to compete for the duty. */
+  start(listener: DutyListener<Notes>): void;
   /** Term that this process holds and may act on now; 0 without. */
   getTerm(): number;
   /** Gives the duty up, so that another gateway takes it at once. */
@@ -55,9 +61,10 @@
 /** A difference between the clocks that shows that this process was suspended. */
 const SUSPENDED_MS = 500;
 
-/** Starts to compete for a duty. */
-export function startDuty<Notes>(options: DutyOptions<Notes>): Duty {
-  const { name, vmName, incarnation, store, timers, logger, isHolderHeard, getNotes } = options;
+/** Creates a duty; this process competes for it once it is started. */
+export function createDuty<Notes>(options: DutyOptions<Notes>): Duty<Notes> {
+  const { name, vmName, incarnation, store, timers, logger, isHolderHeard } = options;
+  let listener: DutyListener<Notes> | undefined;
   let held: DutyRecord | undefined;
   let revision = 0;
   let leaseEndMs = 0;
@@ -80,7 +87,7 @@
     if (!isNew) return;
     logger.info('took the duty', { duty: name, term: record.term, revision });
     const stored = options.notesSchema.safeParse(notesBefore);
-    options.handleTaken(record.term, stored.data);
+    listener?.handleTaken(record.term, stored.data);
   };
 
   const markLost = (reason: string): void => {
@@ -88,17 +95,7 @@
     logger.warn('lost the duty', { duty: name, term: held.term, reason });
     held = undefined;
     seen = undefined;
-    options.handleLost();
-  };
-
-  const renew = async (record: DutyRecord): Promise<void> => {
-    const sentMs = timers.getMonotonicMs();
-    const next = { ...record, renewals: record.renewals + 1, notes: getNotes() };
-    const result = await store.replaceObject(StoreKind.Duties, name, revision, next);
-    if (held !== record) return;
-    if (result.kind === 'ok') markHeld(next, result.value, sentMs);
-    else if (result.kind === StoreFailure.Unknown) await readBack(record);
-    else if (result.kind !== StoreFailure.NotDone) markLost(result.problem);
+    listener?.handleLost();
   };
 
   /** After a lost answer: the renewal may have been written, now or later. */
@@ -112,6 +109,16 @@
     else markLost('another holder');
   };
 
+  const renew = async (record: DutyRecord): Promise<void> => {
+    const sentMs = timers.getMonotonicMs();
+    const next = { ...record, renewals: record.renewals + 1, notes: listener?.getNotes() };
+    const result = await store.replaceObject(StoreKind.Duties, name, revision, next);
+    if (held !== record) return;
+    if (result.kind === 'ok') markHeld(next, result.value, sentMs);
+    else if (result.kind === StoreFailure.Unknown) await readBack(record);
+    else if (result.kind !== StoreFailure.NotDone) markLost(result.problem);
+  };
+
   const take = async (object: StoreObject, record: DutyRecord): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
     const { notes } = record;
@@ -123,7 +130,7 @@
 
   const createRecord = async (): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    const notes = getNotes();
+    const notes = listener?.getNotes();
     const first = { holder: vmName, incarnation, term: 1, renewals: 0, notes };
     const result = await store.createObject(StoreKind.Duties, name, first);
     if (result.kind === 'ok') markHeld(first, result.value, sentMs);
@@ -174,13 +181,15 @@
     return Math.abs(offsetMs - clockOffsetMs) > SUSPENDED_MS;
   };
 
-  cancelNext = timers.scheduleOnce(0, () => {
-    step()
-      .catch((error: unknown) => logger.error('duty step failed', { problem: String(error) }))
-      .finally(scheduleNext);
-  });
-
   return {
+    start(started) {
+      listener = started;
+      cancelNext = timers.scheduleOnce(0, () => {
+        step()
+          .catch((error: unknown) => logger.error('duty step failed', { problem: String(error) }))
+          .finally(scheduleNext);
+      });
+    },
     getTerm() {
       if (held === undefined || wasSuspended()) return 0;
       return timers.getMonotonicMs() < leaseEndMs - ACT_MARGIN_MS ? held.term : 0;
@@ -192,7 +201,7 @@
       await store.replaceObject(StoreKind.Duties, name, revision, {
         ...record,
         holder: '',
-        notes: getNotes(),
+        notes: listener?.getNotes(),
       });
     },
     stop() {
--- a/src/core/duty/index.ts
+++ b/src/core/duty/index.ts
@@ -1,2 +1,2 @@
-export { startDuty } from './create-duty.ts';
+export { createDuty } from './create-duty.ts';
 export type { Duty } from './create-duty.ts';
--- a/src/core/fleet/target-monitor.ts
+++ b/src/core/fleet/target-monitor.ts
@@ -22,6 +22,7 @@
 
 /** What this process and its peers have seen of targets lately. */
 export interface TargetMonitor {
+  onSuspect(listener: SuspectListener): void;
   startWork(targetId: string, work: MonitoredWork): WorkHandle;
   /** Marks a target that refuses connections or has gone silent. */
   markSuspect(targetId: string, reason: string): void;
@@ -45,10 +46,11 @@
 /** What the monitor needs. */
 export interface TargetMonitorOptions {
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>;
-  /** Called when this process finds a target silent or unreachable. */
-  handleSuspect(targetId: string, reason: string): void;
 }
 
+/** Called when this process finds a target silent or unreachable. */
+export type SuspectListener = (targetId: string, reason: string) => void;
+
 /** Period of the check for silence. */
 export const CHECK_PERIOD_MS = 20;
 /** An open group sends an event to each of its streams every 25 to 80 ms; 180 ms at p99.9. */
@@ -80,7 +82,8 @@
 
 /** Creates the monitor of targets. */
 export function createTargetMonitor(options: TargetMonitorOptions): TargetMonitor {
-  const { timers, handleSuspect } = options;
+  const { timers } = options;
+  let handleSuspect: SuspectListener = () => undefined;
   const records = new Map<string, TargetRecord>();
   const peerLoads = new Map<string, Map<string, number>>();
   let lastCheckMs = timers.getMonotonicMs();
@@ -137,6 +140,9 @@
   const stopChecks: Unsubscribe = timers.subscribe(CHECK_PERIOD_MS, checkSilence);
 
   return {
+    onSuspect(listener) {
+      handleSuspect = listener;
+    },
     startWork(targetId, work) {
       const record = getRecord(targetId);
       const entry: Work = {
--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -1,5 +1,4 @@
 import type { EngineGroup, Fleet, Target } from '../fleet/index.ts';
-import { GroupState } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
@@ -138,6 +137,9 @@
     return Math.max(...needed);
   };
 
+  const getOpenMs = (member: Target | undefined): number =>
+    options.listEngineServices().find(({ name }) => name === member?.service)?.engine?.openMs ?? 0;
+
   const form = (model: ModelSpec, members: Target[]): void => {
     const domain = members[0]?.fabricDomain ?? '';
     if (collecting.get(domain)?.model === model.name) collecting.delete(domain);
@@ -160,13 +162,10 @@
         domain,
         tookMs,
       });
-      await timers.waitFor(openMsOf(members[0]) + 200);
+      await timers.waitFor(getOpenMs(members[0]) + 200);
     });
   };
 
-  const openMsOf = (member: Target | undefined): number =>
-    options.listEngineServices().find(({ name }) => name === member?.service)?.engine?.openMs ?? 0;
-
   const stage = (engine: Target, model: ModelSpec): void => {
     staging.set(engine.id, model.name);
     loadStartsMs.push(timers.getMonotonicMs());
@@ -182,6 +181,18 @@
     });
   };
 
+  /** Asks engines whether they are there, each at most so often. */
+  const askMembers = async (members: readonly Target[]): Promise<void> => {
+    const now = timers.getMonotonicMs();
+    const due = members.filter(({ id }) => now - (askedMs.get(id) ?? -Infinity) > ASK_PERIOD_MS);
+    due.forEach(({ id }) => askedMs.set(id, now));
+    const found = await Promise.all(due.map((member) => steps.isReachable(member)));
+    const gone = due.filter((_, index) => !found[index]).map(({ id }) => id);
+    if (gone.length === 0) return;
+    logger.warn('engines do not answer', { engines: gone.join(' ') });
+    markUnreachable(gone, UNREACHABLE_MS);
+  };
+
   const dissolve = (action: Extract<FormationAction, { kind: 'dissolve' }>): void => {
     const { group } = action;
     const ids = listMembers(group).map(({ id }) => id);
@@ -215,18 +226,6 @@
     else dissolve(action);
   };
 
-  /** Asks engines whether they are there, each at most so often. */
-  const askMembers = async (members: readonly Target[]): Promise<void> => {
-    const now = timers.getMonotonicMs();
-    const due = members.filter(({ id }) => now - (askedMs.get(id) ?? -Infinity) > ASK_PERIOD_MS);
-    due.forEach(({ id }) => askedMs.set(id, now));
-    const found = await Promise.all(due.map((member) => steps.isReachable(member)));
-    const gone = due.filter((_, index) => !found[index]).map(({ id }) => id);
-    if (gone.length === 0) return;
-    logger.warn('engines do not answer', { engines: gone.join(' ') });
-    markUnreachable(gone, UNREACHABLE_MS);
-  };
-
   /** Closes a group at a head without an entry; a head that does not answer counts as dead. */
   const endGroup = (group: EngineGroup, head: Target): void => {
     heads.markAsked(group);
--- a/src/core/formation/plan-formation.ts
+++ b/src/core/formation/plan-formation.ts
@@ -235,7 +235,8 @@
   return input.groups
     .filter((group) => {
       const spec = input.spec.models.find(({ name }) => name === group.model);
-      if (spec === undefined || spec.name === needy.name) return false;
+      // The engines of a large group would serve small ones with their survivors anyway.
+      if (spec === undefined || spec.groupSize >= needy.groupSize) return false;
       if (group.fabricDomain !== domain || group.head?.group?.state !== GroupState.Open) {
         return false;
       }
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -35,6 +35,8 @@
   targetIds: string[];
   /** Time from arrival to the first byte of the answer. */
   firstByteMs: number | undefined;
+  /** Longest pause between two parts of the answer. */
+  longestGapMs: number;
 }
 
 /** What relays share. */
@@ -131,40 +133,45 @@
 
   const excludedIds = new Set<string>();
   const targetIds: string[] = [];
-  let lastEventId = request.lastEventId;
+  let { lastEventId } = request;
   let isBodyStarted = false;
   let isDone = false;
   let mayHaveRun = false;
   let runs = 0;
   let firstByteMs: number | undefined;
+  let lastPartMs: number | undefined;
+  let longestGapMs = 0;
   let current: Attempt | undefined;
   let cancelWait: Unsubscribe | undefined;
+  let cancelDue: Unsubscribe | undefined;
   let retryReason = '';
 
-  const getRemainingMs = (): number => input.dueMs - timers.getMonotonicMs();
+  function getRemainingMs(): number {
+    return input.dueMs - timers.getMonotonicMs();
+  }
 
-  const endAttempt = (isFailure: boolean): void => {
+  function endAttempt(isFailure: boolean): void {
     current?.cancelSecondSend?.();
     current?.work.recordEnd(isFailure);
     current?.exchange.cancel();
     current = undefined;
-  };
+  }
 
-  const complete = (outcome: Outcome, status?: number, reason?: FailureReason): void => {
+  function complete(outcome: Outcome, status?: number, reason?: FailureReason): void {
     if (isDone) return;
     isDone = true;
     cancelWait?.();
-    cancelDue();
-    finish({ outcome, reason, status, targetIds, firstByteMs });
-  };
+    cancelDue?.();
+    finish({ outcome, reason, status, targetIds, firstByteMs, longestGapMs });
+  }
 
-  const sendOwnAnswer = (status: number, retryAfterMs: number | undefined): void => {
+  function sendOwnAnswer(status: number, retryAfterMs: number | undefined): void {
     const headers = retryAfterMs === undefined ? [] : wire.buildRetryHeaders(retryAfterMs);
     sink.sendAnswer(status, headers, Buffer.alloc(0));
-  };
+  }
 
   /** Ends the request without a target's answer, as truthfully as what is known allows. */
-  const fail = (reason: FailureReason): void => {
+  function fail(reason: FailureReason): void {
     endAttempt(false);
     if (isBodyStarted) {
       sink.breakOff();
@@ -181,24 +188,19 @@
     const status = isLate ? HTTP_GATEWAY_TIMEOUT : HTTP_BAD_GATEWAY;
     sendOwnAnswer(status, undefined);
     complete(isLate ? Outcome.TimedOut : Outcome.Unknown, status, reason);
-  };
-
-  const cancelDue = timers.scheduleOnce(Math.max(0, getRemainingMs()), () => {
-    if (current?.wasSent === true) mayHaveRun = true;
-    fail(FailureReason.TimeLimit);
-  });
+  }
 
   /** Looks for a target again a little later, for as long as the request may wait. */
-  const waitForTarget = (sinceMs: number, reason: FailureReason): void => {
+  function waitForTarget(sinceMs: number, reason: FailureReason): void {
     const limitMs = isBodyStarted ? RESUME_WAIT_MS : route.latencyObjectiveMs * WAIT_PART;
     if (timers.getMonotonicMs() - sinceMs >= limitMs) {
       fail(reason);
       return;
     }
     cancelWait = timers.scheduleOnce(CHOICE_PERIOD_MS, () => startAttempt(sinceMs));
-  };
+  }
 
-  const startAttempt = (waitingSinceMs = timers.getMonotonicMs()): void => {
+  function startAttempt(waitingSinceMs = timers.getMonotonicMs()): void {
     if (isDone) return;
     if (getRemainingMs() < MIN_REMAINING_MS) return;
     const target = chooser.chooseTarget({ service, model: request.model, excludedIds });
@@ -214,10 +216,10 @@
       services.recordRetry(input, target.id, retryReason);
     }
     sendTo(target);
-  };
+  }
 
   /** Tries another target after one that did not answer, if the request allows it. */
-  const retry = (reason: string, failure: FailureReason): void => {
+  function retry(reason: string, failure: FailureReason): void {
     if (isDone) return;
     retryReason = reason;
     const isAllowed = isRepeatable || !mayHaveRun;
@@ -226,9 +228,9 @@
       return;
     }
     startAttempt();
-  };
+  }
 
-  const sendTo = (target: Target): void => {
+  function sendTo(target: Target): void {
     excludedIds.add(target.id);
     const attempt: Attempt = {
       target,
@@ -253,19 +255,19 @@
         handleError: (wasSent, problem) => handleError(attempt, wasSent, problem),
       },
     );
-  };
+  }
 
-  const handleSent = (attempt: Attempt): void => {
+  function handleSent(attempt: Attempt): void {
     attempt.wasSent = true;
     runs++;
     targetIds.push(attempt.target.id);
     if (route.kind !== RequestKind.Idempotent) return;
     const delayMs = route.latencyObjectiveMs * SECOND_SEND_PART;
     attempt.cancelSecondSend = timers.scheduleOnce(delayMs, () => handleSilence(attempt));
-  };
+  }
 
   /** The target says nothing: a request that may run again continues elsewhere. */
-  const handleSilence = (attempt: Attempt): void => {
+  function handleSilence(attempt: Attempt): void {
     if (isDone || attempt !== current || !attempt.wasSent) return;
     const canMove = isRepeatable && runs < route.maxAttempts && budget.hasRetry(service.name);
     if (!canMove) return;
@@ -274,9 +276,9 @@
     mayHaveRun = true;
     endAttempt(true);
     retry('silent', FailureReason.TargetFailed);
-  };
+  }
 
-  const handleHead = (attempt: Attempt, head: AnswerHead): void => {
+  function handleHead(attempt: Attempt, head: AnswerHead): void {
     if (attempt !== current || head.status < HTTP_OK_MIN) return;
     attempt.head = head;
     const isForeign = head.attemptId !== undefined && head.attemptId !== request.attemptId;
@@ -288,17 +290,17 @@
     if (isStreaming && isSuccess(head.status) && isStreamHead(head)) {
       attempt.parser = createEventParser();
     }
-  };
+  }
 
   /** Ends an attempt whose request may have run, and tries another target if allowed. */
-  const failAttempt = (attempt: Attempt, reason: string): void => {
+  function failAttempt(attempt: Attempt, reason: string): void {
     if (attempt !== current) return;
     mayHaveRun ||= attempt.wasSent;
     endAttempt(true);
     retry(reason, FailureReason.TargetFailed);
-  };
+  }
 
-  const handleData = (attempt: Attempt, chunk: Buffer): void => {
+  function handleData(attempt: Attempt, chunk: Buffer): void {
     if (attempt !== current) return;
     attempt.work.recordEvent();
     attempt.cancelSecondSend?.();
@@ -312,9 +314,9 @@
       return;
     }
     attempt.parts.push(chunk);
-  };
+  }
 
-  const passEvents = (attempt: Attempt, parser: EventParser, chunk: Buffer): void => {
+  function passEvents(attempt: Attempt, parser: EventParser, chunk: Buffer): void {
     const parts: Buffer[] = [];
     for (const event of parser.addChunk(chunk)) {
       const number = parseEventNumber(event.id);
@@ -325,20 +327,23 @@
     }
     if (parts.length === 0) return;
     startBody(attempt);
+    const now = timers.getMonotonicMs();
+    longestGapMs = Math.max(longestGapMs, now - (lastPartMs ?? now));
+    lastPartMs = now;
     const isRead = sink.writeBody(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
     if (isRead) return;
     attempt.exchange.pause();
     sink.onDrain(() => attempt.exchange.resume());
-  };
+  }
 
-  const startBody = (attempt: Attempt): void => {
+  function startBody(attempt: Attempt): void {
     if (isBodyStarted || attempt.head === undefined) return;
     isBodyStarted = true;
     firstByteMs = timers.getMonotonicMs() - input.arrivedMs;
     sink.startBody(attempt.head.status, attempt.head.passedHeaders);
-  };
+  }
 
-  const handleEnd = (attempt: Attempt): void => {
+  function handleEnd(attempt: Attempt): void {
     if (attempt !== current || attempt.head === undefined) return;
     const { head } = attempt;
     if (head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status))) {
@@ -364,9 +369,9 @@
     firstByteMs = timers.getMonotonicMs() - input.arrivedMs;
     sink.sendAnswer(head.status, head.passedHeaders, Buffer.concat(attempt.parts));
     complete(Outcome.Answered, head.status);
-  };
+  }
 
-  const endStream = (attempt: Attempt, parser: EventParser): void => {
+  function endStream(attempt: Attempt, parser: EventParser): void {
     if (parser.countPending() > 0) {
       failAttempt(attempt, 'ended inside an event');
       return;
@@ -376,24 +381,28 @@
     attempt.work.recordEnd(false);
     sink.endBody();
     complete(Outcome.Answered, attempt.head?.status);
-  };
+  }
 
   /** The target has not run the request; its attempt does not count. */
-  const handleRefusal = (attempt: Attempt, head: AnswerHead): void => {
+  function handleRefusal(attempt: Attempt, head: AnswerHead): void {
     runs--;
     if (head.faultyTargetId !== undefined && service.engine !== undefined) {
       monitor.markSuspect(attempt.target.id, `refused, fault at ${head.faultyTargetId}`);
     }
     endAttempt(false);
     retry(`refused with ${head.status}`, FailureReason.AllBusy);
-  };
+  }
 
-  const handleError = (attempt: Attempt, wasSent: boolean, problem: string): void => {
+  function handleError(attempt: Attempt, wasSent: boolean, problem: string): void {
     if (attempt !== current) return;
     if (!wasSent) monitor.markSuspect(attempt.target.id, problem);
     failAttempt(attempt, problem);
-  };
+  }
 
+  cancelDue = timers.scheduleOnce(Math.max(0, getRemainingMs()), () => {
+    if (current?.wasSent === true) mayHaveRun = true;
+    fail(FailureReason.TimeLimit);
+  });
   budget.recordRequest(service.name);
   startAttempt();
 
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -2,7 +2,7 @@
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import { formatProblem } from '../errors/index.ts';
-import type { TimerService } from '../timers/index.ts';
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import type { AnswerHead, TargetRequest, WireFormat } from './types.ts';
 
 /** Receives what a target answers to one send. Exactly one of `handleEnd` and `handleError` ends it. */
@@ -98,10 +98,11 @@
       let isDone = false;
       let wasSent = false;
       let active: Dispatcher.DispatchController | undefined;
+      let cancelConnectLimit: Unsubscribe | undefined;
       const finish = (): boolean => {
         if (isDone) return false;
         isDone = true;
-        cancelConnectLimit();
+        cancelConnectLimit?.();
         open.delete(client);
         void client.destroy();
         return true;
@@ -112,12 +113,12 @@
       const complete = (): void => {
         if (finish()) listener.handleEnd();
       };
-      const cancelConnectLimit = timers.scheduleOnce(CONNECT_LIMIT_MS, () => {
+      cancelConnectLimit = timers.scheduleOnce(CONNECT_LIMIT_MS, () => {
         if (!wasSent) fail('no connection in time');
       });
       client.dispatch(
         {
-          method: request.request.method as Dispatcher.HttpMethod,
+          method: request.request.method,
           path: request.request.path,
           headers: wire.buildTargetHeaders(request),
           body: request.body.length === 0 ? null : request.body,
@@ -130,7 +131,7 @@
             }
             active = controller;
             wasSent = true;
-            cancelConnectLimit();
+            cancelConnectLimit?.();
             listener.handleSent();
           },
           onResponseStart(controller, status) {
@@ -160,7 +161,9 @@
         },
       );
       return {
-        cancel: () => void finish(),
+        cancel() {
+          finish();
+        },
         pause: () => active?.pause(),
         resume: () => active?.resume(),
       };
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -1,72 +1,20 @@
 import { z } from 'zod';
-import { startDuty } from '../duty/index.ts';
+import { createDuty } from '../duty/index.ts';
+import type { Feed, FeedListener } from '../feed/index.ts';
 import { startFeed } from '../feed/index.ts';
-import { createFleet, createTargetMonitor } from '../fleet/index.ts';
-import type { Target } from '../fleet/index.ts';
+import { createTargetMonitor } from '../fleet/index.ts';
 import { headNoteSchema, startFormation } from '../formation/index.ts';
-import type { EngineControl } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
-import type { WireFormat } from '../forwarding/index.ts';
-import type { Logger } from '../logs/index.ts';
-import { PeerState, startPeers } from '../peers/index.ts';
 import type { PeerStatus } from '../peers/index.ts';
+import { createPeers, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
-import type { ServiceSpec, ServingConfiguration } from '../serving/index.ts';
-import { StoreFailure, StoreKind } from '../store/index.ts';
-import type { StoreClient, StoreObject } from '../store/index.ts';
-import type { TimerService } from '../timers/index.ts';
+import { StoreKind } from '../store/index.ts';
 import { startCallerServer } from './caller-server.ts';
+import { registerGateway } from './registration.ts';
 import { createRequestHandler } from './request-handler.ts';
-import { createRequestLog } from './request-log.ts';
-import { buildRoutingTable } from './routing-table.ts';
-import type { RoutingTable } from './routing-table.ts';
-
-/** An address to listen on. */
-export interface ListenAddress {
-  host: string;
-  port: number;
-}
-
-/** Settings that the gateway's parts need. */
-export interface GatewayParameters {
-  vmName: string;
-  availabilityZone: string;
-  callers: ListenAddress;
-  peerPort: number;
-  graceMs: number;
-  retryRatio: number;
-  retrySlack: number;
-  retryWindowMs: number;
-  stallMs: number;
-  maxDirectoryTtlMs: number;
-  isFirstStart: boolean;
-}
-
-/** Addresses for callers, and how long they may rely on them. */
-export interface DirectoryAnswer {
-  callersAddresses: string[];
-  ttlMs: number;
-}
-
-/** What the pages beside the callers' interface show. */
-export interface GatewayPages {
-  getDirectoryAnswer(): DirectoryAnswer | undefined;
-  isReady(): boolean;
-  renderMetrics(): string;
-}
-
-/** What the gateway needs from outside; the platform's adapter provides the rest of it. */
-export interface GatewayDependencies {
-  timers: TimerService;
-  logger: Logger;
-  store: StoreClient;
-  control: EngineControl;
-  wire: WireFormat;
-  decodeConfiguration(spec: unknown): { value: ServingConfiguration } | { problem: string };
-  decodeTarget(object: StoreObject, nowMs: number): Target | undefined;
-  startPages(pages: GatewayPages): Promise<{ close(): Promise<void> }>;
-  random(): number;
-}
+import { createRequestLog, renderCounts } from './request-log.ts';
+import type { DirectoryAnswer, GatewayDependencies, GatewayParameters } from './types.ts';
+import { createWorld } from './world.ts';
 
 /** Longest wait of a watch on entries of targets; the age at which the copy is confirmed. */
 const TARGET_WATCH_MS = 1_000;
@@ -82,14 +30,14 @@
 const FRESH_MS = 2_500;
 /** Lifetime of a directory answer; some callers keep it three times as long. */
 const DIRECTORY_TTL_MS = 2_000;
+/** Addresses that an answer of the directory names at most. */
+const MAX_ADDRESSES = 64;
 /** After a stop is asked for, new requests are taken for this long. */
 const TAKE_AFTER_STOP_MS = 2_800;
 /** Time before the end of the grace period at which what is left is broken off. */
 const GRACE_MARGIN_MS = 500;
 const STOP_LOOK_MS = 50;
 const GROUP_DUTY = 'groups';
-/** Silence of the holder after which other gateways look at the duty's object. */
-const MAX_ADDRESSES = 64;
 
 /** Starts a gateway; it serves as soon as it knows the configuration and the targets. */
 export async function startGateway(
@@ -101,89 +49,20 @@
   const incarnation = timers.getWallMs();
   const callersAddress = `${settings.callers.host}:${settings.callers.port}`;
   const peerAddress = `${settings.callers.host}:${settings.peerPort}`;
-  const fleet = createFleet();
-  const zonesOut = new Set<string>();
-  let table: RoutingTable | undefined;
-  let hasTargets = false;
+  const world = createWorld(dependencies);
+  const { fleet } = world;
   let stopSinceMs: number | undefined;
-
-  const monitor = createTargetMonitor({
-    timers,
-    handleSuspect(targetId, reason) {
-      logger.warn('a target is suspect', { target: targetId, reason });
-      formation.handleSuspect(targetId);
-      peers.sendNow();
-    },
-  });
-  const client = createTargetClient(wire, timers);
-  const isZoneOut = (availabilityZone: string): boolean => zonesOut.has(availabilityZone);
-  const countGateways = (): number => peers.countGateways();
-  const chooser = createTargetChooser({ timers, fleet, monitor, isZoneOut, countGateways, random });
-  const log = createRequestLog(logger, timers);
-  const handler = createRequestHandler({
-    log,
-    getTable: () => table,
-    isRefusing: () =>
-      stopSinceMs !== undefined && timers.getMonotonicMs() - stopSinceMs > TAKE_AFTER_STOP_MS,
-    services: {
-      timers,
-      wire,
-      client,
-      fleet,
-      monitor,
-      chooser,
-      random,
-      budget: createRetryBudget({
-        timers,
-        ratio: settings.retryRatio,
-        slack: settings.retrySlack,
-        windowMs: settings.retryWindowMs,
-        countGateways,
-      }),
-      recordRetry: log.recordRetry,
-    },
-  });
-
-  const getState = (): PeerState => {
-    if (stopSinceMs !== undefined) return PeerState.Leaving;
-    return table !== undefined && hasTargets ? PeerState.Ready : PeerState.Starting;
-  };
-
-  const getStatus = (): PeerStatus => ({
-    vmName,
-    incarnation,
-    callersAddress,
-    peerAddress,
-    state: getState(),
-    hasRequests: handler.hasRequests(),
-    dutyTerm: duty.getTerm(),
-    loads: monitor.listOwnLoads(),
-    suspectIds: monitor.listSuspects(),
-  });
-
   let hasPeerRequests = false;
-  const peers = await startPeers({
+
+  const monitor = createTargetMonitor({ timers });
+  const peers = createPeers({
     vmName,
     host: settings.callers.host,
     port: settings.peerPort,
     timers,
     logger,
-    getStatus,
-    handleStatus(status) {
-      hasPeerRequests ||= status.hasRequests;
-      // Requests that wait at a silent target are no sign of its life.
-      const silentIds = new Set(status.suspectIds);
-      const loads = status.loads.filter(({ targetId }) => !silentIds.has(targetId));
-      monitor.setPeerLoads(status.vmName, loads);
-      status.suspectIds.forEach((id) => {
-        monitor.markSuspectByPeer(id);
-        formation.handleSuspect(id);
-      });
-    },
-    handleLost: (status) => monitor.removePeer(status.vmName),
   });
-
-  const duty = startDuty({
+  const duty = createDuty({
     name: GROUP_DUTY,
     vmName,
     incarnation,
@@ -191,102 +70,47 @@
     timers,
     logger,
     isHolderHeard: () => peers.listPeers().some(({ status }) => status.dutyTerm > 0),
-    getNotes: () => formation.listHeadNotes(),
     notesSchema: z.array(headNoteSchema),
-    handleTaken(_term, notes) {
-      formation.addHeadNotes(notes ?? []);
-      peers.sendNow();
-    },
-    handleLost: () => peers.sendNow(),
   });
 
-  const applyConfiguration = (object: StoreObject): void => {
-    const decoded = dependencies.decodeConfiguration(object.spec);
-    if ('problem' in decoded) {
-      logger.error('a configuration cannot be read', { problem: decoded.problem });
-      return;
-    }
-    if (table !== undefined && decoded.value.version <= table.version) return;
-    table = buildRoutingTable(decoded.value);
-    logger.info('a configuration is in force', {
-      version: table.version,
-      revision: object.revision,
-      routes: decoded.value.routes.length,
-    });
-  };
-
-  const applyTarget = (object: StoreObject): void => {
-    const target = dependencies.decodeTarget(object, timers.getMonotonicMs());
-    if (target === undefined) {
-      logger.warn('an entry names no target', { entry: object.name });
-      fleet.removeTarget(object.name);
-      return;
-    }
-    const known = fleet.findTarget(target.id);
-    if (known === undefined) logger.info('found a target', describeTarget(target));
-    else if (!known.isDraining && target.isDraining) {
-      logger.info('a target is leaving', describeTarget(target));
-    }
-    fleet.setTarget(target);
-  };
+  const startWatching = (
+    kind: StoreKind,
+    listener: FeedListener,
+    waitMs: number,
+    getPauseMs: () => number,
+  ): Feed => startFeed({ kind, store, timers, logger, listener, waitMs, getPauseMs });
+  const getTargetPauseMs = (): number => (duty.getTerm() > 0 ? HOLDER_PAUSE_MS : OTHER_PAUSE_MS);
+  const targetFeed = startWatching(
+    StoreKind.Targets,
+    world.targetListener,
+    TARGET_WATCH_MS,
+    getTargetPauseMs,
+  );
+  const feeds = [
+    targetFeed,
+    startWatching(StoreKind.Configuration, world.configurationListener, RARE_WATCH_MS, () => 0),
+    startWatching(StoreKind.Evacuations, world.evacuationListener, RARE_WATCH_MS, () => 0),
+  ];
 
-  const configurationFeed = startFeed({
-    kind: StoreKind.Configuration,
-    store,
+  const client = createTargetClient(wire, timers);
+  const { countGateways } = peers;
+  const { isZoneOut } = world;
+  const chooser = createTargetChooser({ timers, fleet, monitor, isZoneOut, countGateways, random });
+  const budget = createRetryBudget({
     timers,
-    logger,
-    waitMs: RARE_WATCH_MS,
-    getPauseMs: () => 0,
-    listener: {
-      handleList: (objects) => objects.forEach(applyConfiguration),
-      handleObject: applyConfiguration,
-      handleDelete: () => undefined,
-    },
+    ratio: settings.retryRatio,
+    slack: settings.retrySlack,
+    windowMs: settings.retryWindowMs,
+    countGateways,
   });
-  const evacuationFeed = startFeed({
-    kind: StoreKind.Evacuations,
-    store,
-    timers,
-    logger,
-    waitMs: RARE_WATCH_MS,
-    getPauseMs: () => 0,
-    listener: {
-      handleList(objects) {
-        zonesOut.clear();
-        objects.forEach(({ name }) => zonesOut.add(name));
-      },
-      handleObject({ name }) {
-        zonesOut.add(name);
-        logger.info('a zone is taken out', { zone: name });
-      },
-      handleDelete({ name }) {
-        zonesOut.delete(name);
-        logger.info('a zone is back', { zone: name });
-      },
-    },
-  });
-  const targetFeed = startFeed({
-    kind: StoreKind.Targets,
-    store,
-    timers,
-    logger,
-    waitMs: TARGET_WATCH_MS,
-    getPauseMs: () => (duty.getTerm() > 0 ? HOLDER_PAUSE_MS : OTHER_PAUSE_MS),
-    listener: {
-      handleList(objects) {
-        const names = new Set(objects.map(({ name }) => name));
-        for (const { id } of [...fleet.listAllTargets()]) {
-          if (!names.has(id)) fleet.removeTarget(id);
-        }
-        objects.forEach(applyTarget);
-        hasTargets = true;
-      },
-      handleObject: applyTarget,
-      handleDelete({ name }) {
-        logger.info('a target is gone', { target: name });
-        fleet.removeTarget(name);
-      },
-    },
+  const log = createRequestLog(logger, timers);
+  const { recordRetry } = log;
+  const handler = createRequestHandler({
+    log,
+    getTable: world.getTable,
+    isRefusing: () =>
+      stopSinceMs !== undefined && timers.getMonotonicMs() - stopSinceMs > TAKE_AFTER_STOP_MS,
+    services: { timers, wire, client, fleet, monitor, chooser, random, budget, recordRetry },
   });
 
   const formation = startFormation({
@@ -294,47 +118,65 @@
     logger,
     fleet,
     control: dependencies.control,
-    listEngineServices: (): ServiceSpec[] => table?.configuration.services ?? [],
-    getTerm: () => duty.getTerm(),
+    listEngineServices: () => world.getTable()?.configuration.services ?? [],
+    getTerm: duty.getTerm,
     isViewFresh: () =>
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < FRESH_MS,
     hasTraffic: () => !settings.isFirstStart || hasPeerRequests || handler.hasRequests(),
     isZoneOut,
     countInFlight: monitor.countInFlight,
-    isServingElsewhere: (targetId) => monitor.hasPeerWork(targetId),
+    isServingElsewhere: monitor.hasPeerWork,
     stallMs: settings.stallMs,
   });
-
-  const registration = { address: peerAddress };
-  const register = async (): Promise<void> => {
-    const created = await store.createObject(StoreKind.Gateways, vmName, registration);
-    if (created.kind === StoreFailure.Conflict) {
-      const known = await store.fetchObject(StoreKind.Gateways, vmName);
-      if (known.kind === 'ok' && readPeerAddress(known.value) !== peerAddress) {
-        const { revision } = known.value;
-        await store.replaceObject(StoreKind.Gateways, vmName, revision, registration);
-      }
-    }
-    const list = await store.listObjects(StoreKind.Gateways);
-    if (list.kind !== 'ok') throw new Error(list.problem);
-    list.value.objects.forEach((object) => {
-      const address = readPeerAddress(object);
-      if (address !== undefined) peers.addAddress(address);
-    });
+  monitor.onSuspect((targetId, reason) => {
+    logger.warn('a target is suspect', { target: targetId, reason });
+    formation.handleSuspect(targetId);
     peers.sendNow();
+  });
+
+  const getState = (): PeerState => {
+    if (stopSinceMs !== undefined) return PeerState.Leaving;
+    const isReady = world.getTable() !== undefined && world.hasTargets();
+    return isReady ? PeerState.Ready : PeerState.Starting;
   };
-  const registerRepeatedly = async (): Promise<void> => {
-    for (;;) {
-      try {
-        await register();
-        return;
-      } catch (error) {
-        logger.warn('registration failed and is tried again', { problem: String(error) });
-        await timers.waitFor(REGISTER_PERIOD_MS);
-      }
+
+  const handleStatus = (status: PeerStatus): void => {
+    hasPeerRequests ||= status.hasRequests;
+    // Requests that wait at a silent target are no sign of its life.
+    const silentIds = new Set(status.suspectIds);
+    const loads = status.loads.filter(({ targetId }) => !silentIds.has(targetId));
+    monitor.setPeerLoads(status.vmName, loads);
+    for (const id of silentIds) {
+      monitor.markSuspectByPeer(id);
+      formation.handleSuspect(id);
     }
   };
-  void registerRepeatedly();
+
+  await peers.start({
+    getStatus: () => ({
+      vmName,
+      incarnation,
+      callersAddress,
+      peerAddress,
+      state: getState(),
+      hasRequests: handler.hasRequests(),
+      dutyTerm: duty.getTerm(),
+      loads: monitor.listOwnLoads(),
+      suspectIds: monitor.listSuspects(),
+    }),
+    handleStatus,
+    handleLost: (status) => monitor.removePeer(status.vmName),
+  });
+  duty.start({
+    getNotes: formation.listHeadNotes,
+    handleTaken(_term, notes) {
+      formation.addHeadNotes(notes ?? []);
+      peers.sendNow();
+    },
+    handleLost: peers.sendNow,
+  });
+  const handleAddress = peers.addAddress;
+  void registerGateway({ vmName, peerAddress, store, timers, logger, handleAddress });
 
   const getDirectoryAnswer = (): DirectoryAnswer | undefined => {
     const own = getState() === PeerState.Ready ? [callersAddress] : [];
@@ -350,14 +192,7 @@
   const pages = await dependencies.startPages({
     getDirectoryAnswer,
     isReady: () => getState() === PeerState.Ready,
-    renderMetrics: () =>
-      log
-        .listCounts()
-        .map(
-          ({ outcome, kind, reason, count }) =>
-            `clementinefork_requests_total{outcome="${outcome}",kind="${kind}",reason="${reason}"} ${count}\n`,
-        )
-        .join(''),
+    renderMetrics: () => renderCounts(log.listCounts()),
   });
   const server = await startCallerServer({
     host: settings.callers.host,
@@ -368,42 +203,29 @@
   });
   logger.info('started', { vm: vmName, incarnation, callersAddress });
 
-  const stop = async (): Promise<void> => {
-    const startMs = timers.getMonotonicMs();
-    stopSinceMs = startMs;
-    peers.sendNow();
-    formation.stop();
-    await duty.release();
-    duty.stop();
+  /** Finishes what is in progress; new requests are taken for a while, then refused. */
+  const drain = async (startMs: number): Promise<void> => {
     const endMs = startMs + settings.graceMs - GRACE_MARGIN_MS;
     while (timers.getMonotonicMs() < endMs) {
       const isTaking = timers.getMonotonicMs() - startMs <= TAKE_AFTER_STOP_MS;
-      if (!isTaking && handler.countInProgress() === 0) break;
+      if (!isTaking && handler.countInProgress() === 0) return;
       await timers.waitFor(STOP_LOOK_MS);
     }
-    [configurationFeed, evacuationFeed, targetFeed].forEach((feed) => feed.stop());
-    monitor.stop();
-    peers.stop();
-    await Promise.all([server.close(), pages.close(), client.close(), store.close()]);
   };
-  return { stop };
-}
 
-/** Time between tries to register. */
-const REGISTER_PERIOD_MS = 500;
-
-function describeTarget(target: Target): Record<string, string | number> {
   return {
-    target: target.id,
-    service: target.service,
-    address: target.address,
-    zone: target.availabilityZone,
-    domain: target.fabricDomain,
+    async stop() {
+      const startMs = timers.getMonotonicMs();
+      stopSinceMs = startMs;
+      peers.sendNow();
+      formation.stop();
+      await duty.release();
+      duty.stop();
+      await drain(startMs);
+      feeds.forEach((feed) => feed.stop());
+      monitor.stop();
+      peers.stop();
+      await Promise.all([server.close(), pages.close(), client.close(), store.close()]);
+    },
   };
 }
-
-function readPeerAddress(object: StoreObject): string | undefined {
-  const { spec } = object;
-  if (typeof spec !== 'object' || spec === null || !('address' in spec)) return undefined;
-  return typeof spec.address === 'string' ? spec.address : undefined;
-}
--- /dev/null
+++ b/src/core/gateway/registration.ts
@@ -0,0 +1,62 @@
+import type { Logger } from '../logs/index.ts';
+import type { StoreClient, StoreObject } from '../store/index.ts';
+import { StoreFailure, StoreKind } from '../store/index.ts';
+import type { TimerService } from '../timers/index.ts';
+
+/** What the registration of a gateway needs. */
+export interface RegistrationOptions {
+  vmName: string;
+  /** `host:port` of the exchange between gateways. */
+  peerAddress: string;
+  store: StoreClient;
+  timers: Pick<TimerService, 'waitFor'>;
+  logger: Logger;
+  /** Called for the address of each gateway in the store. */
+  handleAddress(address: string): void;
+}
+
+/** Time between tries to register. */
+const REGISTER_PERIOD_MS = 500;
+
+function readPeerAddress(object: StoreObject): string | undefined {
+  const { spec } = object;
+  if (typeof spec !== 'object' || spec === null || !('address' in spec)) return undefined;
+  return typeof spec.address === 'string' ? spec.address : undefined;
+}
+
+/** Writes this gateway's address; returns a problem, if there is one. */
+async function writeAddress(options: RegistrationOptions): Promise<string | undefined> {
+  const { vmName, peerAddress, store } = options;
+  const entry = { address: peerAddress };
+  const created = await store.createObject(StoreKind.Gateways, vmName, entry);
+  if (created.kind === 'ok') return undefined;
+  if (created.kind !== StoreFailure.Conflict) return created.problem;
+  const known = await store.fetchObject(StoreKind.Gateways, vmName);
+  if (known.kind !== 'ok') return known.problem;
+  if (readPeerAddress(known.value) === peerAddress) return undefined;
+  const { revision } = known.value;
+  const replaced = await store.replaceObject(StoreKind.Gateways, vmName, revision, entry);
+  return replaced.kind === 'ok' ? undefined : replaced.problem;
+}
+
+async function register(options: RegistrationOptions): Promise<string | undefined> {
+  const problem = await writeAddress(options);
+  const list = await options.store.listObjects(StoreKind.Gateways);
+  if (list.kind !== 'ok') return list.problem;
+  for (const object of list.value.objects) {
+    const address = readPeerAddress(object);
+    if (address !== undefined) options.handleAddress(address);
+  }
+  return problem;
+}
+
+/** Registers this gateway and learns the others, again and again until the store has answered. */
+export async function registerGateway(options: RegistrationOptions): Promise<void> {
+  const { timers, logger } = options;
+  for (;;) {
+    const problem = await register(options);
+    if (problem === undefined) return;
+    logger.warn('the registration failed and is tried again', { problem });
+    await timers.waitFor(REGISTER_PERIOD_MS);
+  }
+}
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -1,5 +1,9 @@
-import type { CallerRequest, RelayRequest, RelayResult } from '../forwarding/index.ts';
-import type { FailureReason } from '../forwarding/index.ts';
+import type {
+  CallerRequest,
+  FailureReason,
+  RelayRequest,
+  RelayResult,
+} from '../forwarding/index.ts';
 import { Outcome } from '../forwarding/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { TimerService } from '../timers/index.ts';
@@ -30,6 +34,13 @@
 const LINES_PER_SECOND = 60;
 const MS_PER_SECOND = 1_000;
 
+/** Tells whether an answer missed the latency objective or paused too long. */
+function isLate({ route }: RelayRequest, result: RelayResult): boolean {
+  const { gapObjectiveMs, latencyObjectiveMs } = route;
+  if ((result.firstByteMs ?? 0) > latencyObjectiveMs) return true;
+  return gapObjectiveMs !== undefined && result.longestGapMs > gapObjectiveMs;
+}
+
 /** Creates the log. */
 export function createRequestLog(
   logger: Logger,
@@ -72,7 +83,6 @@
       });
     },
     recordRetry(input, targetId, reason) {
-      count(Outcome.NotRun, 'retry', reason.slice(0, 24));
       if (!takeLine()) return;
       logger.info('sent a request again', {
         request: input.request.attemptId ?? '',
@@ -83,9 +93,10 @@
     },
     recordResult(input, result) {
       count(result.outcome, input.route.kind, result.reason ?? '');
-      const isPlain = result.outcome === Outcome.Answered || result.outcome === Outcome.Abandoned;
-      if (isPlain || !takeLine()) return;
-      logger.warn('a request was not answered', {
+      const isAnswered = result.outcome === Outcome.Answered;
+      if (result.outcome === Outcome.Abandoned) return;
+      if ((isAnswered && !isLate(input, result)) || !takeLine()) return;
+      logger.warn(isAnswered ? 'a request was answered late' : 'a request was not answered', {
         request: input.request.attemptId ?? '',
         route: input.route.name,
         model: input.request.model ?? '',
@@ -93,6 +104,8 @@
         reason: result.reason ?? '',
         status: result.status ?? 0,
         targets: result.targetIds.join(' '),
+        firstByteMs: Math.round(result.firstByteMs ?? 0),
+        longestGapMs: Math.round(result.longestGapMs),
         configuration: input.configurationVersion,
         tookMs: Math.round(timers.getMonotonicMs() - input.arrivedMs),
       });
@@ -100,3 +113,17 @@
     listCounts: () => [...counts.values()],
   };
 }
+
+/** Renders counts in the text format of Prometheus. */
+export function renderCounts(counts: readonly RequestCount[]): string {
+  const lines = counts.map(
+    ({ outcome, kind, reason, count }) =>
+      `clementinefork_requests_total{outcome="${outcome}",kind="${kind}",reason="${reason}"} ${count}`,
+  );
+  return [
+    '# HELP clementinefork_requests_total Requests by outcome, kind of route and reason.',
+    '# TYPE clementinefork_requests_total counter',
+    ...lines,
+    '',
+  ].join('\n');
+}
--- /dev/null
+++ b/src/core/gateway/world.ts
@@ -0,0 +1,118 @@
+import type { FeedListener } from '../feed/index.ts';
+import type { Fleet, Target } from '../fleet/index.ts';
+import { createFleet } from '../fleet/index.ts';
+import type { LogContext } from '../logs/index.ts';
+import type { StoreObject } from '../store/index.ts';
+import type { RoutingTable } from './routing-table.ts';
+import { buildRoutingTable } from './routing-table.ts';
+import type { GatewayDependencies } from './types.ts';
+
+/** What a gateway knows from the store. */
+export interface World {
+  fleet: Fleet;
+  /** Table in force; undefined before the first configuration is known. */
+  getTable(): RoutingTable | undefined;
+  /** Whether the targets have been listed once. */
+  hasTargets(): boolean;
+  /** Whether operators have taken a zone out. */
+  isZoneOut(availabilityZone: string): boolean;
+  configurationListener: FeedListener;
+  evacuationListener: FeedListener;
+  targetListener: FeedListener;
+}
+
+function buildTargetContext(target: Target): LogContext {
+  return {
+    target: target.id,
+    service: target.service,
+    address: target.address,
+    zone: target.availabilityZone,
+    domain: target.fabricDomain,
+  };
+}
+
+/** Creates an empty world that follows the store through its listeners. */
+export function createWorld(
+  dependencies: Pick<
+    GatewayDependencies,
+    'timers' | 'logger' | 'decodeConfiguration' | 'decodeTarget'
+  >,
+): World {
+  const { timers, logger, decodeConfiguration, decodeTarget } = dependencies;
+  const fleet = createFleet();
+  const zonesOut = new Set<string>();
+  let table: RoutingTable | undefined;
+  let hasTargets = false;
+
+  const applyConfiguration = (object: StoreObject): void => {
+    const decoded = decodeConfiguration(object.spec);
+    if ('problem' in decoded) {
+      logger.error('a configuration cannot be read', { problem: decoded.problem });
+      return;
+    }
+    if (table !== undefined && decoded.value.version <= table.version) return;
+    table = buildRoutingTable(decoded.value);
+    logger.info('a configuration is in force', {
+      version: table.version,
+      revision: object.revision,
+      routes: decoded.value.routes.length,
+    });
+  };
+
+  const applyTarget = (object: StoreObject): void => {
+    const target = decodeTarget(object, timers.getMonotonicMs());
+    if (target === undefined) {
+      logger.warn('an entry names no target', { entry: object.name });
+      fleet.removeTarget(object.name);
+      return;
+    }
+    const known = fleet.findTarget(target.id);
+    if (known === undefined) logger.info('found a target', buildTargetContext(target));
+    else if (!known.isDraining && target.isDraining) {
+      logger.info('a target is leaving', buildTargetContext(target));
+    }
+    fleet.setTarget(target);
+  };
+
+  return {
+    fleet,
+    getTable: () => table,
+    hasTargets: () => hasTargets,
+    isZoneOut: (availabilityZone) => zonesOut.has(availabilityZone),
+    configurationListener: {
+      handleList: (objects) => objects.forEach(applyConfiguration),
+      handleObject: applyConfiguration,
+      // The configuration stays in force until a later version replaces it.
+      handleDelete: () => undefined,
+    },
+    evacuationListener: {
+      handleList(objects) {
+        zonesOut.clear();
+        objects.forEach(({ name }) => zonesOut.add(name));
+      },
+      handleObject({ name }) {
+        zonesOut.add(name);
+        logger.info('a zone is taken out', { zone: name });
+      },
+      handleDelete({ name }) {
+        zonesOut.delete(name);
+        logger.info('a zone is back', { zone: name });
+      },
+    },
+    targetListener: {
+      handleList(objects) {
+        const names = new Set(objects.map(({ name }) => name));
+        for (const { id } of [...fleet.listAllTargets()]) {
+          if (!names.has(id)) fleet.removeTarget(id);
+        }
+        objects.forEach(applyTarget);
+        hasTargets = true;
+      },
+      handleObject: applyTarget,
+      handleDelete({ name }) {
+        logger.info('a target is gone', { target: name });
+        fleet.removeTarget(name);
+      },
+    },
+  };
+}
--- a/src/core/peers/create-peers.ts
+++ b/src/core/peers/create-peers.ts
@@ -1,7 +1,7 @@
 import { createSocket } from 'node:dgram';
 import { formatProblem } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
-import type { TimerService } from '../timers/index.ts';
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { decodePacket, encodePacket } from './packets.ts';
 import type { Peer, PeerStatus } from './types.ts';
 
@@ -12,6 +12,10 @@
   port: number;
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>;
   logger: Logger;
+}
+
+/** What the exchange reports, and what it tells the others. */
+export interface PeersListener {
   getStatus(): PeerStatus;
   /** Called for each packet of another gateway. */
   handleStatus(status: PeerStatus): void;
@@ -21,6 +25,8 @@
 
 /** The other gateways. */
 export interface Peers {
+  /** Opens the socket and starts to send and receive. */
+  start(listener: PeersListener): Promise<void>;
   /** Adds an address (`host:port`) to send to, found in the store. */
   addAddress(address: string): void;
   /** Gateways heard lately. */
@@ -37,16 +43,19 @@
 /** A gateway not heard for this long, about ten packets, is not named to callers any more. */
 const LOST_AFTER_MS = 1_200;
 
-/** Opens the socket and starts to send. */
-export async function startPeers(options: PeersOptions): Promise<Peers> {
-  const { vmName, host, port, timers, logger, getStatus, handleStatus, handleLost } = options;
+/** Creates the exchange; it is silent until it is started. */
+export function createPeers(options: PeersOptions): Peers {
+  const { vmName, host, port, timers, logger } = options;
   const ownAddress = `${host}:${port}`;
   const addresses = new Set<string>();
   const peers = new Map<string, Peer>();
   const socket = createSocket('udp4');
+  let listener: PeersListener | undefined;
+  let stopSending: Unsubscribe | undefined;
 
   const sendNow = (): void => {
-    const bytes = encodePacket(getStatus());
+    if (listener === undefined) return;
+    const bytes = encodePacket(listener.getStatus());
     for (const address of addresses) {
       const [peerHost, peerPort] = address.split(':');
       // A datagram that cannot be sent counts as lost; the next one follows soon.
@@ -64,7 +73,7 @@
     }
     peers.set(status.vmName, { status, heardMs: timers.getMonotonicMs() });
     if (status.peerAddress !== ownAddress) addresses.add(status.peerAddress);
-    handleStatus(status);
+    listener?.handleStatus(status);
   };
 
   const removeLost = (): void => {
@@ -73,7 +82,7 @@
       if (now - heardMs <= LOST_AFTER_MS) continue;
       peers.delete(name);
       logger.warn('lost a gateway', { peer: name, silentMs: Math.round(now - heardMs) });
-      handleLost(status);
+      listener?.handleLost(status);
     }
   };
 
@@ -87,15 +96,17 @@
   socket.on('error', (error) =>
     logger.error('the socket between gateways failed', { problem: formatProblem(error) }),
   );
-  await new Promise<void>((resolve) => {
-    socket.bind(port, host, resolve);
-  });
-  const stopSending = timers.subscribe(SEND_PERIOD_MS, () => {
-    removeLost();
-    sendNow();
-  });
-
   return {
+    async start(started) {
+      listener = started;
+      await new Promise<void>((resolve) => {
+        socket.bind(port, host, resolve);
+      });
+      stopSending = timers.subscribe(SEND_PERIOD_MS, () => {
+        removeLost();
+        sendNow();
+      });
+    },
     addAddress(address) {
       if (address !== ownAddress) addresses.add(address);
     },
@@ -103,7 +114,8 @@
     countGateways: () => peers.size + 1,
     sendNow,
     stop() {
-      stopSending();
+      stopSending?.();
+      listener = undefined;
       socket.close();
     },
   };
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -4,6 +4,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Time limit of a route that names none; as long as the longest of the sheets. */
+const DEFAULT_TIMEOUT_MS = 8_000;
+
 const KIND_BY_WORD: Readonly<Record<string, RequestKind>> = {
   idempotent: RequestKind.Idempotent,
   non_idempotent: RequestKind.NonIdempotent,
@@ -44,9 +47,6 @@
     };
   });
 
-/** Time limit of a route that names none; as long as the longest of the sheets. */
-const DEFAULT_TIMEOUT_MS = 8_000;
-
 function toRouteServices(route: {
   service?: string | undefined;
   traffic_split?: { service: string; weight: number }[] | undefined;
--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -1,5 +1,4 @@
 import { Client } from 'undici';
-import { z } from 'zod';
 import type { Target } from '../core/fleet/index.ts';
 import { OrderResult } from '../core/formation/types.ts';
 import type { EngineControl, EngineOrder } from '../core/formation/types.ts';
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,9 +1,8 @@
 import { Client } from 'undici';
-import type { Dispatcher } from 'undici';
 import { z } from 'zod';
 import { createError, ErrorKind, formatProblem } from '../core/errors/index.ts';
 import { StoreFailure, StoreKind } from '../core/store/index.ts';
-import type { StoreClient, StoreList, StoreObject, StoreResult } from '../core/store/index.ts';
+import type { StoreClient, StoreObject, StoreResult } from '../core/store/index.ts';
 import type { TimerService } from '../core/timers/index.ts';
 import type { SocketAddress } from './settings.ts';
 
@@ -104,7 +103,7 @@
     });
     try {
       const answer = await client.request({
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         path: call.path,
         headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
         body: call.body === undefined ? null : JSON.stringify(call.body),
