--- /dev/null
+++ b/src/core/forwarding/relay.test.ts
@@ -0,0 +1,190 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { RequestKind } from '../serving/index.ts';
+import type { ReceivedSend, RelayHarness } from './fixtures/relay-harness.ts';
+import {
+  ANSWER_HEAD,
+  REFUSAL_HEAD,
+  startTestRelay,
+  STREAM_HEAD,
+} from './fixtures/relay-harness.ts';
+import { Outcome } from './types.ts';
+
+function getSend(harness: RelayHarness, index: number): ReceivedSend {
+  const send = harness.sends[index];
+  if (send === undefined) throw new Error(`send ${index} was not made`);
+  return send;
+}
+
+function acceptSend(harness: RelayHarness, index: number): ReceivedSend {
+  const send = getSend(harness, index);
+  send.listener.handleSent();
+  return send;
+}
+
+function refuse({ listener }: ReceivedSend): void {
+  listener.handleHead(REFUSAL_HEAD);
+  listener.handleEnd();
+}
+
+const EVENT = (id: number): Buffer => Buffer.from(`id: ${id}\ndata: piece ${id}\n\n`);
+
+describe('relay of whole answers', () => {
+  it('passes a signed answer on unchanged', () => {
+    const harness = startTestRelay({ kind: RequestKind.NonIdempotent });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(ANSWER_HEAD);
+    listener.handleData(Buffer.from('whole'));
+    listener.handleEnd();
+    expect(harness.caller).toEqual({ status: 200, body: 'whole', isEnded: true, isBroken: false });
+  });
+
+  // Guards against a request that runs twice (TWICE), and against a false promise (REFUSED).
+  const lostAnswers = [
+    { kind: RequestKind.NonIdempotent, isResumable: false, sends: 1, status: 502 },
+    { kind: RequestKind.Streaming, isResumable: false, sends: 1, status: 502 },
+    { kind: RequestKind.Idempotent, isResumable: false, sends: 2, status: undefined },
+    { kind: RequestKind.Streaming, isResumable: true, sends: 2, status: undefined },
+  ];
+  for (const { kind, isResumable, sends, status } of lostAnswers) {
+    it(`makes ${sends} sends of a ${kind} request, resumable ${isResumable}, whose answer is lost`, () => {
+      const harness = startTestRelay({ kind, isResumable });
+      acceptSend(harness, 0).listener.handleError(true, 'reset');
+      expect(harness.sends.length).toEqual(sends);
+      expect(harness.caller.status).toEqual(status);
+    });
+  }
+
+  it('sends a non-idempotent request again after a refusal or a failed connection', () => {
+    const harness = startTestRelay({ kind: RequestKind.NonIdempotent, maxAttempts: 1 });
+    refuse(acceptSend(harness, 0));
+    getSend(harness, 1).listener.handleError(false, 'refused');
+    const { listener } = acceptSend(harness, 2);
+    listener.handleHead(ANSWER_HEAD);
+    listener.handleEnd();
+    expect(harness.caller.status).toEqual(200);
+  });
+
+  it('answers 503 if every target refused, because the request has not run', async () => {
+    const harness = startTestRelay({ kind: RequestKind.NonIdempotent, targetCount: 2 });
+    refuse(acceptSend(harness, 0));
+    refuse(acceptSend(harness, 1));
+    await harness.timers.runForAsync(200);
+    expect(harness.caller.status).toEqual(503);
+    expect(harness.getResult()?.outcome).toEqual(Outcome.NotRun);
+  });
+
+  it('answers 504 at the time limit if the request may have run', async () => {
+    const harness = startTestRelay({ kind: RequestKind.NonIdempotent });
+    acceptSend(harness, 0);
+    await harness.timers.runForAsync(6_050, 50);
+    expect(harness.caller.status).toEqual(504);
+    expect(getSend(harness, 0).isCancelled).toEqual(true);
+  });
+
+  // Guards against answers of other requests and unsigned successes (MIXED).
+  const spoiledHeads = [
+    { name: 'without a signature', head: { ...ANSWER_HEAD, isSigned: false } },
+    { name: 'of another request', head: { ...ANSWER_HEAD, attemptId: 'other' } },
+    { name: 'with an encoding', head: { ...ANSWER_HEAD, isEncoded: true } },
+  ];
+  for (const { name, head } of spoiledHeads) {
+    it(`never passes on a success ${name}`, () => {
+      const harness = startTestRelay({ kind: RequestKind.NonIdempotent });
+      const { listener } = acceptSend(harness, 0);
+      listener.handleHead(head);
+      listener.handleData(Buffer.from('spoiled'));
+      listener.handleEnd();
+      expect(harness.caller.status).toEqual(502);
+      expect(harness.caller.body).toEqual('');
+    });
+  }
+
+  it('makes no second send without budget', () => {
+    const harness = startTestRelay({ kind: RequestKind.Idempotent, slack: 0 });
+    acceptSend(harness, 0).listener.handleError(true, 'reset');
+    expect(harness.sends.length).toEqual(1);
+    expect(harness.caller.status).toEqual(502);
+  });
+
+  it('cancels the send when the caller leaves', () => {
+    const harness = startTestRelay({ kind: RequestKind.Idempotent });
+    acceptSend(harness, 0);
+    harness.relay.abandon();
+    expect(getSend(harness, 0).isCancelled).toEqual(true);
+    expect(harness.getResult()?.outcome).toEqual(Outcome.Abandoned);
+  });
+});
+
+describe('relay of streams', () => {
+  const startStream = (): RelayHarness => {
+    const harness = startTestRelay({ kind: RequestKind.Streaming });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(STREAM_HEAD);
+    listener.handleData(EVENT(1));
+    return harness;
+  };
+
+  const endSecond = (harness: RelayHarness, ids: number[]): void => {
+    const { listener } = acceptSend(harness, 1);
+    listener.handleHead(STREAM_HEAD);
+    ids.forEach((id) => listener.handleData(EVENT(id)));
+    listener.handleEnd();
+  };
+
+  it('continues after the last event when the target breaks off', () => {
+    const harness = startStream();
+    getSend(harness, 0).listener.handleError(true, 'reset');
+    expect(getSend(harness, 1).request.lastEventId).toEqual('1');
+    endSecond(harness, [2, 3]);
+    expect(harness.caller.body).toEqual([1, 2, 3].map((id) => EVENT(id).toString()).join(''));
+    expect(harness.caller.isEnded).toEqual(true);
+  });
+
+  // Guards against pieces of two runs that are joined (ORDER).
+  it('drops the part of an event in which the target stopped', () => {
+    const harness = startStream();
+    const { listener } = getSend(harness, 0);
+    listener.handleData(EVENT(2).subarray(0, 9));
+    listener.handleEnd();
+    endSecond(harness, [2]);
+    expect(harness.caller.body).toEqual(`${EVENT(1).toString()}${EVENT(2).toString()}`);
+  });
+
+  it('drops events that the caller has already', () => {
+    const harness = startStream();
+    getSend(harness, 0).listener.handleError(true, 'reset');
+    endSecond(harness, [1, 2]);
+    expect(harness.caller.body).toEqual(`${EVENT(1).toString()}${EVENT(2).toString()}`);
+  });
+
+  it('moves a silent stream to another target', async () => {
+    const harness = startStream();
+    await harness.timers.runForAsync(400, 10);
+    expect(getSend(harness, 0).isCancelled).toEqual(true);
+    expect(harness.sends.length).toEqual(2);
+  });
+
+  // Guards against streams that are broken off for want of budget (scale-2 of rodopi-wax).
+  it('keeps waiting for a silent target without budget for another', async () => {
+    const harness = startTestRelay({ kind: RequestKind.Streaming, slack: 0 });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(STREAM_HEAD);
+    listener.handleData(EVENT(1));
+    await harness.timers.runForAsync(1_000, 10);
+    listener.handleData(EVENT(2));
+    listener.handleEnd();
+    expect(harness.caller.isEnded).toEqual(true);
+    expect(harness.caller.isBroken).toEqual(false);
+  });
+
+  it('breaks the connection off when no attempt is left, so that the answer looks incomplete', () => {
+    const harness = startTestRelay({ kind: RequestKind.Streaming, maxAttempts: 1 });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(STREAM_HEAD);
+    listener.handleData(EVENT(1));
+    listener.handleError(true, 'reset');
+    expect(harness.caller.isBroken).toEqual(true);
+    expect(harness.caller.isEnded).toEqual(false);
+  });
+});
--- /dev/null
+++ b/src/platform/decode.test.ts
@@ -0,0 +1,93 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { RequestKind } from '../core/serving/index.ts';
+import { decodeConfiguration } from './decode-configuration.ts';
+import { decodeTarget } from './decode-target.ts';
+
+const ROUTE = {
+  name: 'r-1',
+  host: 'Ficu95.example',
+  path_prefix: '/a/',
+  kind: 'streaming',
+  timeout_ms: 8000,
+  target_latency_ms: 400,
+  max_attempts: 2,
+  stream_resume: true,
+  gap_target_ms: 300,
+  traffic_split: [
+    { service: 's1', weight: 90 },
+    { service: 's2', weight: 10 },
+  ],
+};
+const LIMITS = {
+  max_header_bytes: 16384,
+  max_body_bytes: 4194304,
+  header_timeout_ms: 3000,
+  idle_timeout_ms: 15000,
+};
+const CONFIGURATION = { version: 7, routes: [ROUTE], services: [{ name: 's1' }], limits: LIMITS };
+
+const ENTRY = {
+  service: 's1',
+  address: '10.128.0.9:8080',
+  zone: 'sofia-a',
+  state: 'ready',
+  cold_remaining_ms: 250,
+  domain: 'd0',
+  staged: ['m1'],
+  models: [{ name: 'm0', version: 1, adapters: [] }],
+  group: { name: 'g1', epoch: 4, rank: 1, state: 'ready' },
+  born: 1_700_000_000_000,
+};
+
+function decodeEntry(spec: unknown): ReturnType<typeof decodeTarget> {
+  return decodeTarget({ name: 'i-1', revision: 3, spec, status: null }, 50);
+}
+
+describe('decoding', () => {
+  it('decodes a route into the terms of the project', () => {
+    const decoded = decodeConfiguration(CONFIGURATION);
+    if ('problem' in decoded) throw new Error(decoded.problem);
+    const [route] = decoded.value.routes;
+    expect(route?.kind).toEqual(RequestKind.Streaming);
+    expect(route?.host).toEqual('ficu95.example');
+    expect(route?.services.map(({ weight }) => weight)).toEqual([90, 10]);
+    expect(decoded.value.customers).toEqual(undefined);
+  });
+
+  // Guards against a repeat of what may run once only.
+  it('treats an unknown kind as non-idempotent', () => {
+    const routes = [{ ...ROUTE, kind: 'new-kind' }];
+    const decoded = decodeConfiguration({ ...CONFIGURATION, routes });
+    if ('problem' in decoded) throw new Error(decoded.problem);
+    expect(decoded.value.routes[0]?.kind).toEqual(RequestKind.NonIdempotent);
+  });
+
+  it('reports a configuration that it cannot read', () => {
+    expect('problem' in decodeConfiguration({ version: 'x' })).toEqual(true);
+  });
+
+  it('decodes an entry with its group', () => {
+    const target = decodeEntry(ENTRY);
+    expect(target?.group?.epoch).toEqual(4);
+    expect(target?.loadedModel).toEqual('m0');
+    expect(target?.isDraining).toEqual(false);
+  });
+
+  // An entry of another writer names no target to use.
+  const spoiled = [
+    { name: 'no object', spec: 'bytes' },
+    { name: 'a missing field', spec: { ...ENTRY, address: undefined } },
+    { name: 'a field of another type', spec: { ...ENTRY, service: 7 } },
+    { name: 'an unknown state', spec: { ...ENTRY, state: 'paused' } },
+    {
+      name: 'an unknown state of its group',
+      spec: { ...ENTRY, group: { ...ENTRY.group, state: 'x' } },
+    },
+  ];
+  for (const { name, spec } of spoiled) {
+    it(`refuses an entry with ${name}`, () => {
+      expect(decodeEntry(spec)).toEqual(undefined);
+    });
+  }
+});
--- /dev/null
+++ b/src/platform/wire-format.test.ts
@@ -0,0 +1,80 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { Target } from '../core/fleet/index.ts';
+import { platformWireFormat } from './wire-format.ts';
+
+const RAW_HEADERS = [
+  ['Host', 'Ficu95.example:80'],
+  ['X-Attempt-Id', '9c41'],
+  ['X-Model', 'm'],
+  ['X-Token-Usage', '1460,80'],
+  ['X-Deadline-Ms', '8000'],
+  ['Authorization', 'Bearer secret'],
+  ['X-Tenant', 'forged'],
+  ['X-Expect-Instance', 'forged'],
+  ['Connection', 'keep-alive, X-Hop'],
+  ['X-Hop', 'one'],
+  ['Content-Length', '4'],
+].flat();
+
+function buildHeaders(customer: string | undefined): string[] {
+  const request = platformWireFormat.parseRequest('POST', '/a/b?c=d', RAW_HEADERS);
+  return platformWireFormat.buildTargetHeaders({
+    request,
+    body: Buffer.alloc(4),
+    target: { id: 'i-1' } as Target,
+    remainingMs: 7_900.7,
+    customer,
+    lastEventId: '12',
+  });
+}
+
+describe('wire format', () => {
+  it('decodes what the gateway decides by', () => {
+    const request = platformWireFormat.parseRequest('POST', '/a/b?c=d', RAW_HEADERS);
+    const { host, attemptId, deadlineMs, key, model, promptTokens, path } = request;
+    expect({ host, attemptId, deadlineMs, key, model, promptTokens, path }).toEqual({
+      host: 'ficu95.example',
+      attemptId: '9c41',
+      deadlineMs: 8_000,
+      key: 'secret',
+      model: 'm',
+      promptTokens: 1_460,
+      path: '/a/b?c=d',
+    });
+  });
+
+  // Guards against a key, a forged customer or a field of one connection that reaches a target.
+  it('sets its own fields whatever the caller sent', () => {
+    const headers = buildHeaders('hule930');
+    const pairs = headers.flatMap((name, index) =>
+      index % 2 === 0 ? [`${name.toLowerCase()}: ${headers[index + 1] ?? ''}`] : [],
+    );
+    expect(pairs.sort()).toEqual([
+      'host: Ficu95.example:80',
+      'last-event-id: 12',
+      'x-attempt-id: 9c41',
+      'x-deadline-ms: 7900',
+      'x-expect-instance: i-1',
+      'x-model: m',
+      'x-tenant: hule930',
+      'x-token-usage: 1460,80',
+    ]);
+  });
+
+  it('passes no customer on without one', () => {
+    expect(buildHeaders(undefined).includes('X-Tenant')).toEqual(false);
+  });
+
+  const heads = [
+    { status: 503, raw: ['X-Not-Executed', '1'], isNotRun: true },
+    { status: 421, raw: ['X-Instance-Id', 'i-2'], isNotRun: true },
+    { status: 503, raw: [], isNotRun: false },
+    { status: 500, raw: ['X-Response-Signature', 's'], isNotRun: false },
+  ];
+  for (const { status, raw, isNotRun } of heads) {
+    it(`reads ${status} with ${raw[0] ?? 'nothing'} as ${isNotRun ? 'not run' : 'perhaps run'}`, () => {
+      expect(platformWireFormat.parseAnswerHead(status, raw).isNotRun).toEqual(isNotRun);
+    });
+  }
+});
