--- /dev/null
+++ b/test/processes/gateway-session.ts
@@ -0,0 +1,177 @@
+import { mkdirSync, mkdtempSync } from 'node:fs';
+import { createServer } from 'node:http';
+import type { IncomingHttpHeaders, Server } from 'node:http';
+import { join } from 'node:path';
+import { request } from 'undici';
+import type { TimerService } from '../../src/core/timers/index.ts';
+import { createTimerService } from '../../src/core/timers/index.ts';
+import { findFreePorts } from '../../src/demo/free-ports.ts';
+import { createProcessRunner } from '../../src/demo/processes.ts';
+import type { RunningProcess } from '../../src/demo/processes.ts';
+import { waitUntil } from '../../src/demo/wait-until.ts';
+import type { StandInStore } from '../../src/stand-ins/store/index.ts';
+import { createStandInStore } from '../../src/stand-ins/store/index.ts';
+
+const BUILD_FOLDER = 'dist';
+const OUTPUT_FOLDER = 'out';
+const HOST = '127.0.0.1';
+const READY_LIMIT_MS = 20_000;
+/** Ports of the gateway and of the target. */
+const PORT_COUNT = 5;
+
+/** A request as the target received it. */
+export interface TargetCall {
+  url: string;
+  headers: IncomingHttpHeaders;
+}
+
+/** A gateway as a process of its own, with a store and one plain target. */
+export interface GatewaySession {
+  timers: TimerService;
+  store: StandInStore;
+  gateway: RunningProcess;
+  calls: TargetCall[];
+  /** Time that the target takes for an answer. */
+  setWorkMs(workMs: number): void;
+  /** Asks the directory which addresses to use. */
+  fetchAddresses(): Promise<string[]>;
+  fetchReadiness(): Promise<number>;
+  /** Sends a request with a key, and returns status and body. */
+  sendRequest(path: string, key?: string): Promise<{ status: number; body: string }>;
+  stop(): Promise<void>;
+}
+
+const BOUNDS = {
+  drain_ms: 2000,
+  grace_s: 8,
+  retry_budget_ratio: 0.2,
+  budget_window_s: 10,
+  retry_budget_slack: 100,
+  cold_overage: 1.5,
+  stall_ms: 5000,
+  ceiling_window_s: 5,
+  ttl_max_s: 5,
+};
+
+function buildConfiguration(): object {
+  return {
+    version: 3,
+    routes: [
+      {
+        name: 'orders',
+        host: 'orders.example',
+        path_prefix: '/orders/',
+        kind: 'non_idempotent',
+        timeout_ms: 5000,
+        target_latency_ms: 1000,
+        service: 'order-app',
+        max_attempts: 1,
+      },
+    ],
+    services: [{ name: 'order-app' }],
+    limits: {
+      max_header_bytes: 16384,
+      max_body_bytes: 65536,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15000,
+    },
+    tenants: [{ name: 'grower', api_keys: ['key-1'] }],
+  };
+}
+
+/** Starts the session; the gateway is ready when the promise resolves. */
+export async function startGatewaySession(): Promise<GatewaySession> {
+  const timers = createTimerService();
+  const store = await createStandInStore();
+  const calls: TargetCall[] = [];
+  let workMs = 0;
+  const target: Server = createServer((incoming, response) => {
+    calls.push({ url: incoming.url ?? '', headers: incoming.headers });
+    timers.scheduleOnce(workMs, () => {
+      response.setHeader('X-Response-Signature', 'signed');
+      response.end('booked');
+    });
+  });
+  const ports = await findFreePorts(PORT_COUNT);
+  // The port after the peers' port serves the metrics.
+  const peer = ports.find((port) => !ports.includes(port + 1)) ?? 0;
+  const others = ports.filter((port) => port !== peer);
+  const [callers = 0, ready = 0, directory = 0, targetPort = 0] = others;
+  await new Promise<void>((resolve) => {
+    target.listen(targetPort, HOST, resolve);
+  });
+  store.putObject('config', 'main', buildConfiguration());
+  store.putObject('servers', 'i-1', {
+    service: 'order-app',
+    address: `${HOST}:${targetPort}`,
+    zone: 'sofia-a',
+    state: 'ready',
+  });
+
+  mkdirSync(OUTPUT_FOLDER, { recursive: true });
+  const workFolder = mkdtempSync(join(OUTPUT_FOLDER, 'gateway-'));
+  const runner = createProcessRunner({ buildFolder: BUILD_FOLDER, workFolder, timers });
+  const gateway = runner.start({
+    name: 'gateway-1',
+    binary: 'clementinefork-gateway',
+    settings: {
+      node: 'gateway-1',
+      ip: HOST,
+      zone: 'sofia-a',
+      listen: {
+        front: `${HOST}:${callers}`,
+        ready: `${HOST}:${ready}`,
+        directory: `${HOST}:${directory}`,
+      },
+      internal_port_range: [peer, peer + 1],
+      bootstrap: true,
+      bounds: BOUNDS,
+      platform: { address: `${HOST}:${store.port}` },
+    },
+  });
+
+  const fetchReadiness = async (): Promise<number> => {
+    const answer = await request(`http://${HOST}:${ready}/ready`);
+    await answer.body.dump();
+    return answer.statusCode;
+  };
+  await waitUntil('readiness of the gateway', timers, READY_LIMIT_MS, async () =>
+    (await fetchReadiness()) === 200 ? true : undefined,
+  );
+
+  return {
+    timers,
+    store,
+    gateway,
+    calls,
+    setWorkMs: (value) => {
+      workMs = value;
+    },
+    fetchReadiness,
+    async fetchAddresses() {
+      const query = 'name=orders.example&region=sofia&zone=sofia-a';
+      const answer = await request(`http://${HOST}:${directory}/resolve?${query}`);
+      const { addresses } = (await answer.body.json()) as { addresses: string[] };
+      return addresses;
+    },
+    async sendRequest(path, key = 'key-1') {
+      const answer = await request(`http://${HOST}:${callers}${path}`, {
+        method: 'POST',
+        headers: {
+          host: 'orders.example',
+          authorization: `Bearer ${key}`,
+          'x-attempt-id': 'attempt-1',
+          'x-deadline-ms': '4000',
+        },
+        body: 'two pallets',
+      });
+      return { status: answer.statusCode, body: await answer.body.text() };
+    },
+    async stop() {
+      await runner.stopAll();
+      target.closeAllConnections();
+      target.close();
+      await store.close();
+    },
+  };
+}
--- /dev/null
+++ b/test/processes/gateway.test.ts
@@ -0,0 +1,68 @@
+import { after, before, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { StoreFault } from '../../src/stand-ins/store/index.ts';
+import type { GatewaySession } from './gateway-session.ts';
+import { startGatewaySession } from './gateway-session.ts';
+
+describe('gateway as a process', () => {
+  const context = {} as { session: GatewaySession };
+
+  before(async () => {
+    context.session = await startGatewaySession();
+  });
+  after(() => context.session.stop());
+
+  it('names its own address in the directory', async () => {
+    const addresses = await context.session.fetchAddresses();
+    expect(addresses.length).toEqual(1);
+  });
+
+  it('relays a request with the customer instead of the key', async () => {
+    const answer = await context.session.sendRequest('/orders/new?size=2');
+    expect(answer).toEqual({ status: 200, body: 'booked' });
+    const call = context.session.calls.at(-1);
+    expect(call?.url).toEqual('/orders/new?size=2');
+    expect(call?.headers['x-tenant']).toEqual('grower');
+    expect(call?.headers.authorization).toEqual(undefined);
+    expect(call?.headers['x-expect-instance']).toEqual('i-1');
+  });
+
+  const refusals = [
+    { name: 'an unknown route', path: '/stock/', key: 'key-1', status: 404 },
+    { name: 'an unknown key', path: '/orders/', key: 'key-2', status: 401 },
+  ];
+  for (const { name, path, key, status } of refusals) {
+    it(`refuses ${name} with ${status} and sends nothing on`, async () => {
+      const callsBefore = context.session.calls.length;
+      const answer = await context.session.sendRequest(path, key);
+      expect(answer.status).toEqual(status);
+      expect(context.session.calls.length).toEqual(callsBefore);
+    });
+  }
+
+  // Guards against a process that SIGHUP ends (temir-feed fresh-b3fb).
+  it('serves on after SIGHUP', async () => {
+    context.session.gateway.sendSignal('SIGHUP');
+    await context.session.timers.waitFor(200);
+    expect((await context.session.sendRequest('/orders/new')).status).toEqual(200);
+  });
+
+  it('serves on while the store says nothing', async () => {
+    context.session.store.setFault(StoreFault.Silent);
+    await context.session.timers.waitFor(1_500);
+    expect((await context.session.sendRequest('/orders/new')).status).toEqual(200);
+    context.session.store.setFault(StoreFault.None);
+  });
+
+  // Guards against a planned stop that cuts a request (LOST); the last test, because it stops.
+  it('finishes what is in progress after SIGTERM and is not ready meanwhile', async () => {
+    context.session.setWorkMs(1_500);
+    const answer = context.session.sendRequest('/orders/new');
+    await context.session.timers.waitFor(200);
+    context.session.gateway.sendSignal('SIGTERM');
+    await context.session.timers.waitFor(200);
+    expect(await context.session.fetchReadiness()).toEqual(503);
+    expect((await answer).status).toEqual(200);
+    expect(await context.session.gateway.exited).toEqual(0);
+  });
+});
