Leave groups that are being formed to their operation, and exit when a start fails

Now only the operation deals with such a group, and it opens none with a member that lost its entry. The new test fails without the change. A gateway whose port was taken answered as ready without serving; a failed start now ends the process.

--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -243,9 +243,8 @@
   /** Asks a head that shows as ready whether it has opened its group meanwhile. */
   const confirmIdle = (group: EngineGroup): void => {
     const head = heads.findHeadToConfirm(group);
+    if (head === undefined) return;
     const ids = listMembers(group).map(({ id }) => id);
-    const isBusy = [...operations].some((one) => one.ids.some((id) => ids.includes(id)));
-    if (head === undefined || isBusy) return;
     runOperation(ids, undefined, async () => {
       const isIdle = await steps.hasEnded(head, group.name, group.epoch);
       heads.setIdle(group, isIdle);
@@ -253,11 +252,15 @@
     });
   };
 
+  const isBusy = (group: EngineGroup): boolean =>
+    [...operations].some(({ ids }) => listMembers(group).some(({ id }) => ids.includes(id)));
+
   /** Returns members whose group may still be open, and asks their heads to close it. */
   const listHeldIds = (service: string): Set<string> => {
     const held = new Set<string>();
     for (const group of fleet.listServiceGroups(service)) {
-      if (!heads.mayBeOpen(group)) continue;
+      // While a group is being formed or closed, its members are busy anyway.
+      if (isBusy(group) || !heads.mayBeOpen(group)) continue;
       listMembers(group).forEach(({ id }) => held.add(id));
       const head = heads.findHeadToAsk(group);
       if (head !== undefined) endGroup(group, head);
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -113,6 +113,26 @@
     fake.formation.stop();
   });
 
+  // Guards against a group that opens after its head lost its entry (TWO on temir-feed, 3 of 40 days).
+  it('never uses members of a group whose head loses its entry while it is formed', async () => {
+    const fake = await startServing();
+    const { head, member } = findOpenPair(fake);
+    head.group = undefined;
+    member.group = undefined;
+    head.model = 'large';
+    member.model = 'large';
+    head.staged = ['small'];
+    member.staged = ['small'];
+    fake.setEntriesFollowing(true);
+    await fake.timers.runForAsync(150);
+    head.hasEntry = false;
+    fake.setEntriesFollowing(true);
+    await fake.timers.runForAsync(4_000);
+    expect(fake.violations).toEqual([]);
+    expect(fake.engines.get(head.id)?.group?.state === GroupState.Open).toEqual(false);
+    fake.formation.stop();
+  });
+
   it('forms a lost group anew from survivors within a second', async () => {
     const fake = await startServing();
     const pairs = fake
--- a/src/core/formation/operations.ts
+++ b/src/core/formation/operations.ts
@@ -150,7 +150,8 @@
             ),
           ),
         );
-        failedIds = ids.filter((_, index) => !ready[index]);
+        // A member that lost its entry meanwhile is leaving or cut off.
+        failedIds = ids.filter((id, index) => !ready[index] || findTarget(id) === undefined);
       }
       const [head] = members;
       const isOpen =
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -41,7 +41,12 @@
 /** Starts a daemon and stops it gracefully at the first SIGTERM or SIGINT. */
 export async function runDaemon(logger: Logger, start: () => Promise<Daemon>): Promise<void> {
   await runCommand(async () => {
-    const daemon = await start();
+    const daemon = await start().catch((error: unknown) => {
+      process.stderr.write(`${formatProblem(error)}\n`);
+      // Parts that have started already must not keep a process alive that does not serve.
+      // eslint-disable-next-line n/no-process-exit
+      process.exit(getExitStatus(error));
+    });
     let isStopping = false;
     const handleSignal = (signal: string): void => {
       if (isStopping) return;
--- a/test/processes/gateway-session.ts
+++ b/test/processes/gateway-session.ts
@@ -15,6 +15,8 @@
 const BUILD_FOLDER = 'dist';
 const OUTPUT_FOLDER = 'out';
 const HOST = '127.0.0.1';
+/** Loopback address of the gateway alone, so that its ports meet those of no other test. */
+const GATEWAY_HOST = '127.0.0.21';
 const READY_LIMIT_MS = 20_000;
 /** Ports of the gateway and of the target. */
 const PORT_COUNT = 5;
@@ -116,12 +118,12 @@
     binary: 'clementinefork-gateway',
     settings: {
       node: 'gateway-1',
-      ip: HOST,
+      ip: GATEWAY_HOST,
       zone: 'sofia-a',
       listen: {
-        front: `${HOST}:${callers}`,
-        ready: `${HOST}:${ready}`,
-        directory: `${HOST}:${directory}`,
+        front: `${GATEWAY_HOST}:${callers}`,
+        ready: `${GATEWAY_HOST}:${ready}`,
+        directory: `${GATEWAY_HOST}:${directory}`,
       },
       internal_port_range: [peer, peer + 1],
       bootstrap: true,
@@ -131,7 +133,7 @@
   });
 
   const fetchReadiness = async (): Promise<number> => {
-    const answer = await request(`http://${HOST}:${ready}/ready`);
+    const answer = await request(`http://${GATEWAY_HOST}:${ready}/ready`);
     await answer.body.dump();
     return answer.statusCode;
   };
@@ -150,12 +152,12 @@
     fetchReadiness,
     async fetchAddresses() {
       const query = 'name=orders.example&region=sofia&zone=sofia-a';
-      const answer = await request(`http://${HOST}:${directory}/resolve?${query}`);
+      const answer = await request(`http://${GATEWAY_HOST}:${directory}/resolve?${query}`);
       const { addresses } = (await answer.body.json()) as { addresses: string[] };
       return addresses;
     },
     async sendRequest(path, key = 'key-1') {
-      const answer = await request(`http://${HOST}:${callers}${path}`, {
+      const answer = await request(`http://${GATEWAY_HOST}:${callers}${path}`, {
         method: 'POST',
         headers: {
           host: 'orders.example',
