Remove duplicates and dead parts of the gateway found on a second reading

One copy of the active states of a head and of the key of a group (both now in core/fleet, before in three and two places); the duty schedules its first step like all others; the relay has one branch for a failed continuation; tests use createLogger, which is silent in tests. Dead: the factor on early loads (always 1), getRevision of the fleet, and the fleet among the relay's services.

--- a/src/core/duty/create-duty.ts
+++ b/src/core/duty/create-duty.ts
@@ -166,13 +166,12 @@
     if (held !== undefined && timers.getMonotonicMs() > leaseEndMs) markLost('lease over');
   };
 
-  const scheduleNext = (): void => {
+  const scheduleStep = (delayMs: number): void => {
     if (isStopped) return;
-    const delayMs = held === undefined ? LOOK_PERIOD_MS : RENEW_PERIOD_MS;
     cancelNext = timers.scheduleOnce(delayMs, () => {
       step()
         .catch((error: unknown) => logger.error('duty step failed', { problem: String(error) }))
-        .finally(scheduleNext);
+        .finally(() => scheduleStep(held === undefined ? LOOK_PERIOD_MS : RENEW_PERIOD_MS));
     });
   };
 
@@ -184,11 +183,7 @@
   return {
     start(started) {
       listener = started;
-      cancelNext = timers.scheduleOnce(0, () => {
-        step()
-          .catch((error: unknown) => logger.error('duty step failed', { problem: String(error) }))
-          .finally(scheduleNext);
-      });
+      scheduleStep(0);
     },
     getTerm() {
       if (held === undefined || wasSuspended()) return 0;
--- a/src/core/feed/feed.test.ts
+++ b/src/core/feed/feed.test.ts
@@ -1,18 +1,11 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { Logger } from '../logs/index.ts';
+import { createLogger } from '../logs/index.ts';
 import type { StoreChanges, StoreList, StoreObject, StoreResult } from '../store/index.ts';
 import { StoreFailure, StoreKind } from '../store/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { startFeed } from './create-feed.ts';
 
-const SILENT: Logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 /** Time in which the fake client gives up a call beyond the wait of a watch. */
 const SLACK_MS = 700;
 const WATCH_MS = 2_500;
@@ -44,7 +37,7 @@
   const feed = startFeed({
     kind: StoreKind.Configuration,
     timers,
-    logger: SILENT,
+    logger: createLogger('test'),
     waitMs: WATCH_MS,
     getPauseMs: () => 0,
     listener: {
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -11,13 +11,12 @@
   listTargets(service: string): readonly Target[];
   listAllTargets(): Iterable<Target>;
   listServiceGroups(service: string): readonly EngineGroup[];
-  /** Increases with each change, so that derived values can be kept until then. */
-  getRevision(): number;
 }
 
 /** Creates an empty fleet. */
 export function createFleet(): Fleet {
   const targets = new Map<string, Target>();
+  /** Increases with each change; the groups are collected again after one. */
   let revision = 0;
   let groupsRevision = -1;
   let groups: EngineGroup[] = [];
@@ -47,6 +46,5 @@
     listTargets: (service) => [...targets.values()].filter((target) => target.service === service),
     listAllTargets: () => targets.values(),
     listServiceGroups: (service) => getGroups().filter((group) => group.service === service),
-    getRevision: () => revision,
   };
 }
--- a/src/core/fleet/groups.ts
+++ b/src/core/fleet/groups.ts
@@ -1,13 +1,24 @@
 import type { EngineGroup, Target } from './types.ts';
 import { GroupState } from './types.ts';
 
+/** States of a head in which its group takes requests or finishes them. */
+export const ACTIVE_STATES: ReadonlySet<GroupState | undefined> = new Set([
+  GroupState.Open,
+  GroupState.Closing,
+]);
+
+/** Returns the key of a group: names are used once per epoch. */
+export function formatGroupKey(group: Pick<EngineGroup, 'service' | 'name' | 'epoch'>): string {
+  return `${group.service}/${group.name}/${group.epoch}`;
+}
+
 /** Collects the groups that the entries of engines name. */
 export function listGroups(targets: Iterable<Target>): EngineGroup[] {
   const groups = new Map<string, EngineGroup>();
   for (const target of targets) {
     const { group } = target;
     if (group === undefined) continue;
-    const key = `${target.service}/${group.name}/${group.epoch}`;
+    const key = formatGroupKey({ service: target.service, ...group });
     const known = groups.get(key) ?? {
       name: group.name,
       epoch: group.epoch,
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -1,6 +1,6 @@
 export { createFleet } from './fleet.ts';
 export type { Fleet } from './fleet.ts';
-export { isWhole, listGroups } from './groups.ts';
+export { ACTIVE_STATES, formatGroupKey, isWhole, listGroups } from './groups.ts';
 export { GroupState } from './types.ts';
 export type { EngineGroup, GroupMembership, Target } from './types.ts';
 export { createTargetMonitor } from './target-monitor.ts';
--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -1,8 +1,9 @@
 import type { EngineGroup, Fleet, Target } from '../fleet/index.ts';
+import { formatGroupKey } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
-import { createHeadBook, formatGroupKey } from './head-book.ts';
+import { createHeadBook } from './head-book.ts';
 import type { HeadNote } from './head-book.ts';
 import { createOperations } from './operations.ts';
 import type { FormationAction } from './plan-formation.ts';
@@ -55,8 +56,6 @@
 const ASK_PERIOD_MS = 500;
 /** Time of a join on an engine whose last group had the same model. */
 const SAME_MODEL_JOIN_MS = 200;
-/** Loads before the first request take this part of their time. */
-const EARLY_LOAD_PART = 0.1;
 /** Concurrent loads beyond the first few slow each other down. */
 const CONCURRENT_EARLY_LOADS = 60;
 /** Window of the ceiling on loads, with a margin below the permitted five. */
@@ -132,7 +131,7 @@
     const needed = members.map((one) => {
       if (one.loadedModel === model.name) return SAME_MODEL_JOIN_MS;
       if (one.stagedModels.includes(model.name)) return model.warmJoinMs;
-      return model.loadMs * (options.hasTraffic() ? 1 : EARLY_LOAD_PART * 10);
+      return model.loadMs;
     });
     return Math.max(...needed);
   };
@@ -152,8 +151,10 @@
       const expectedMs = computeExpectedMs(model, members);
       const result = await steps.formGroup(name, epoch, model, members, expectedMs);
       markUnreachable(result.failedIds, FAILED_MS);
-      if (!result.isOpen) ids.forEach((id) => orderedEpochs.delete(id));
-      if (!result.isOpen) return;
+      if (!result.isOpen) {
+        ids.forEach((id) => orderedEpochs.delete(id));
+        return;
+      }
       const tookMs = Math.round(timers.getMonotonicMs() - startMs);
       logger.info('formed a group', {
         group: name,
--- a/src/core/formation/head-book.ts
+++ b/src/core/formation/head-book.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { EngineGroup, Target } from '../fleet/index.ts';
-import { GroupState } from '../fleet/index.ts';
+import { ACTIVE_STATES, formatGroupKey, GroupState } from '../fleet/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
 /** Where the head of a group is; kept in the store, so that a new holder of the duty knows it. */
@@ -62,12 +62,6 @@
   isIdle: boolean;
 }
 
-/** States of a head in which its group takes requests or finishes them. */
-const ACTIVE_STATES: ReadonlySet<GroupState | undefined> = new Set([
-  GroupState.Open,
-  GroupState.Closing,
-]);
-
 /** States that an entry shows of a head that may have opened since. */
 const UNCERTAIN_STATES: ReadonlySet<GroupState | undefined> = new Set([
   GroupState.Ready,
@@ -78,11 +72,6 @@
   return UNCERTAIN_STATES.has(head?.group?.state);
 }
 
-/** Returns the key of a group: names are used once per epoch. */
-export function formatGroupKey(group: EngineGroup): string {
-  return `${group.service}/${group.name}/${group.epoch}`;
-}
-
 function toTarget(note: HeadNote, group: EngineGroup): Target | undefined {
   const member = group.members.find((one) => one !== undefined);
   return member && { ...member, id: note.headId, address: note.address };
--- a/src/core/formation/operations.ts
+++ b/src/core/formation/operations.ts
@@ -1,5 +1,5 @@
 import type { EngineGroup, Target } from '../fleet/index.ts';
-import { GroupState } from '../fleet/index.ts';
+import { ACTIVE_STATES, GroupState } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { ModelSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
@@ -33,7 +33,6 @@
 /** Longest stream of the sheets, 87 events of 50 ms, and a margin. */
 const GRACEFUL_CLOSE_TIMEOUT_MS = 6_000;
 
-const ACTIVE: ReadonlySet<GroupState> = new Set([GroupState.Open, GroupState.Closing]);
 const READY: ReadonlySet<GroupState> = new Set([GroupState.Ready, GroupState.Open]);
 const STOPPED: ReadonlySet<GroupState> = new Set([
   GroupState.Ready,
@@ -76,7 +75,7 @@
     state: EngineReport['group'],
     name: string,
     epoch: number,
-    wanted: ReadonlySet<GroupState>,
+    wanted: ReadonlySet<GroupState | undefined>,
   ): boolean => state?.name === name && state.epoch === epoch && wanted.has(state.state);
 
   /** Waits until an engine is in a state of a group, by its entry or by its own word. */
@@ -122,7 +121,7 @@
 
   const hasEnded = async (head: Target, name: string, epoch: number): Promise<boolean> => {
     const report = await control.fetchReport(head, ASK_TIMEOUT_MS);
-    return report !== undefined && !isInState(report.group, name, epoch, ACTIVE);
+    return report !== undefined && !isInState(report.group, name, epoch, ACTIVE_STATES);
   };
 
   return {
--- a/src/core/formation/plan-formation.ts
+++ b/src/core/formation/plan-formation.ts
@@ -1,5 +1,5 @@
 import type { EngineGroup, Target } from '../fleet/index.ts';
-import { GroupState, isWhole } from '../fleet/index.ts';
+import { ACTIVE_STATES, GroupState, isWhole } from '../fleet/index.ts';
 import type { EngineSpec, ModelSpec } from '../serving/index.ts';
 
 /** What is known when the groups of a service are planned. */
@@ -76,13 +76,10 @@
     .map((group): FormationAction => ({ kind: 'dissolve', group }));
 }
 
-/** States of a head in which its group takes requests or finishes them. */
-const ACTIVE_STATES: ReadonlySet<GroupState> = new Set([GroupState.Open, GroupState.Closing]);
-
 function listFreeEngines(input: FormationInput): Target[] {
   const active = new Set(
     input.groups
-      .filter(({ head }) => head?.group !== undefined && ACTIVE_STATES.has(head.group.state))
+      .filter(({ head }) => ACTIVE_STATES.has(head?.group?.state))
       .flatMap(({ members }) => members.map((member) => member?.id)),
   );
   return input.engines.filter(
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -1,4 +1,4 @@
-import type { Fleet, Target, TargetMonitor, WorkHandle } from '../fleet/index.ts';
+import type { Target, TargetMonitor, WorkHandle } from '../fleet/index.ts';
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
@@ -44,7 +44,6 @@
   timers: TimerService;
   wire: WireFormat;
   client: TargetClient;
-  fleet: Fleet;
   monitor: TargetMonitor;
   chooser: TargetChooser;
   budget: RetryBudget;
@@ -355,11 +354,7 @@
       return;
     }
     const canRetry = isRepeatable && runs < route.maxAttempts;
-    if (head.status >= HTTP_SERVER_ERROR && (canRetry || isBodyStarted)) {
-      failAttempt(attempt, `status ${head.status}`);
-      return;
-    }
-    if (isBodyStarted) {
+    if (isBodyStarted || (canRetry && head.status >= HTTP_SERVER_ERROR)) {
       failAttempt(attempt, `status ${head.status}`);
       return;
     }
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -116,7 +116,7 @@
     getTable: world.getTable,
     isRefusing: () =>
       stopSinceMs !== undefined && timers.getMonotonicMs() - stopSinceMs > TAKE_AFTER_STOP_MS,
-    services: { timers, wire, client, fleet, monitor, chooser, random, budget, recordRetry },
+    services: { timers, wire, client, monitor, chooser, random, budget, recordRetry },
   });
 
   const formation = startFormation({
--- a/src/core/gateway/world.test.ts
+++ b/src/core/gateway/world.test.ts
@@ -1,20 +1,13 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { Target } from '../fleet/index.ts';
-import type { Logger } from '../logs/index.ts';
+import { createLogger } from '../logs/index.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { StoreObject } from '../store/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { World } from './world.ts';
 import { createWorld } from './world.ts';
 
-const SILENT: Logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 function createObject(name: string, spec: unknown = {}): StoreObject {
   return { name, revision: 1, spec, status: null };
 }
@@ -23,7 +16,7 @@
   const timers = createManualTimers();
   const world = createWorld({
     timers,
-    logger: SILENT,
+    logger: createLogger('test'),
     decodeConfiguration: (spec) => ({ value: spec as ServingConfiguration }),
     decodeTarget: ({ name, spec }) =>
       spec === null ? undefined : ({ id: name, service: 's' } as Target),
