Go on counting epochs when a doubted lease is renewed

When it was renewed, the planner took its own term for a new one and counted epochs from 0 again, so that two groups had one name and epoch, and a close or a head's state of one was taken for the other. Found by the log: g100000 to g100015 were formed twice by one holder. Ruled out: a second holder (one 'took the duty' line), late orders (results were immediate). Change: the count starts again only with another term. The new test fails without it.

--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -102,6 +102,8 @@
   let loadStartsMs: number[] = [];
   let term = 0;
   let termSinceMs = 0;
+  /** Term that the epochs are counted in; it stays while the lease is in doubt. */
+  let epochTerm = 0;
   let epochCount = 0;
 
   const mayAct = (): boolean => term !== 0 && getTerm() === term;
@@ -338,6 +340,9 @@
     const current = getTerm();
     if (current === term) return;
     term = current;
+    // A holder whose renewals were late goes on in its own term, where epochs must not repeat.
+    if (term === 0 || term === epochTerm) return;
+    epochTerm = term;
     termSinceMs = timers.getMonotonicMs();
     epochCount = 0;
     staging.clear();
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -133,6 +133,30 @@
     fake.formation.stop();
   });
 
+  // Guards against epochs that repeat after late renewals (TWO on temir-feed, mix 1076434966097).
+  it('uses no epoch twice when the lease was in doubt for a while', async () => {
+    const fake = await startServing();
+    fake.setTerm(0);
+    await fake.timers.runForAsync(500);
+    fake.setTerm(1);
+    const { member } = findOpenPair(fake);
+    fake.engines.delete(member.id);
+    const [head] = fake.listOpenGroups('large');
+    const lost = [...fake.engines.values()].find(
+      ({ group }) => group?.name === head?.group?.name && group?.rank === 3,
+    );
+    fake.engines.delete(lost?.id ?? '');
+    fake.setEntriesFollowing(true);
+    await fake.timers.runForAsync(3_000);
+    const epochs = fake.orders.flatMap(({ order }) =>
+      order.kind === 'join' ? [`${order.epoch} ${order.members.join(' ')}`] : [],
+    );
+    const lists = new Set(epochs);
+    expect(new Set([...lists].map((text) => text.split(' ')[0])).size).toEqual(lists.size);
+    expect(fake.violations).toEqual([]);
+    fake.formation.stop();
+  });
+
   it('forms a lost group anew from survivors within a second', async () => {
     const fake = await startServing();
     const pairs = fake
