Write log lines without unbounded memory when nobody reads them

Cause: standard output is written through a stream whose queue has no bound; a reader of the logs that stops makes the process grow until it is killed. Ruled out: blocking, a pipe is written asynchronously (the process went on in the test). Change: lines are collected for 50 ms, share one write, and at most 1 MiB waits; what is left out is counted in a line.

--- a/src/core/logs/index.ts
+++ b/src/core/logs/index.ts
@@ -1,6 +1,8 @@
 import { Roarr } from 'roarr';
 import type { Logger as RoarrLogger } from 'roarr';
 
+export { startLogWriter } from './standard-output.ts';
+
 /** Values that a log line carries beside its message. */
 export type LogContext = Readonly<Record<string, string | number | boolean | null>>;
 
--- /dev/null
+++ b/src/core/logs/line-writer.test.ts
@@ -0,0 +1,110 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createManualTimers } from '../timers/index.ts';
+import { COLLECT_MS, createLineWriter, MAX_WAITING_BYTES } from './line-writer.ts';
+import type { WriteBytes } from './line-writer.ts';
+
+/** A reader that takes some bytes of each write, or none at all. */
+function startSession() {
+  const timers = createManualTimers();
+  const written: string[] = [];
+  const waiting: (() => void)[] = [];
+  let isReading = true;
+  let failures = 0;
+  let mostBytes = Infinity;
+  const writeBytes: WriteBytes = (bytes, done) => {
+    const finish = (): void => {
+      if (failures > 0) {
+        failures--;
+        done(Object.assign(new Error('full'), { code: 'EAGAIN' }), 0);
+        return;
+      }
+      const count = Math.min(bytes.length, mostBytes);
+      written.push(bytes.subarray(0, count).toString());
+      done(null, count);
+    };
+    if (isReading) finish();
+    else waiting.push(finish);
+  };
+  const writer = createLineWriter({
+    writeBytes,
+    scheduleOnce: timers.scheduleOnce,
+    formatOmission: (count) => `left out ${count}`,
+  });
+  return {
+    timers,
+    writer,
+    readAll: () => written.join(''),
+    countWrites: () => written.length,
+    setReading(value: boolean): void {
+      isReading = value;
+      if (value) waiting.splice(0).forEach((finish) => finish());
+    },
+    setFailures: (value: number) => {
+      failures = value;
+    },
+    setMostBytes: (value: number) => {
+      mostBytes = value;
+    },
+  };
+}
+
+describe('writer of log lines', () => {
+  it('writes lines in order and many in one write', () => {
+    const { timers, writer, readAll, countWrites } = startSession();
+    ['a', 'b', 'c'].forEach(writer.addLine);
+    timers.runFor(COLLECT_MS);
+    expect(readAll()).toEqual('a\nb\nc\n');
+    expect(countWrites()).toEqual(1);
+  });
+
+  // Guards against a process that stops, or fills its memory, when nobody reads its output.
+  it('holds a bounded part and tells how many lines it left out', () => {
+    const { timers, writer, readAll, setReading } = startSession();
+    setReading(false);
+    const line = 'x'.repeat(1023);
+    const count = MAX_WAITING_BYTES / 1024 + 10;
+    for (let index = 0; index < count; index++) writer.addLine(line);
+    timers.runFor(COLLECT_MS);
+    setReading(true);
+    timers.runFor(1_000);
+    expect(
+      readAll()
+        .split('\n')
+        .filter((text) => text === line).length,
+    ).toEqual(count - 10);
+    expect(readAll().includes('left out 10\n')).toEqual(true);
+  });
+
+  // Guards against lines that are cut or written twice by a pipe that takes a part of a write.
+  it('goes on where a part was written', () => {
+    const { timers, writer, readAll, setMostBytes } = startSession();
+    setMostBytes(3);
+    writer.addLine('a long line');
+    timers.runFor(COLLECT_MS);
+    expect(readAll()).toEqual('a long line\n');
+  });
+
+  it('tries again when the pipe is full', () => {
+    const { timers, writer, readAll, setFailures } = startSession();
+    setFailures(2);
+    writer.addLine('a');
+    timers.runFor(1_000);
+    expect(readAll()).toEqual('a\n');
+  });
+
+  it('drains what waits, and gives up when nobody reads', async () => {
+    const { timers, writer, readAll, setReading } = startSession();
+    writer.addLine('a');
+    const drained = writer.drain(200);
+    await timers.runForAsync(10);
+    await drained;
+    expect(readAll()).toEqual('a\n');
+    setReading(false);
+    writer.addLine('b');
+    const given = writer.drain(200);
+    await timers.runForAsync(500);
+    await given;
+    expect(readAll()).toEqual('a\n');
+  });
+});
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -1,5 +1,7 @@
 import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
+import { startLogWriter } from '../logs/index.ts';
+import { createTimerService } from '../timers/index.ts';
 import { ExitStatus } from './exit-status.ts';
 
 const STATUS_BY_KIND: Partial<Record<ErrorKind, ExitStatus>> = {
@@ -36,10 +38,14 @@
   reload?(): void;
 }
 
+/** Time for the last log lines to be written when a daemon ends. */
+const LOG_DRAIN_MS = 200;
+
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
 /** Starts a daemon and stops it gracefully at the first SIGTERM or SIGINT. */
 export async function runDaemon(logger: Logger, start: () => Promise<Daemon>): Promise<void> {
+  const logWriter = startLogWriter(createTimerService());
   await runCommand(async () => {
     const daemon = await start().catch((error: unknown) => {
       process.stderr.write(`${formatProblem(error)}\n`);
@@ -52,13 +58,15 @@
       if (isStopping) return;
       isStopping = true;
       logger.info('stopping', { signal });
-      daemon
+      void daemon
         .stop()
         .then(() => logger.info('stopped'))
         .catch((error: unknown) => {
           logger.error('graceful shutdown failed', { problem: formatProblem(error) });
           process.exitCode = ExitStatus.Failure;
         })
+        .then(() => logWriter.drain(LOG_DRAIN_MS))
+        .catch((error: unknown) => process.stderr.write(`${formatProblem(error)}\n`))
         // Idle keep-alive sockets and timers of libraries must not keep the process alive.
         // eslint-disable-next-line n/no-process-exit
         .finally(() => process.exit());
--- /dev/null
+++ b/test/processes/blocked-output.test.ts
@@ -0,0 +1,36 @@
+import { spawn } from 'node:child_process';
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createTimerService } from '../../src/core/timers/index.ts';
+
+const DAEMON = 'test/processes/fixtures/chatty-daemon.ts';
+/** Time in which the daemon writes far more than a pipe holds, and still has to answer. */
+const CHATTER_MS = 1_500;
+const END_LIMIT_MS = 3_000;
+/** Memory of the idle daemon, the lines that may wait, and garbage between two collections. */
+const MOST_BYTES = 30 * 1024 * 1024;
+
+describe('log output that nobody reads', () => {
+  // Guards against a gateway that stops serving, or fills its memory, when its logs are not read.
+  it('neither stops the process nor fills its memory', async () => {
+    const timers = createTimerService();
+    const child = spawn(process.execPath, ['--import', 'tsx', DAEMON], {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+    });
+    const sizes: number[] = [];
+    child.on('message', (bytes: number) => sizes.push(bytes));
+    await new Promise<void>((resolve) => {
+      child.once('message', () => resolve());
+    });
+    await timers.waitFor(CHATTER_MS);
+    const ended = new Promise<boolean>((resolve) => {
+      child.once('exit', () => resolve(true));
+    });
+    child.kill('SIGTERM');
+    const hasEnded = await Promise.race([ended, timers.waitFor(END_LIMIT_MS).then(() => false)]);
+    child.kill('SIGKILL');
+    expect(sizes.length > 10).toEqual(true);
+    expect(Math.min(...sizes.slice(-5)) < MOST_BYTES).toEqual(true);
+    expect(hasEnded).toEqual(true);
+  });
+});
