Explain a failed request from captured logs

clementinefork explain takes captured output of gateways and an id, and prints the request's lines, what the gateway had learned of its targets (or of the store and the configuration, where no target was used), and the cause in one sentence.

--- a/src/core/operator/run-operator.ts
+++ b/src/core/operator/run-operator.ts
@@ -4,6 +4,7 @@
 import { checkOptions } from './check-options.ts';
 import { createApplyCommand } from './commands/apply.ts';
 import { createDiffCommand } from './commands/diff.ts';
+import { createExplainCommand } from './commands/explain.ts';
 import { createGetCommand } from './commands/get.ts';
 import { createHistoryCommand } from './commands/history.ts';
 import { createStatusCommand } from './commands/status.ts';
@@ -23,6 +24,7 @@
     zone: createZoneCommand(io),
     status: createStatusCommand(io),
     timeline: createTimelineCommand(io),
+    explain: createExplainCommand(io),
   };
 }
 
