--- a/src/soak/tcp-proxy.ts
+++ b/src/soak/tcp-proxy.ts
@@ -9,7 +9,7 @@
   Delay = 'delay',
   /** Resets all connections, and new ones. */
   Reset = 'reset',
-  /** Takes bytes in both directions and passes none on. */
+  /** Takes bytes in both directions and passes none on; a connection that has lost bytes stays so. */
   Silent = 'silent',
   /** Passes bytes to the server on, and none back. */
   OneWay = 'one-way',
@@ -29,7 +29,7 @@
 export async function startTcpProxy(
   host: string,
   server: { host: string; port: number },
-  timers: Pick<TimerService, 'scheduleOnce'>,
+  timers: Pick<TimerService, 'getMonotonicMs' | 'scheduleOnce'>,
 ): Promise<TcpProxy> {
   let mode = ProxyMode.Pass;
   const sockets = new Set<Socket>();
@@ -42,15 +42,28 @@
   };
 
   const passBytes = (from: Socket, to: Socket, isAnswer: boolean): void => {
+    // TCP loses nothing in the middle: a direction that has lost bytes stays silent for good.
+    let hasLost = false;
+    // Bytes that are not delayed any more wait behind those that still are.
+    const waiting: { pass: () => void; dueMs: number }[] = [];
+    const passDue = (): void => {
+      while ((waiting[0]?.dueMs ?? Infinity) <= timers.getMonotonicMs()) waiting.shift()?.pass();
+      const [next] = waiting;
+      if (next !== undefined) timers.scheduleOnce(next.dueMs - timers.getMonotonicMs(), passDue);
+    };
+    const passInOrder = (pass: () => void): void => {
+      const isIdle = waiting.length === 0;
+      const delayMs = mode === ProxyMode.Delay ? DELAY_MS : 0;
+      waiting.push({ pass, dueMs: timers.getMonotonicMs() + delayMs });
+      if (isIdle) passDue();
+    };
     from.on('data', (bytes) => {
-      if (mode === ProxyMode.Silent || (mode === ProxyMode.OneWay && isAnswer)) return;
-      if (mode === ProxyMode.Delay) timers.scheduleOnce(DELAY_MS, () => to.write(bytes));
-      else to.write(bytes);
+      hasLost ||= mode === ProxyMode.Silent || (mode === ProxyMode.OneWay && isAnswer);
+      if (hasLost) return;
+      passInOrder(() => to.write(bytes));
     });
     from.once('close', () => {
-      if (mode === ProxyMode.Silent) return;
-      const delayMs = mode === ProxyMode.Delay ? DELAY_MS : 0;
-      timers.scheduleOnce(delayMs, () => to.destroy());
+      if (!hasLost && mode !== ProxyMode.Silent) passInOrder(() => to.destroy());
     });
   };
 
