Move the soak to the stand-ins and build gateways' settings in one place

The soak's targets and callers speak the platform's wire, which only the adapter and stand-ins may name. The process test and the soak wrote the same settings file.

--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -1,7 +1,7 @@
 import { command, number, option } from 'cmd-ts';
 import { ExitStatus, runCommand, runProgram } from '../../core/process/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
-import { runSoak } from '../../soak/run-soak.ts';
+import { runSoak } from '../../stand-ins/soak/run-soak.ts';
 
 const BUILD_FOLDER = 'dist';
 
--- a/src/soak/callers.ts
+++ b/src/stand-ins/soak/callers.ts
@@ -1,6 +1,6 @@
 import { Client, request } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { TimerService } from '../core/timers/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
 import type { Ledger, SeenAnswer, SentRequest } from './ledger.ts';
 import { AnswerEnd, RequestClass } from './ledger.ts';
 import type { AnswerBody } from './test-targets.ts';
--- a/src/soak/faults.ts
+++ b/src/stand-ins/soak/faults.ts
@@ -1,6 +1,6 @@
-import type { TimerService } from '../core/timers/index.ts';
-import type { StandInStore } from '../stand-ins/store/index.ts';
-import { StoreFault } from '../stand-ins/store/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { StandInStore } from '../store/index.ts';
+import { StoreFault } from '../store/index.ts';
 import type { SoakGateway } from './gateways.ts';
 import type { Ledger, PlannedStop } from './ledger.ts';
 import type { PlannedFault } from './plan-faults.ts';
--- /dev/null
+++ b/src/stand-ins/soak/gateway-settings.ts
@@ -0,0 +1,46 @@
+/** Where a gateway that a test starts listens, and where its store is. */
+export interface GatewayPlace {
+  name: string;
+  host: string;
+  zone: string;
+  callersPort: number;
+  readinessPort: number;
+  directoryPort: number;
+  peerPort: number;
+  /** `host:port` of the store or of a proxy before it. */
+  storeAddress: string;
+  isFirstStart: boolean;
+}
+
+/** Bounds of the sheets that the gateway reads. */
+const BOUNDS = {
+  drain_ms: 2000,
+  grace_s: 8,
+  retry_budget_ratio: 0.2,
+  budget_window_s: 10,
+  retry_budget_slack: 100,
+  cold_overage: 1.5,
+  stall_ms: 5000,
+  ceiling_window_s: 5,
+  ttl_max_s: 5,
+};
+
+/** Builds the settings file that the platform would write for a gateway. */
+export function buildGatewaySettings(place: GatewayPlace): object {
+  const { name, host, zone, peerPort } = place;
+  return {
+    node: name,
+    ip: host,
+    zone,
+    listen: {
+      front: `${host}:${place.callersPort}`,
+      ready: `${host}:${place.readinessPort}`,
+      directory: `${host}:${place.directoryPort}`,
+    },
+    internal_port_range: [peerPort, peerPort],
+    bootstrap: place.isFirstStart,
+    limits: { cpu_share: 0.675, cores: 1 },
+    bounds: BOUNDS,
+    platform: { address: place.storeAddress },
+  };
+}
--- a/src/soak/gateways.ts
+++ b/src/stand-ins/soak/gateways.ts
@@ -1,8 +1,9 @@
 import { request } from 'undici';
-import type { TimerService } from '../core/timers/index.ts';
-import { findFreePorts } from '../demo/free-ports.ts';
-import type { ProcessRunner, RunningProcess } from '../demo/processes.ts';
-import { waitUntil } from '../demo/wait-until.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import { findFreePorts } from '../../demo/free-ports.ts';
+import type { ProcessRunner, RunningProcess } from '../../demo/processes.ts';
+import { waitUntil } from '../../demo/wait-until.ts';
+import { buildGatewaySettings } from './gateway-settings.ts';
 import type { TcpProxy } from './tcp-proxy.ts';
 import { startTcpProxy } from './tcp-proxy.ts';
 
@@ -36,17 +37,6 @@
 const NETWORKS = 200;
 const PORT_COUNT = 4;
 const READY_LIMIT_MS = 20_000;
-const BOUNDS = {
-  drain_ms: 2000,
-  grace_s: 8,
-  retry_budget_ratio: 0.2,
-  budget_window_s: 10,
-  retry_budget_slack: 100,
-  cold_overage: 1.5,
-  stall_ms: 5000,
-  ceiling_window_s: 5,
-  ttl_max_s: 5,
-};
 
 /** Starts one gateway as a process of its own. */
 export async function startSoakGateway(options: SoakGatewayOptions): Promise<SoakGateway> {
@@ -60,21 +50,17 @@
     runner.start({
       name,
       binary: 'clementinefork-gateway',
-      settings: {
-        node: name,
-        ip: host,
+      settings: buildGatewaySettings({
+        name,
+        host,
         zone,
-        listen: {
-          front: `${host}:${callers}`,
-          ready: `${host}:${ready}`,
-          directory: `${host}:${directory}`,
-        },
-        internal_port_range: [peer, peer],
-        bootstrap: isFirstStart,
-        limits: { cpu_share: 1, cores: 1 },
-        bounds: BOUNDS,
-        platform: { address: storeProxy.address },
-      },
+        callersPort: callers,
+        readinessPort: ready,
+        directoryPort: directory,
+        peerPort: peer,
+        storeAddress: storeProxy.address,
+        isFirstStart,
+      }),
     });
 
   const gateway: SoakGateway = {
--- a/src/soak/soak-world.ts
+++ b/src/stand-ins/soak/soak-world.ts
@@ -1,5 +1,5 @@
-import type { TimerService } from '../core/timers/index.ts';
-import type { StandInStore } from '../stand-ins/store/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { StandInStore } from '../store/index.ts';
 import type { Ledger } from './ledger.ts';
 import type { TargetWorld, TestTarget } from './test-targets.ts';
 import { createEngineFleet } from './test-engines.ts';
--- a/src/soak/tcp-proxy.ts
+++ b/src/stand-ins/soak/tcp-proxy.ts
@@ -1,6 +1,6 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
-import type { TimerService } from '../core/timers/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
 
 /** What a proxy does with bytes. */
 export enum ProxyMode {
--- a/src/soak/test-targets.ts
+++ b/src/stand-ins/soak/test-targets.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import type { TimerService } from '../core/timers/index.ts';
-import type { StandInStore } from '../stand-ins/store/index.ts';
+import type { TimerService } from '../../core/timers/index.ts';
+import type { StandInStore } from '../store/index.ts';
 import type { Ledger } from './ledger.ts';
 import type { TcpProxy } from './tcp-proxy.ts';
 import { startTcpProxy } from './tcp-proxy.ts';
--- a/test/processes/gateway-session.ts
+++ b/test/processes/gateway-session.ts
@@ -9,6 +9,7 @@
 import { createProcessRunner } from '../../src/demo/processes.ts';
 import type { RunningProcess } from '../../src/demo/processes.ts';
 import { waitUntil } from '../../src/demo/wait-until.ts';
+import { buildGatewaySettings } from '../../src/stand-ins/soak/gateway-settings.ts';
 import type { StandInStore } from '../../src/stand-ins/store/index.ts';
 import { createStandInStore } from '../../src/stand-ins/store/index.ts';
 
@@ -47,18 +48,6 @@
 /** Port of the metrics of every gateway, as deploy/system.toml names it. */
 const METRICS_PORT = 9_464;
 
-const BOUNDS = {
-  drain_ms: 2000,
-  grace_s: 8,
-  retry_budget_ratio: 0.2,
-  budget_window_s: 10,
-  retry_budget_slack: 100,
-  cold_overage: 1.5,
-  stall_ms: 5000,
-  ceiling_window_s: 5,
-  ttl_max_s: 5,
-};
-
 function buildConfiguration(): object {
   return {
     version: 3,
@@ -117,21 +106,17 @@
   const gateway = runner.start({
     name: 'gateway-1',
     binary: 'clementinefork-gateway',
-    settings: {
-      node: 'gateway-1',
-      ip: GATEWAY_HOST,
+    settings: buildGatewaySettings({
+      name: 'gateway-1',
+      host: GATEWAY_HOST,
       zone: 'sofia-a',
-      listen: {
-        front: `${GATEWAY_HOST}:${callers}`,
-        ready: `${GATEWAY_HOST}:${ready}`,
-        directory: `${GATEWAY_HOST}:${directory}`,
-      },
-      internal_port_range: [peer, peer + 1],
-      bootstrap: true,
-      limits: { cpu_share: 0.675, cores: 1 },
-      bounds: BOUNDS,
-      platform: { address: `${HOST}:${store.port}` },
-    },
+      callersPort: callers,
+      readinessPort: ready,
+      directoryPort: directory,
+      peerPort: peer,
+      storeAddress: `${HOST}:${store.port}`,
+      isFirstStart: true,
+    }),
   });
 
   const fetchReadiness = async (): Promise<number> => {
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createTimerService } from '../../src/core/timers/index.ts';
-import { runSoak } from '../../src/soak/run-soak.ts';
+import { runSoak } from '../../src/stand-ins/soak/run-soak.ts';
 
 /** Seeds that ever failed, with the cause, and one that never did. */
 const SEEDS = [
