Keep members of a head that refuses connections until the stall is over

A new holder of the duty found its connection refused, took it for gone and joined its members elsewhere 0.5 s before the stall was over. Besides, members whose entries came back while the head was asked were not held. Ruled out: two holders (one 'took the duty' line for the term), late orders, epochs that repeat. Change: a refused connection is told from no answer, members wait for the stall, and members of a group that may be open are held whatever operation is under way. The new test fails without the change.

--- a/src/core/formation/create-formation.ts
+++ b/src/core/formation/create-formation.ts
@@ -5,7 +5,7 @@
 import type { TimerService } from '../timers/index.ts';
 import { createHeadBook } from './head-book.ts';
 import type { HeadNote } from './head-book.ts';
-import { createOperations } from './operations.ts';
+import { CloseResult, createOperations } from './operations.ts';
 import type { FormationAction } from './plan-formation.ts';
 import { planFormation } from './plan-formation.ts';
 import type { EngineControl } from './types.ts';
@@ -203,7 +203,7 @@
     const { group } = action;
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isClosed = await steps.closeGroup(group, false);
+      const isClosed = (await steps.closeGroup(group, false)) === CloseResult.Closed;
       logger.info('closed a group', { group: group.name, epoch: group.epoch, isClosed });
       if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
       if (!isClosed && group.head !== undefined) await askMembers([group.head]);
@@ -218,7 +218,7 @@
     });
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isClosed = await steps.closeGroup(group, true);
+      const isClosed = (await steps.closeGroup(group, true)) === CloseResult.Closed;
       const context = { group: group.name, domain, forModel: model.name, isClosed };
       logger.info('retired a group for another model', context);
       if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
@@ -237,11 +237,13 @@
     heads.markAsked(group);
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isClosed = await steps.closeGroup({ ...group, head }, false);
+      const result = await steps.closeGroup({ ...group, head }, false);
+      const isClosed = result === CloseResult.Closed;
       const isAlive =
         !isClosed && (options.isServingElsewhere(head.id) || (await steps.isReachable(head)));
-      heads.setEnded(group, !isAlive);
-      const context = { group: group.name, head: head.id, isClosed, isAlive };
+      if (result === CloseResult.NotListening && !isAlive) heads.setStopped(group);
+      else heads.setEnded(group, !isAlive);
+      const context = { group: group.name, head: head.id, result, isAlive };
       logger.info('ended a group whose head has no entry', context);
     });
   };
@@ -265,9 +267,10 @@
   const listHeldIds = (service: string): Set<string> => {
     const held = new Set<string>();
     for (const group of fleet.listServiceGroups(service)) {
-      // While a group is being formed or closed, its members are busy anyway.
-      if (isBusy(group) || !heads.mayBeOpen(group)) continue;
+      if (!heads.mayBeOpen(group)) continue;
+      // Members whose entries came back later are no part of an operation that is under way.
       listMembers(group).forEach(({ id }) => held.add(id));
+      if (isBusy(group)) continue;
       const head = heads.findHeadToAsk(group);
       if (head !== undefined) endGroup(group, head);
       confirmIdle(group);
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -133,6 +133,35 @@
     fake.formation.stop();
   });
 
+  // Guards against joining members of a head that leaves and holds work that stands still (TWO on
+  // temir-feed trouble-3 605786992272): it refuses connections before its group breaks.
+  it('leaves members of a head that refuses connections alone until the stall is over', async () => {
+    const fake = await startServing();
+    const { head, member } = findOpenPair(fake);
+    // Another group loses a member, so that its head is free to join with this one.
+    const partner = [...fake.engines.values()].find(
+      ({ domain, group }) =>
+        domain === head.domain && group?.rank === 1 && group.name !== head.group?.name,
+    );
+    fake.engines.delete(partner?.id ?? '');
+    head.hasEntry = false;
+    head.isListening = false;
+    fake.setEntriesFollowing(true);
+    await fake.timers.runForAsync(4_500);
+    const countJoins = (): number =>
+      fake.orders.filter(
+        ({ engineId, order, atMs }) =>
+          engineId === member.id && order.kind === 'join' && atMs > START_MS,
+      ).length;
+    expect(countJoins()).toEqual(0);
+    expect(fake.violations).toEqual([]);
+    // The group of a head that stands still breaks after the stall.
+    if (head.group !== undefined) head.group.state = GroupState.Broken;
+    await fake.timers.runForAsync(3_000);
+    expect(countJoins()).toEqual(1);
+    fake.formation.stop();
+  });
+
   // Guards against epochs that repeat after late renewals (TWO on temir-feed, mix 1076434966097).
   it('uses no epoch twice when the lease was in doubt for a while', async () => {
     const fake = await startServing();
--- a/src/core/formation/head-book.ts
+++ b/src/core/formation/head-book.ts
@@ -22,6 +22,8 @@
   /** Returns the head of a group that lost its entry and has not been asked to close it. */
   findHeadToAsk(group: EngineGroup): Target | undefined;
   markAsked(group: EngineGroup): void;
+  /** Notes that the head takes no connection: it may leave and hold work that stands still. */
+  setStopped(group: EngineGroup): void;
   /** Notes whether the group has ended; if not, its head is asked again. */
   setEnded(group: EngineGroup, isEnded: boolean): void;
   /** Returns the head of a group that shows as ready and has not been asked whether it is open. */
@@ -55,6 +57,8 @@
   seenMs: number;
   /** Since when the head has no entry, or answers nobody. */
   missingSinceMs: number | undefined;
+  /** Since when the head has taken no connection. */
+  stoppedSinceMs: number | undefined;
   /** Whether the head serves the group no more, or is gone itself. */
   isEnded: boolean;
   isAsked: boolean;
@@ -92,6 +96,7 @@
       note: record?.note,
       seenMs: now,
       missingSinceMs: isPresent ? undefined : (record?.missingSinceMs ?? now),
+      stoppedSinceMs: isPresent ? undefined : record?.stoppedSinceMs,
       isEnded: record?.isEnded === true && !isPresent,
       isAsked: record?.isAsked === true && !isPresent,
       isIdle: record?.isIdle === true && !ACTIVE_STATES.has(head?.group?.state),
@@ -122,6 +127,9 @@
       const missingMs = timers.getMonotonicMs() - record.missingSinceMs;
       // A head that answers nobody breaks its group by itself after the stall.
       if (head !== undefined) return missingMs <= stallMs;
+      if (record.stoppedSinceMs !== undefined) {
+        return timers.getMonotonicMs() - record.stoppedSinceMs <= stallMs;
+      }
       if (findKnownHead(group, record) === undefined) return missingMs <= UNKNOWN_HEAD_MS;
       return true;
     },
@@ -138,6 +146,10 @@
       return isUncertain(group.head) ? group.head : undefined;
     },
     setIdle: (group, isIdle) => setRecord(group, { isIdle }),
+    setStopped: (group) => {
+      const record = records.get(formatGroupKey(group));
+      if (record !== undefined) record.stoppedSinceMs ??= timers.getMonotonicMs();
+    },
     markAsked: (group) => setRecord(group, { isAsked: true }),
     setEnded: (group, isEnded) => setRecord(group, { isEnded, isAsked: isEnded }),
     listNotes: () =>
@@ -158,6 +170,7 @@
             note,
             seenMs: now,
             missingSinceMs: undefined,
+            stoppedSinceMs: undefined,
             isEnded: false,
             isAsked: false,
             isIdle: false,
--- a/src/core/formation/operations.ts
+++ b/src/core/formation/operations.ts
@@ -40,6 +40,16 @@
   GroupState.Joining,
 ]);
 
+/** What became of a group whose head was asked to close it. */
+export enum CloseResult {
+  /** The head has stopped serving the group. */
+  Closed = 'closed',
+  /** The head did not close the group, or did not answer. */
+  Unclear = 'unclear',
+  /** The head takes no connection: it has ended, or it leaves and finishes what it has. */
+  NotListening = 'not-listening',
+}
+
 /** Steps that change groups, each safe to give up at any point. */
 export interface Operations {
   /** Returns whether the group serves, and the engines that did not do what was asked. */
@@ -50,8 +60,8 @@
     members: readonly Target[],
     expectedMs: number,
   ): Promise<{ isOpen: boolean; failedIds: string[] }>;
-  /** Closes a group at its head; true if the head has stopped serving it. */
-  closeGroup(group: EngineGroup, isGraceful: boolean): Promise<boolean>;
+  /** Closes a group at its head. */
+  closeGroup(group: EngineGroup, isGraceful: boolean): Promise<CloseResult>;
   /** Asks a head whether it has stopped serving a group; false without an answer. */
   hasEnded(head: Target, name: string, epoch: number): Promise<boolean>;
   /** Asks an engine whether it is there. */
@@ -167,18 +177,22 @@
       return { isOpen, failedIds };
     },
     async closeGroup({ name, epoch, head }, isGraceful) {
-      if (head === undefined) return false;
+      if (head === undefined) return CloseResult.Unclear;
       const result = await sendRepeatedly(head, {
         kind: 'close',
         group: name,
         epoch,
         isGraceful,
       });
-      if (result === OrderResult.Outdated) return true;
-      if (result === OrderResult.Refused) return hasEnded(head, name, epoch);
-      if (result !== OrderResult.Accepted) return false;
+      if (result === OrderResult.Outdated) return CloseResult.Closed;
+      if (result === OrderResult.NotListening) return CloseResult.NotListening;
       const limitMs = isGraceful ? GRACEFUL_CLOSE_TIMEOUT_MS : CLOSE_TIMEOUT_MS;
-      return waitForState(head, name, epoch, STOPPED, limitMs, ASK_AFTER_MS);
+      const isClosed =
+        result === OrderResult.Refused
+          ? await hasEnded(head, name, epoch)
+          : result === OrderResult.Accepted &&
+            (await waitForState(head, name, epoch, STOPPED, limitMs, ASK_AFTER_MS));
+      return isClosed ? CloseResult.Closed : CloseResult.Unclear;
     },
     hasEnded,
     async isReachable(target) {
--- a/src/core/formation/types.ts
+++ b/src/core/formation/types.ts
@@ -22,6 +22,8 @@
   Unknown = 'unknown',
   /** No connection: the order was not sent. */
   NotSent = 'not-sent',
+  /** The engine's host refused the connection: the engine has ended, or takes nothing new. */
+  NotListening = 'not-listening',
 }
 
 /** What an engine says of itself when asked. */
--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -53,6 +53,7 @@
   status: number | undefined;
   text: string;
   wasSent: boolean;
+  isRefused: boolean;
   problem: string;
 }
 
@@ -88,9 +89,10 @@
         reset: true,
       });
       const text = await answer.body.text();
-      return { status: answer.statusCode, text, wasSent, problem: '' };
+      return { status: answer.statusCode, text, wasSent, isRefused: false, problem: '' };
     } catch (error) {
-      return { status: undefined, text: '', wasSent, problem: formatProblem(error) };
+      const isRefused = (error as { code?: unknown }).code === 'ECONNREFUSED';
+      return { status: undefined, text: '', wasSent, isRefused, problem: formatProblem(error) };
     } finally {
       cancelDeadline();
       cancelConnectLimit();
@@ -103,6 +105,7 @@
       const body = encodeOrder(order);
       const result = await sendCall(target, 'POST', '/order', body, ORDER_TIMEOUT_MS);
       if (result.status !== undefined) return toOrderResult(result.status);
+      if (result.isRefused) return OrderResult.NotListening;
       return result.wasSent ? OrderResult.Unknown : OrderResult.NotSent;
     },
     async fetchReport(target, timeoutMs) {
