Keep a lost gateway out of digests instead of giving it an infinite age

Cause: markLost set the time at which a gateway was last heard to -Infinity, so that the next timeout check removed it.

Change: a lost gateway leaves the table at once and is returned by the next timeout check, unless it was heard again. Figures saturate at the bounds of their wire type.

Tests: peer-table.test.ts, one of three failed before (cannot encode Infinity); all pass after.

--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -1,4 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type { TargetLoad } from '../fleet/index.ts';
 import type { FeedChange, FeedProgress } from '../store-feed/index.ts';
 import type {
   GatewayDigest,
@@ -30,13 +31,25 @@
   return state === GatewayState.LEAVING ? PeerState.Leaving : PeerState.Starting;
 }
 
+const MAX_UINT32 = 0xffff_ffff;
+
+/** Rounds to an unsigned 32-bit integer; values outside its range, and NaN, become the nearest bound. */
+function toUint32(value: number): number {
+  return value >= 0 ? Math.round(Math.min(value, MAX_UINT32)) : 0;
+}
+
+function toWireLoads(loads: readonly TargetLoad[]): TargetLoad[] {
+  return loads.map(({ targetId, inFlight }) => ({ targetId, inFlight: toUint32(inFlight) }));
+}
+
 function toWirePeer(status: PeerStatus, ageMs = 0, isLost = false) {
   return {
     ...status,
     incarnation: BigInt(status.incarnation),
     dutyTerm: BigInt(status.dutyTerm),
     state: WIRE_STATE[status.state],
-    ageMs: Math.round(ageMs),
+    capacity: toUint32(status.capacity),
+    ageMs: toUint32(ageMs),
     isLost,
   };
 }
@@ -70,7 +83,7 @@
     kind: progress.kind,
     revision: BigInt(progress.revision),
     changedRevision: BigInt(progress.changedRevision),
-    ageMs: Math.round(progress.ageMs),
+    ageMs: toUint32(progress.ageMs),
     // Receivers read omitted changes from the store.
     sinceRevision: BigInt(isTooLarge ? progress.changedRevision : progress.sinceRevision),
     changes: isTooLarge ? [] : changes,
@@ -83,12 +96,12 @@
     GatewayPacketSchema,
     create(GatewayPacketSchema, {
       sender: toWirePeer(sender),
-      loads: loadReport.loads,
+      loads: toWireLoads(loadReport.loads),
       suspectIds: loadReport.suspectIds,
       ...(digest && {
         digest: {
           members: digest.peers.map((peer) => toWirePeer(peer.status, peer.ageMs, peer.isLost)),
-          loads: digest.loads,
+          loads: toWireLoads(digest.loads),
           suspectIds: digest.suspectIds,
           isComplete: digest.isComplete,
         },
--- a/src/core/peers/peer-table.ts
+++ b/src/core/peers/peer-table.ts
@@ -5,9 +5,12 @@
 export interface PeerTable {
   /** Records a gateway last heard `ageMs` ago; returns whether it is new or has restarted. */
   addPeer(status: PeerStatus, ageMs: number): boolean;
-  /** Marks a gateway as timed out unless a later packet is known; removeTimedOut then removes it. */
+  /** Removes a gateway unless a later packet is known; removeTimedOut then returns it as well. */
   markLost(peer: RelayedPeer): void;
-  /** Removes the gateways last heard more than `afterMs` ago, and returns them. */
+  /**
+   * Removes the gateways last heard more than `afterMs` ago, and returns them with those marked as
+   * lost since the last call.
+   */
   removeTimedOut(afterMs: number): Peer[];
   findPeer(vmName: string): Peer | undefined;
   listPeers(): Peer[];
@@ -22,6 +25,8 @@
   timers: Pick<TimerService, 'getMonotonicMs'>,
 ): PeerTable {
   const peers = new Map<string, Peer>();
+  /** Gateways marked as lost that the next call of removeTimedOut returns. */
+  let lostPeers: Peer[] = [];
   let changeCount = 0;
 
   return {
@@ -43,15 +48,19 @@
       if (known === undefined || known.status.incarnation > status.incarnation) return;
       const heardMs = timers.getMonotonicMs() - ageMs;
       if (known.status.incarnation === status.incarnation && known.heardMs > heardMs) return;
-      // The next call of removeTimedOut removes it.
-      peers.set(status.vmName, { status: known.status, heardMs: -Infinity });
+      peers.delete(status.vmName);
+      lostPeers.push(known);
+      changeCount++;
     },
     removeTimedOut(afterMs) {
       const now = timers.getMonotonicMs();
       const timedOut = [...peers.values()].filter(({ heardMs }) => now - heardMs > afterMs);
       timedOut.forEach(({ status }) => peers.delete(status.vmName));
       if (timedOut.length > 0) changeCount++;
-      return timedOut;
+      // A gateway that was heard again after it was marked as lost is not lost any more.
+      const lost = lostPeers.filter(({ status }) => !peers.has(status.vmName));
+      lostPeers = [];
+      return [...timedOut, ...lost];
     },
     findPeer: (name) => peers.get(name),
     listPeers: () => [...peers.values()],
