--- a/src/cli/gateway/index.ts
+++ b/src/cli/gateway/index.ts
@@ -1,5 +1,6 @@
 import '../../core/logs/enable.ts';
 import { command, option, optional, string } from 'cmd-ts';
+import { createErrorReporter, ErrorOrigin } from '../../core/errors/index.ts';
 import { startGateway } from '../../core/gateway/index.ts';
 import { createLogger } from '../../core/logs/index.ts';
 import { runDaemon, runProgram } from '../../core/process/index.ts';
@@ -18,14 +19,16 @@
 } from '../../platform/index.ts';
 
 const logger = createLogger('gateway');
+const errorReporter = createErrorReporter(logger.error);
 
 async function start(file: string): ReturnType<typeof startGateway> {
   const readOwnSettings = (): GatewaySettings => readSettings(file, gatewaySettingsSchema);
   const settings = readOwnSettings();
-  const timers = createTimerService();
+  const timers = createTimerService((error) => errorReporter.report(ErrorOrigin.Timer, error));
   return startGateway(settings, {
     timers,
     logger,
+    errorReporter,
     store: createStoreClient(settings.store, timers),
     control: createEngineControl(timers),
     wire: platformWireFormat,
@@ -57,6 +60,10 @@
       }),
     },
     handler: ({ settings }) =>
-      runDaemon(logger, () => start(settings ?? process.env[SETTINGS_VARIABLE] ?? '')),
+      runDaemon(
+        logger,
+        () => start(settings ?? process.env[SETTINGS_VARIABLE] ?? ''),
+        errorReporter,
+      ),
   }),
 );
--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -25,6 +25,7 @@
   [FailureReason.TimeLimit]: 'its deadline or the time limit of its route passed',
   [FailureReason.Stopping]: 'the gateway was stopping; the request was not executed',
   [FailureReason.TargetFailed]: 'its target failed, and the request must not be retried',
+  [FailureReason.Unsendable]: 'the request cannot be written as HTTP, so no target got it',
   [FailureReason.TooLarge]: 'its body is larger than the configuration allows',
 };
 
--- a/src/core/fleet/target-monitor.ts
+++ b/src/core/fleet/target-monitor.ts
@@ -8,8 +8,13 @@
 
 /** Reports the progress of one request to the monitor. */
 export interface RequestHandle {
-  /** Records that data of the response has arrived; the target is then no longer suspect. */
+  /** Records that the response has advanced; the target is then no longer suspect. */
   recordData(): void;
+  /**
+   * Records whether this gateway has stopped reading the response, because the caller reads slowly.
+   * The target is not silent meanwhile.
+   */
+  setPaused(isPaused: boolean): void;
   /** Records the end of the request; `isFailure` tells whether the target failed it. */
   recordEnd(isFailure: boolean): void;
 }
@@ -71,6 +76,11 @@
  * takes up to 260 ms at p95, and much longer when it waits for the prompts of a burst.
  */
 export const FIRST_EVENT_SILENCE_MS = 900;
+/**
+ * A single started stream that does not advance for this long is reported as silent although others
+ * at its target advance. Callers leave after a pause of 2 s.
+ */
+export const STALLED_STREAM_MS = 1_500;
 /** A check that runs more than this much late shows that this gateway's process was paused. */
 const LATE_CHECK_MS = 60;
 /** A suspect target gets no requests for this long, unless all others are suspect too. */
@@ -87,6 +97,9 @@
 interface TrackedRequest extends MonitoredRequest {
   startedMs: number;
   hasData: boolean;
+  /** When the response advanced last, or when this gateway went on reading it. */
+  advancedMs: number;
+  isPaused: boolean;
 }
 
 interface TargetRecord {
@@ -124,8 +137,10 @@
     let oldestWaitMs = 0;
     let hasReceivedData = false;
     for (const request of record.requests) {
+      if (request.isPaused) continue;
       hasReceivedData ||= request.hasData;
-      oldestWaitMs = Math.max(oldestWaitMs, now - Math.max(request.startedMs, record.lastDataMs));
+      const sinceMs = Math.max(request.startedMs, request.advancedMs, record.lastDataMs);
+      oldestWaitMs = Math.max(oldestWaitMs, now - sinceMs);
     }
     return oldestWaitMs > (hasReceivedData ? STREAM_SILENCE_MS : FIRST_EVENT_SILENCE_MS);
   };
@@ -139,6 +154,9 @@
     requests.forEach((request) => request.handleSilence());
   };
 
+  const isStalled = (request: TrackedRequest, now: number): boolean =>
+    request.hasData && !request.isPaused && now - request.advancedMs > STALLED_STREAM_MS;
+
   const checkSilence = (): void => {
     const now = timers.getMonotonicMs();
     const lateMs = now - lastCheckMs - SILENCE_CHECK_PERIOD_MS;
@@ -152,6 +170,10 @@
       silent.length >= MASS_SILENCE_MIN_TARGETS && silent.length > busy.length * MASS_SILENCE_SHARE;
     if (isLocalFault) return;
     silent.forEach(([targetId, record]) => reportSilence(targetId, record, now));
+    const stalled = busy.flatMap(([, { requests }]) =>
+      [...requests].filter((request) => isStalled(request, now)),
+    );
+    stalled.forEach((request) => request.handleSilence());
   };
 
   const stopChecks: Unsubscribe = timers.subscribe(SILENCE_CHECK_PERIOD_MS, checkSilence);
@@ -162,18 +184,26 @@
     },
     startRequest(targetId, request) {
       const record = getRecord(targetId);
+      const startedMs = timers.getMonotonicMs();
       const trackedRequest: TrackedRequest = {
-        startedMs: timers.getMonotonicMs(),
+        startedMs,
         hasData: false,
+        advancedMs: startedMs,
+        isPaused: false,
         handleSilence: () => request.handleSilence(),
       };
       record.requests.add(trackedRequest);
       return {
         recordData() {
           trackedRequest.hasData = true;
-          record.lastDataMs = timers.getMonotonicMs();
+          trackedRequest.advancedMs = timers.getMonotonicMs();
+          record.lastDataMs = trackedRequest.advancedMs;
           record.suspectUntilMs = 0;
         },
+        setPaused(isPaused) {
+          trackedRequest.isPaused = isPaused;
+          trackedRequest.advancedMs = timers.getMonotonicMs();
+        },
         recordEnd(isFailure) {
           if (!record.requests.delete(trackedRequest)) return;
           const result = isFailure ? 1 : 0;
--- a/src/core/forwarding/event-parser.ts
+++ b/src/core/forwarding/event-parser.ts
@@ -12,6 +12,12 @@
   countPendingBytes(): number;
 }
 
+/**
+ * Largest event that is buffered until it is complete. An event holds a few tokens; a target that
+ * sends more without the end of an event sends something else.
+ */
+export const MAX_EVENT_BYTES = 64 * 1024;
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:[ ]?(.*)$/m;
@@ -39,10 +45,15 @@
       pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
       const events: StreamEvent[] = [];
       let start = 0;
-      for (let end = findEventEnd(pending, 0); end >= 0; end = findEventEnd(pending, start)) {
+      // The end of an event spans up to three bytes, two of which may have arrived before.
+      let searchFrom = Math.max(0, pending.length - chunk.length - 2);
+      for (;;) {
+        const end = findEventEnd(pending, searchFrom);
+        if (end < 0) break;
         const bytes = pending.subarray(start, end);
         events.push({ id: parseEventId(bytes), bytes });
         start = end;
+        searchFrom = end;
       }
       pending = pending.subarray(start);
       return events;
--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -8,6 +8,8 @@
   startTestForwarding,
   STREAM_HEAD,
 } from './fixtures/forwarding-harness.ts';
+import { MAX_EVENT_BYTES } from './event-parser.ts';
+import { SendFailure } from './target-client.ts';
 import { Outcome } from './types.ts';
 
 function getSend(harness: ForwardingHarness, index: number): ReceivedSend {
@@ -50,7 +52,7 @@
   for (const { kind, isResumable, sends, status } of lostResponses) {
     it(`makes ${sends} sends of a ${kind} request, resumable ${isResumable}, whose response is lost`, () => {
       const harness = startTestForwarding({ kind, isResumable });
-      acceptSend(harness, 0).listener.handleError(true, 'reset');
+      acceptSend(harness, 0).listener.handleError(SendFailure.Sent, 'reset');
       expect(harness.sends.length).toEqual(sends);
       expect(harness.caller.status).toEqual(status);
     });
@@ -59,7 +61,7 @@
   it('sends a non-idempotent request again after a refusal or a failed connection', () => {
     const harness = startTestForwarding({ kind: RequestKind.NonIdempotent, maxAttempts: 1 });
     refuse(acceptSend(harness, 0));
-    getSend(harness, 1).listener.handleError(false, 'refused');
+    getSend(harness, 1).listener.handleError(SendFailure.NotSent, 'refused');
     const { listener } = acceptSend(harness, 2);
     listener.handleHead(RESPONSE_HEAD);
     listener.handleEnd();
@@ -101,9 +103,37 @@
     });
   }
 
+  // Guards against taking a target that trickles for one that answers, and against repeating a large
+  // response that advances.
+  const trickles = [
+    { name: 'a byte now and then', part: Buffer.from('x'), sends: 2 },
+    { name: 'a large response', part: Buffer.alloc(2_048), sends: 1 },
+  ];
+  for (const { name, part, sends } of trickles) {
+    it(`makes ${sends} sends of an idempotent request whose target sends ${name}`, async () => {
+      const harness = startTestForwarding({ kind: RequestKind.Idempotent });
+      const { listener } = acceptSend(harness, 0);
+      listener.handleHead(RESPONSE_HEAD);
+      for (let count = 0; count < 10 && harness.sends.length === 1; count++) {
+        listener.handleData(part);
+        await harness.timers.runForAsync(100, 10);
+      }
+      expect(harness.sends.length).toEqual(sends);
+    });
+  }
+
+  // Guards against taking a healthy target for dead because of what a caller sent.
+  it('rejects a request that cannot be sent, and suspects no target', () => {
+    const harness = startTestForwarding({ kind: RequestKind.NonIdempotent });
+    getSend(harness, 0).listener.handleError(SendFailure.Unsendable, 'invalid header value');
+    expect(harness.caller.status).toEqual(400);
+    expect(harness.sends.length).toEqual(1);
+    expect(harness.listSuspects()).toEqual([]);
+  });
+
   it('makes no retry without budget', () => {
     const harness = startTestForwarding({ kind: RequestKind.Idempotent, slack: 0 });
-    acceptSend(harness, 0).listener.handleError(true, 'reset');
+    acceptSend(harness, 0).listener.handleError(SendFailure.Sent, 'reset');
     expect(harness.sends.length).toEqual(1);
     expect(harness.caller.status).toEqual(502);
   });
@@ -135,7 +165,7 @@
 
   it('resumes after the last event when the connection to the target breaks', () => {
     const harness = startStream();
-    getSend(harness, 0).listener.handleError(true, 'reset');
+    getSend(harness, 0).listener.handleError(SendFailure.Sent, 'reset');
     expect(getSend(harness, 1).request.lastEventId).toEqual('1');
     endSecondAttempt(harness, [2, 3]);
     expect(harness.caller.body).toEqual([1, 2, 3].map((id) => buildEvent(id).toString()).join(''));
@@ -154,7 +184,7 @@
 
   it('drops events that the caller has already received', () => {
     const harness = startStream();
-    getSend(harness, 0).listener.handleError(true, 'reset');
+    getSend(harness, 0).listener.handleError(SendFailure.Sent, 'reset');
     endSecondAttempt(harness, [1, 2]);
     expect(harness.caller.body).toEqual(`${buildEvent(1).toString()}${buildEvent(2).toString()}`);
   });
@@ -166,6 +196,38 @@
     expect(harness.sends.length).toEqual(2);
   });
 
+  // Guards against cutting sound streams of callers that read slowly.
+  it('does not move a stream that it does not read because the caller reads slowly', async () => {
+    const harness = startTestForwarding({ kind: RequestKind.Streaming, isCallerBlocked: true });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(STREAM_HEAD);
+    listener.handleData(buildEvent(1));
+    await harness.timers.runForAsync(1_900, 10);
+    expect(harness.sends.length).toEqual(1);
+  });
+
+  // Guards against streams that never end because a byte now and then counts as progress.
+  const bytesWithoutEvents = [
+    { name: 'single bytes', part: Buffer.from('d'), periodMs: 100 },
+    { name: 'comments', part: Buffer.from(': ping\n\n'), periodMs: 100 },
+    {
+      name: 'a line that does not end',
+      part: Buffer.alloc(MAX_EVENT_BYTES / 2, 'x'),
+      periodMs: 20,
+    },
+  ];
+  for (const { name, part, periodMs } of bytesWithoutEvents) {
+    it(`moves a stream whose target sends only ${name}`, async () => {
+      const harness = startStream();
+      for (let elapsedMs = 0; elapsedMs < 400; elapsedMs += periodMs) {
+        if (harness.sends.length === 1) getSend(harness, 0).listener.handleData(part);
+        await harness.timers.runForAsync(periodMs, 10);
+      }
+      expect(getSend(harness, 0).isCancelled).toEqual(true);
+      expect(harness.sends.length).toEqual(2);
+    });
+  }
+
   // Guards against aborting streams because no retry budget is left (scale-2 of rodopi-wax).
   it('keeps waiting for a silent target when no retry budget is left', async () => {
     const harness = startTestForwarding({ kind: RequestKind.Streaming, slack: 0 });
@@ -184,7 +246,7 @@
     const { listener } = acceptSend(harness, 0);
     listener.handleHead(STREAM_HEAD);
     listener.handleData(buildEvent(1));
-    listener.handleError(true, 'reset');
+    listener.handleError(SendFailure.Sent, 'reset');
     expect(harness.caller.isAborted).toEqual(true);
     expect(harness.caller.isEnded).toEqual(false);
   });
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -3,11 +3,12 @@
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import type { TargetChooser } from './choose-target.ts';
-import { createEventParser } from './event-parser.ts';
+import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
 import type { RetryBudget } from './retry-budget.ts';
 import type { CallerSink } from './caller-sink.ts';
 import type { TargetExchange, TargetClient } from './target-client.ts';
+import { SendFailure } from './target-client.ts';
 import type { ResponseHead, CallerRequest, WireFormat } from './types.ts';
 import { FailureReason, Outcome } from './types.ts';
 
@@ -60,6 +61,7 @@
 
 const HTTP_SUCCESS_MIN = 200;
 const HTTP_SUCCESS_MAX = 299;
+const HTTP_BAD_REQUEST = 400;
 const HTTP_SERVER_ERROR = 500;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
@@ -84,6 +86,11 @@
 const MAX_SENDS = 4;
 /** Largest response that is buffered until it is complete. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+/**
+ * A response that is buffered must grow by this much in each attempt timeout. A target that sends a
+ * byte now and then is silent; one that sends a large response over a slow link is not.
+ */
+const MIN_PROGRESS_BYTES = 1_024;
 
 /** One attempt of this gateway to have the request processed by a target. */
 interface Attempt {
@@ -94,6 +101,8 @@
   parser: EventParser | undefined;
   parts: Buffer[];
   bufferedBytes: number;
+  /** Buffered bytes when the attempt timeout was last started. */
+  checkedBytes: number;
   wasSent: boolean;
   cancelAttemptTimeout: Unsubscribe | undefined;
 }
@@ -246,6 +255,7 @@
       parser: undefined,
       parts: [],
       bufferedBytes: 0,
+      checkedBytes: 0,
       wasSent: false,
       cancelAttemptTimeout: undefined,
     };
@@ -258,7 +268,7 @@
         handleHead: (head) => handleHead(attempt, head),
         handleData: (chunk) => handleData(attempt, chunk),
         handleEnd: () => handleEnd(attempt),
-        handleError: (wasSent, problem) => handleError(attempt, wasSent, problem),
+        handleError: (failure, problem) => handleError(attempt, failure, problem),
       },
     );
   }
@@ -267,9 +277,17 @@
     attempt.wasSent = true;
     possiblyRunAttempts++;
     targetIds.push(attempt.target.id);
-    if (route.kind !== RequestKind.Idempotent) return;
+    if (route.kind === RequestKind.Idempotent) startAttemptTimeout(attempt);
+  }
+
+  function startAttemptTimeout(attempt: Attempt): void {
     const delayMs = route.latencyObjectiveMs * ATTEMPT_TIMEOUT_FACTOR;
-    attempt.cancelAttemptTimeout = timers.scheduleOnce(delayMs, () => handleSilence(attempt));
+    attempt.cancelAttemptTimeout = timers.scheduleOnce(delayMs, () => {
+      if (attempt.bufferedBytes - attempt.checkedBytes < MIN_PROGRESS_BYTES) handleSilence(attempt);
+      if (attempt !== current) return;
+      attempt.checkedBytes = attempt.bufferedBytes;
+      startAttemptTimeout(attempt);
+    });
   }
 
   /**
@@ -314,12 +332,11 @@
 
   function handleData(attempt: Attempt, chunk: Buffer): void {
     if (attempt !== current) return;
-    attempt.handle.recordData();
-    attempt.cancelAttemptTimeout?.();
     if (attempt.parser !== undefined) {
       forwardEvents(attempt, attempt.parser, chunk);
       return;
     }
+    attempt.handle.recordData();
     attempt.bufferedBytes += chunk.length;
     if (attempt.bufferedBytes > MAX_BUFFERED_BYTES) {
       failAttempt(attempt, 'too-large');
@@ -330,7 +347,14 @@
 
   function forwardEvents(attempt: Attempt, parser: EventParser, chunk: Buffer): void {
     const parts: Buffer[] = [];
-    for (const event of parser.addChunk(chunk)) {
+    const events = parser.addChunk(chunk);
+    if (parser.countPendingBytes() > MAX_EVENT_BYTES) {
+      failAttempt(attempt, 'too-large');
+      return;
+    }
+    // Events show that the target is alive; bytes that complete none do not.
+    if (events.some(({ id }) => id !== undefined)) attempt.handle.recordData();
+    for (const event of events) {
       const number = parseEventNumber(event.id);
       const last = parseEventNumber(lastEventId);
       if (number !== undefined && last !== undefined && number <= last) continue;
@@ -345,7 +369,11 @@
     const isRead = sink.writeBody(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
     if (isRead) return;
     attempt.exchange.pause();
-    sink.onWritable(() => attempt.exchange.resume());
+    attempt.handle.setPaused(true);
+    sink.onWritable(() => {
+      attempt.handle.setPaused(false);
+      attempt.exchange.resume();
+    });
   }
 
   function startBody(attempt: Attempt): void {
@@ -401,9 +429,15 @@
     retry(`refused with ${head.status}`, FailureReason.RefusedByTarget);
   }
 
-  function handleError(attempt: Attempt, wasSent: boolean, problem: string): void {
+  function handleError(attempt: Attempt, failure: SendFailure, problem: string): void {
     if (attempt !== current) return;
-    if (!wasSent) monitor.markSuspect(attempt.target.id, problem);
+    if (failure === SendFailure.Unsendable) {
+      endAttempt(false);
+      sendGatewayResponse(HTTP_BAD_REQUEST, undefined);
+      reportResult(Outcome.Rejected, HTTP_BAD_REQUEST, FailureReason.Unsendable);
+      return;
+    }
+    if (failure === SendFailure.NotSent) monitor.markSuspect(attempt.target.id, problem);
     failAttempt(attempt, problem);
   }
 
--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -4,11 +4,12 @@
 import { expect } from 'earl';
 import type { Target } from '../fleet/index.ts';
 import { createTimerService } from '../timers/index.ts';
-import { createTargetClient } from './target-client.ts';
+import { createTargetClient, SendFailure } from './target-client.ts';
 import type { ResponseHead, CallerRequest, WireFormat } from './types.ts';
 
 const timers = createTimerService();
 
+const MAX_SENT_BYTES = 8 * 1024 * 1024;
 /** Delay that lets the bytes arrive before the connection ends. */
 const END_DELAY_MS = 20;
 
@@ -29,27 +30,37 @@
   buildRetryHeaders: () => [],
 };
 
-/** Runs one exchange with a server that writes the bytes and then ends its connection. */
-async function runExchange(
-  bytes: string,
-  isLate: boolean,
-  end: (socket: Socket) => void,
-): Promise<string> {
+/** How an exchange ended, and the body that arrived; `calls` counts the ends that were reported. */
+interface ExchangeResult {
+  outcome: string;
+  body: string;
+  calls: number;
+}
+
+/** Runs one exchange with a server that handles the connection once the request has arrived. */
+async function runExchangeWith(
+  handleRequest: (socket: Socket) => void,
+  path = '/',
+): Promise<ExchangeResult> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    const endLater = () => timers.scheduleOnce(END_DELAY_MS, () => end(socket));
-    const endNow = () => end(socket);
-    socket.once('data', () => socket.write(bytes, isLate ? endLater : endNow));
+    socket.once('data', () => handleRequest(socket));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
   const client = createTargetClient(WIRE, timers);
-  const result = await new Promise<string>((resolve) => {
+  const result: ExchangeResult = { outcome: '', body: '', calls: 0 };
+  await new Promise<void>((resolve) => {
+    const end = (outcome: string): void => {
+      result.outcome = outcome;
+      result.calls++;
+      resolve();
+    };
     client.send(
       {
-        request: { method: 'POST', path: '/' } as CallerRequest,
+        request: { method: 'POST', path } as CallerRequest,
         body: Buffer.from('x'),
         target: { id: 't', address: `127.0.0.1:${port}` } as Target,
         remainingMs: 1_000,
@@ -59,17 +70,33 @@
       {
         handleSent: () => undefined,
         handleHead: () => undefined,
-        handleData: () => undefined,
-        handleEnd: () => resolve('complete'),
-        handleError: (wasSent) => resolve(wasSent ? 'broken' : 'not sent'),
+        handleData: (chunk) => {
+          result.body += chunk.toString();
+        },
+        handleEnd: () => end('complete'),
+        handleError: (failure) => end(failure === SendFailure.Sent ? 'broken' : failure),
       },
     );
   });
+  await timers.waitFor(2 * END_DELAY_MS);
   await client.close();
   server.close();
   return result;
 }
 
+/** Runs one exchange with a server that writes the bytes and then ends its connection. */
+async function runExchange(
+  bytes: string,
+  isLate: boolean,
+  end: (socket: Socket) => void,
+): Promise<string> {
+  const { outcome } = await runExchangeWith((socket) => {
+    const endLater = () => timers.scheduleOnce(END_DELAY_MS, () => end(socket));
+    socket.write(bytes, isLate ? endLater : () => end(socket));
+  });
+  return outcome;
+}
+
 const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n';
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 
@@ -109,4 +136,58 @@
       });
     }
   }
+
+  // Guards against giving a caller the second copy of another response (reported by operators).
+  it('closes the connection after one response, so that a late copy of it is never read', async () => {
+    const copy = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc';
+    const closed: Promise<void>[] = [];
+    const result = await runExchangeWith((socket) => {
+      closed.push(
+        new Promise((resolve) => {
+          socket.on('close', () => resolve());
+        }),
+      );
+      socket.write(copy);
+      timers.scheduleOnce(END_DELAY_MS, () => socket.write(copy));
+    });
+    expect(result).toEqual({ outcome: 'complete', body: 'abc', calls: 1 });
+    await Promise.all(closed);
+  });
+
+  // Guards against memory that a target fills with bytes that are no response.
+  const endless = [
+    { name: 'a head', start: 'HTTP/1.1 200 OK\r\nX-Long: ', part: 'x'.repeat(4_096) },
+    { name: 'fields', start: 'HTTP/1.1 200 OK\r\n', part: 'A: b\r\n'.repeat(500) },
+    { name: 'a status line', start: 'HTTP/1.1 200 ', part: 'O'.repeat(4_096) },
+    {
+      name: 'interim responses',
+      start: '',
+      part: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100),
+    },
+    { name: 'trailers', start: `${CHUNKED}3\r\nabc\r\n0\r\n`, part: 'A: b\r\n'.repeat(500) },
+  ];
+  for (const { name, start, part } of endless) {
+    it(`fails a target that sends ${name} without end`, async () => {
+      let sentBytes = 0;
+      const result = await runExchangeWith((socket) => {
+        socket.write(start);
+        const stopWriting = timers.subscribe(1, () => {
+          if (!socket.writable || sentBytes > MAX_SENT_BYTES) {
+            stopWriting();
+            return;
+          }
+          socket.write(part);
+          sentBytes += part.length;
+        });
+      });
+      expect(result.outcome).toEqual('broken');
+      expect(sentBytes < MAX_SENT_BYTES).toEqual(true);
+    });
+  }
+
+  // Guards against an error thrown while a request is sent, before its exchange is known.
+  it('reports a request that cannot be written after send has returned', async () => {
+    const result = await runExchangeWith(() => undefined, '/a b');
+    expect(result.outcome).toEqual(SendFailure.Unsendable);
+  });
 });
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -1,5 +1,5 @@
 import type { Writable } from 'node:stream';
-import { buildConnector, Client } from 'undici';
+import { buildConnector, Client, errors } from 'undici';
 import type { Dispatcher } from 'undici';
 import { formatProblem } from '../errors/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
@@ -13,8 +13,17 @@
   handleData(chunk: Buffer): void;
   /** The response is complete. */
   handleEnd(): void;
-  /** The send failed; `wasSent` tells whether the target may have received the request. */
-  handleError(wasSent: boolean, problem: string): void;
+  handleError(failure: SendFailure, problem: string): void;
+}
+
+/** How a send failed. */
+export enum SendFailure {
+  /** The target has not received the request. */
+  NotSent = 'not-sent',
+  /** The target may have received the request. */
+  Sent = 'sent',
+  /** The request cannot be written as HTTP; no target is at fault. */
+  Unsendable = 'unsendable',
 }
 
 /** One send to a target. */
@@ -28,6 +37,7 @@
 
 /** Sends requests to targets. */
 export interface TargetClient {
+  /** Starts a send; the listener is called only after `send` has returned. */
   send(request: TargetRequest, listener: ExchangeListener): TargetExchange;
   close(): Promise<void>;
 }
@@ -45,10 +55,21 @@
   /** Set if the connection failed; a response without a length then does not count as complete. */
   failure: Error | undefined;
   socket: Writable | undefined;
+  /** Whether the head of the final response has arrived. */
+  hasHead: boolean;
   /** Whether the response has a length or is chunked, so that its end is unambiguous. */
   isFramed: boolean;
 }
 
+/**
+ * Bytes that a target may send before the head of its final response is complete; undici bounds the
+ * header fields, but neither a status line nor the number of interim responses.
+ */
+const MAX_BYTES_BEFORE_HEAD = 64 * 1024;
+
+/** Lowest status of a final response; lower ones are interim. */
+const FINAL_STATUS_MIN = 200;
+
 const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
 
 function hasFraming(rawHeaders: readonly string[]): boolean {
@@ -76,6 +97,10 @@
         socket?.on('error', (error: Error) => {
           state.failure = error;
         });
+        socket?.on('readable', () => {
+          if (state.hasHead || socket.bytesRead <= MAX_BYTES_BEFORE_HEAD) return;
+          socket.destroy(new Error('the head of the response does not end'));
+        });
         callback(...result);
       });
     },
@@ -96,7 +121,12 @@
 
   return {
     send(request, listener) {
-      const state: ConnectionState = { failure: undefined, socket: undefined, isFramed: false };
+      const state: ConnectionState = {
+        failure: undefined,
+        socket: undefined,
+        hasHead: false,
+        isFramed: false,
+      };
       const client = createConnection(request.target.address, state);
       openClients.add(client);
       let isDone = false;
@@ -112,7 +142,14 @@
         return true;
       };
       const fail = (problem: string): void => {
-        if (finish()) listener.handleError(wasSent, problem);
+        const failure = wasSent ? SendFailure.Sent : SendFailure.NotSent;
+        if (finish()) listener.handleError(failure, problem);
+      };
+      /** Reports after `send` has returned that undici has rejected the request itself. */
+      const rejectLater = (error: unknown): void => {
+        timers.scheduleOnce(0, () => {
+          if (finish()) listener.handleError(SendFailure.Unsendable, formatProblem(error));
+        });
       };
       const complete = (): void => {
         if (finish()) listener.handleEnd();
@@ -140,6 +177,7 @@
           },
           onResponseStart(controller, status) {
             if (isDone) return;
+            state.hasHead = status >= FINAL_STATUS_MIN;
             const raw = (controller as { rawHeaders?: Buffer[] }).rawHeaders ?? [];
             const fields = raw.map((field) => field.toString('latin1'));
             state.isFramed = hasFraming(fields);
@@ -160,7 +198,8 @@
             }
           },
           onResponseError(_controller, error) {
-            fail(formatProblem(error));
+            if (error instanceof errors.InvalidArgumentError) rejectLater(error);
+            else fail(formatProblem(error));
           },
         },
       );
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -105,6 +105,8 @@
   Stopping = 'stopping',
   /** A target failed the request, which may not be sent to another one. */
   TargetFailed = 'target-failed',
+  /** The request cannot be written as HTTP to a target. */
+  Unsendable = 'unsendable',
   /** The body of the request is larger than the configuration allows. */
   TooLarge = 'too-large',
 }
--- /dev/null
+++ b/src/core/gateway/caller-server.test.ts
@@ -0,0 +1,167 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createErrorReporter } from '../errors/index.ts';
+import type { CallerRequest, WireFormat } from '../forwarding/index.ts';
+import { createTimerService } from '../timers/index.ts';
+import type { CallerServer } from './caller-server.ts';
+import { startCallerServer } from './caller-server.ts';
+import type { RequestHandler } from './request-handler.ts';
+
+const HOST = '127.0.0.1';
+const STOP_LIMIT_MS = 2_000;
+const ANSWER_MS = 100;
+const MAX_SENT_BYTES = 32 * 1024 * 1024;
+const timers = createTimerService();
+
+const WIRE: Pick<WireFormat, 'parseRequest'> = {
+  parseRequest: (method, path) => ({ method, path }) as CallerRequest,
+};
+
+/** A caller on one connection, which collects what it receives. */
+interface RawCaller {
+  socket: Socket;
+  getReceived(): string;
+  waitForEnd(): Promise<void>;
+}
+
+interface Session {
+  server: CallerServer;
+  countErrors(): number;
+  openCaller(): RawCaller;
+}
+
+/** Starts a server whose handler answers with 200 after a while, or throws for the path `/broken`. */
+async function startSession(): Promise<Session> {
+  let errors = 0;
+  const errorReporter = createErrorReporter(() => undefined);
+  errorReporter.subscribe(() => {
+    errors++;
+  });
+  const handler: RequestHandler = {
+    handleRequest(request, _body, sink) {
+      if (request.path === '/broken') throw new Error('broken');
+      timers.scheduleOnce(ANSWER_MS, () => sink.sendResponse(200, [], Buffer.from('whole')));
+      return undefined;
+    },
+    countInProgress: () => 0,
+    hasReceivedRequests: () => true,
+  };
+  const options = { host: HOST, port: 0, wire: WIRE, handler, errorReporter, timers };
+  const server = await startCallerServer({ ...options, isLeaving: () => true });
+  return {
+    server,
+    countErrors: () => errors,
+    openCaller() {
+      const socket = connect({ host: HOST, port: server.port });
+      let received = '';
+      socket.on('data', (bytes) => {
+        received += bytes.toString('latin1');
+      });
+      socket.on('error', () => undefined);
+      const closed = new Promise<void>((resolve) => {
+        socket.on('close', () => resolve());
+      });
+      return { socket, getReceived: () => received, waitForEnd: () => closed };
+    },
+  };
+}
+
+/** Writes the same bytes until the server closes the connection; returns how many were taken. */
+async function writeWithoutEnd(caller: RawCaller, part: Buffer): Promise<number> {
+  let isClosed = false;
+  void caller.waitForEnd().then(() => {
+    isClosed = true;
+  });
+  while (!isClosed && caller.socket.bytesWritten < MAX_SENT_BYTES) {
+    caller.socket.write(part);
+    await timers.waitFor(1);
+  }
+  return caller.socket.bytesWritten;
+}
+
+describe('server for callers', () => {
+  // Guards against cutting requests that were accepted just before a planned stop.
+  const beginnings = [
+    { name: 'half of the head', sent: 'GET /x HTTP/1.1\r\nHost: a', rest: '\r\n\r\n' },
+    {
+      name: 'the head and half of the body',
+      sent: 'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab',
+      rest: 'cd',
+    },
+    { name: 'the whole request', sent: 'GET /x HTTP/1.1\r\nHost: a\r\n\r\n', rest: '' },
+  ];
+  for (const { name, sent, rest } of beginnings) {
+    it(`answers a caller that has sent ${name} when the server closes`, async () => {
+      const { server, openCaller } = await startSession();
+      const caller = openCaller();
+      caller.socket.write(sent);
+      await timers.waitFor(ANSWER_MS / 2);
+      const closed = server.close(STOP_LIMIT_MS);
+      if (rest !== '') caller.socket.write(rest);
+      await Promise.all([caller.waitForEnd(), closed]);
+      expect(caller.getReceived().startsWith('HTTP/1.1 200')).toEqual(true);
+      expect(caller.getReceived().endsWith('whole')).toEqual(true);
+    });
+  }
+
+  it('closes connections that send nothing more when the limit passes', async () => {
+    const { server, openCaller } = await startSession();
+    const caller = openCaller();
+    caller.socket.write('GET /x HTTP/1.1\r\nHost: a');
+    await timers.waitFor(ANSWER_MS);
+    await Promise.all([server.close(ANSWER_MS), caller.waitForEnd()]);
+    expect(caller.getReceived()).toEqual('');
+  });
+
+  // Guards against memory that a caller fills with a head or a body that does not end.
+  const endless = [
+    { name: 'head', start: 'GET /x HTTP/1.1\r\nX-Long: ', part: Buffer.alloc(4_096, 'x') },
+    {
+      name: 'list of fields',
+      start: 'GET /x HTTP/1.1\r\n',
+      part: Buffer.from('A: b\r\n'.repeat(500)),
+    },
+    {
+      name: 'chunked body',
+      start: 'POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n',
+      part: Buffer.from(`10000\r\n${'x'.repeat(0x10000)}\r\n`),
+    },
+  ];
+  for (const { name, start, part } of endless) {
+    it(`ends the connection of a caller that sends a ${name} without end`, async () => {
+      const { server, openCaller } = await startSession();
+      const caller = openCaller();
+      caller.socket.write(start);
+      const sentBytes = await writeWithoutEnd(caller, part);
+      expect(sentBytes < MAX_SENT_BYTES).toEqual(true);
+      await server.close(STOP_LIMIT_MS);
+    });
+  }
+
+  // Guards against one unexpected error that ends the process, and against a caller left waiting.
+  it('answers a request whose handling failed unexpectedly, and serves the next', async () => {
+    const { server, openCaller, countErrors } = await startSession();
+    const broken = openCaller();
+    broken.socket.write('GET /broken HTTP/1.1\r\nHost: a\r\n\r\n');
+    await broken.waitForEnd();
+    expect(broken.getReceived().startsWith('HTTP/1.1 502')).toEqual(true);
+    const sound = openCaller();
+    sound.socket.write('GET /x HTTP/1.1\r\nHost: a\r\n\r\n');
+    await sound.waitForEnd();
+    expect(sound.getReceived().startsWith('HTTP/1.1 200')).toEqual(true);
+    expect(countErrors()).toEqual(1);
+    await server.close(STOP_LIMIT_MS);
+  });
+
+  it('applies the limits of a configuration', async () => {
+    const { server, openCaller } = await startSession();
+    server.setLimits({ maxHeaderBytes: 100, headerTimeoutMs: 3_000, idleTimeoutMs: 200 });
+    const caller = openCaller();
+    caller.socket.write(`GET /x HTTP/1.1\r\nHost: a\r\nX-Long: ${'x'.repeat(200)}\r\n\r\n`);
+    await caller.waitForEnd();
+    expect(caller.getReceived().startsWith('HTTP/1.1 431')).toEqual(true);
+    await server.close(STOP_LIMIT_MS);
+  });
+});
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -1,40 +1,63 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
+import type { ErrorReporter } from '../errors/index.ts';
+import { ErrorOrigin } from '../errors/index.ts';
 import type { CallerSink, WireFormat } from '../forwarding/index.ts';
+import type { ServingConfiguration } from '../serving/index.ts';
+import type { TimerService } from '../timers/index.ts';
 import type { RequestHandler } from './request-handler.ts';
 
+/** Limits of the configuration on what callers send, and on how long they take. */
+export type CallerLimits = Pick<
+  ServingConfiguration['limits'],
+  'maxHeaderBytes' | 'headerTimeoutMs' | 'idleTimeoutMs'
+>;
+
 /** Options of the HTTP server for callers. */
 export interface CallerServerOptions {
   host: string;
   port: number;
-  wire: WireFormat;
+  wire: Pick<WireFormat, 'parseRequest'>;
   handler: RequestHandler;
+  errorReporter: ErrorReporter;
+  timers: Pick<TimerService, 'scheduleOnce'>;
   /** Whether the gateway is stopping; responses then carry `Connection: close`. */
   isLeaving(): boolean;
 }
 
 /** HTTP server that callers connect to. */
 export interface CallerServer {
-  /** Closes connections without a request in progress. */
-  closeIdle(): void;
-  close(): Promise<void>;
+  /** Port that the server listens on; the system chooses it if the option is 0. */
+  port: number;
+  /** Applies the limits of a configuration to connections and to later requests. */
+  setLimits(limits: CallerLimits): void;
+  /**
+   * Stops accepting connections, and waits up to `limitMs` until the requests that callers have begun
+   * to send are answered; then closes what is left.
+   */
+  close(limitMs: number): Promise<void>;
 }
 
 /** Fixed limit on the size of a request body; the configuration may set a lower limit. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
-/**
- * Fixed limit on the size of request headers. The configured limit is not applied; the
- * configurations in use set the same value.
- */
+/** Fixed limit on the size of request headers; the configuration may set a lower limit. */
 const MAX_HEADER_BYTES = 16 * 1024;
-/** Longer than the 15 s after which callers close an idle connection themselves. */
-const KEEP_ALIVE_MS = 20_000;
-/**
- * Fixed time limit for receiving request headers. The configured limit is not applied; the
- * configurations in use set 3 s.
- */
-const HEADERS_TIMEOUT_MS = 4_000;
+/** Limits until a configuration has been read; callers close idle connections after 15 s. */
+const INITIAL_LIMITS: CallerLimits = {
+  maxHeaderBytes: MAX_HEADER_BYTES,
+  headerTimeoutMs: 4_000,
+  idleTimeoutMs: 19_000,
+};
+/** Callers use idle connections up to their limit, so the gateway closes them a little later. */
+const IDLE_MARGIN_MS = 1_000;
+/** Limit on the time to receive a whole request; longer than any deadline of a caller. */
+const REQUEST_TIMEOUT_MS = 15_000;
+/** Interval at which connections are checked against the limits above. */
+const CONNECTION_CHECK_PERIOD_MS = 500;
+const HTTP_HEADERS_TOO_LARGE = 431;
+const HTTP_BAD_GATEWAY = 502;
 /** Bytes buffered for a slow caller before the gateway stops reading from the target. */
 const HIGH_WATER_MARK_BYTES = 64 * 1024;
 
@@ -66,15 +89,36 @@
   };
 }
 
+/** Counts the bytes of header fields as sent, with `: ` and the line end of each. */
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((total, part) => total + part.length + 2, 0);
+}
+
+/** Ends the response to a request that an unexpected error has stopped; it may have been sent. */
+function endFailedResponse(response: ServerResponse): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(HTTP_BAD_GATEWAY, ['Content-Length', '0', 'Connection', 'close']);
+  response.end();
+}
+
 /** Starts the HTTP server for callers. */
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-  const { host, port, wire, handler, isLeaving } = options;
+  const { host, port, wire, handler, errorReporter, timers, isLeaving } = options;
+  let limits = INITIAL_LIMITS;
   const app: FastifyInstance = fastify({
     bodyLimit: MAX_BODY_BYTES,
-    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
     exposeHeadRoutes: false,
     forceCloseConnections: false,
-    http: { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS },
+    http: {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
+      connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
+    },
   });
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
@@ -95,15 +139,34 @@
   };
 
   app.all('*', (request, reply) => {
+    if (countHeaderBytes(request.raw.rawHeaders) > limits.maxHeaderBytes) {
+      void reply.code(HTTP_HEADERS_TOO_LARGE).send('');
+      return;
+    }
     reply.hijack();
     const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
-    handleCallerRequest(request.raw, reply.raw, body);
+    try {
+      handleCallerRequest(request.raw, reply.raw, body);
+    } catch (error) {
+      errorReporter.report(ErrorOrigin.Request, error);
+      endFailedResponse(reply.raw);
+    }
   });
   await app.listen({ host, port });
+  const { port: boundPort } = app.server.address() as AddressInfo;
   return {
-    closeIdle: () => app.server.closeIdleConnections(),
-    async close() {
-      app.server.closeAllConnections();
+    port: boundPort,
+    setLimits(changed) {
+      limits = changed;
+      app.server.headersTimeout = changed.headerTimeoutMs;
+      app.server.keepAliveTimeout = changed.idleTimeoutMs + IDLE_MARGIN_MS;
+    },
+    async close(limitMs) {
+      const cancelLimit = timers.scheduleOnce(limitMs, () => app.server.closeAllConnections());
+      await new Promise<void>((resolve) => {
+        app.server.close(() => resolve());
+      });
+      cancelLimit();
       await app.close();
     },
   };
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { createLeaderElection } from '../leader-election/index.ts';
-import { formatProblem } from '../errors/index.ts';
+import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { Feed, FeedListener } from '../store-feed/index.ts';
 import { startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
@@ -54,7 +54,7 @@
   initialSettings: GatewayParameters,
   dependencies: GatewayDependencies,
 ): Promise<Daemon> {
-  const { timers, logger, wire, random } = dependencies;
+  const { timers, logger, errorReporter, wire, random } = dependencies;
   let settings = initialSettings;
   const { vmName } = settings;
   const incarnation = timers.getWallMs();
@@ -79,6 +79,7 @@
     port: settings.peerPort,
     timers,
     logger,
+    errorReporter,
   });
   const leaderElection = createLeaderElection({
     name: GROUP_LEASE_NAME,
@@ -92,6 +93,12 @@
     handoverStateSchema: z.array(headLocationSchema),
   });
 
+  errorReporter.subscribe((origin) => {
+    metrics.countUnexpectedError(origin);
+    // The state of the groups may be inconsistent; the next leader rebuilds it from the entries.
+    if (origin === ErrorOrigin.Process) void leaderElection.release();
+  });
+
   const isLeader = (): boolean => leaderElection.getTerm() > 0;
   const isWatcher = (): boolean => isLeader() || peerExchange.isWatcher();
   const startKindFeed = (
@@ -105,6 +112,7 @@
       store,
       timers,
       logger,
+      errorReporter,
       listener,
       waitMs,
       getPauseMs,
@@ -269,13 +277,15 @@
     port: settings.callers.port,
     wire,
     handler,
+    errorReporter,
+    timers,
     isLeaving: () => stopRequestedMs !== undefined,
   });
+  storeView.onConfiguration(({ limits }) => server.setLimits(limits));
   logger.info('started', { vm: vmName, incarnation, callersAddress });
 
   /** Waits for requests in progress; new ones are refused after `ACCEPT_AFTER_STOP_MS`. */
-  const drain = async (startMs: number): Promise<void> => {
-    const endMs = startMs + settings.graceMs - ABORT_MARGIN_MS;
+  const drain = async (startMs: number, endMs: number): Promise<void> => {
     while (timers.getMonotonicMs() < endMs) {
       const isAccepting = timers.getMonotonicMs() - startMs <= ACCEPT_AFTER_STOP_MS;
       if (!isAccepting && handler.countInProgress() === 0) return;
@@ -307,12 +317,14 @@
       formation.stop();
       await leaderElection.release();
       leaderElection.stop();
-      await drain(startMs);
+      const endMs = startMs + settings.graceMs - ABORT_MARGIN_MS;
+      await drain(startMs, endMs);
+      await server.close(Math.max(0, endMs - timers.getMonotonicMs()));
       feeds.forEach((feed) => feed.stop());
       monitor.stop();
       peerExchange.stop();
       metrics.stop();
-      await Promise.all([server.close(), auxiliaryServers.close(), client.close(), store.close()]);
+      await Promise.all([auxiliaryServers.close(), client.close(), store.close()]);
     },
   };
 }
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -1,5 +1,6 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { StoreCallResult, StoreKind } from '../store/index.ts';
 import type { GroupCount, TargetCount } from './fleet-counts.ts';
@@ -27,6 +28,7 @@
   countRetry(kind: string, reason: string): void;
   recordLatency(input: RoutedRequest, result: ForwardingResult): void;
   countStoreCall(call: StoreCallResult): void;
+  countUnexpectedError(origin: ErrorOrigin): void;
   /** Sets the gauges to the given values and renders all metrics in the Prometheus text format. */
   renderMetrics(values: GaugeValues): Promise<string>;
   stop(): void;
@@ -91,6 +93,12 @@
     labelNames: ['operation', 'kind', 'result'],
     registers,
   });
+  const unexpectedErrors = new Counter({
+    name: `${PREFIX}unexpected_errors_total`,
+    help: 'Unexpected errors, each of which ended one step, by the place where it was caught.',
+    labelNames: ['origin'],
+    registers,
+  });
 
   const createGauge = <Label extends string>(
     name: string,
@@ -140,6 +148,7 @@
       if (longestGapMs > 0) longestPause.observe(longestGapMs / MS_PER_SECOND);
     },
     countStoreCall: ({ operation, kind, result }) => storeCalls.inc({ operation, kind, result }),
+    countUnexpectedError: (origin) => unexpectedErrors.inc({ origin }),
     renderMetrics(values) {
       updateGauges(values);
       return registry.metrics();
--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -2,6 +2,7 @@
 import type { Fleet, Target } from '../fleet/index.ts';
 import { createFleet } from '../fleet/index.ts';
 import type { LogContext } from '../logs/index.ts';
+import type { ServingConfiguration } from '../serving/index.ts';
 import type { StoreObject } from '../store/index.ts';
 import type { RoutingTable } from './routing-table.ts';
 import { buildRoutingTable } from './routing-table.ts';
@@ -16,6 +17,8 @@
   hasListedTargets(): boolean;
   /** Whether operators have taken the availability zone out of service. */
   isZoneEvacuated(availabilityZone: string): boolean;
+  /** Calls the listener with each configuration that comes into force, and now if one is in force. */
+  onConfiguration(listener: (configuration: ServingConfiguration) => void): void;
   configurationListener: FeedListener;
   evacuationListener: FeedListener;
   targetListener: FeedListener;
@@ -49,6 +52,7 @@
   const evacuatedZones = new Set<string>();
   let table: RoutingTable | undefined;
   let hasListedTargets = false;
+  let handleConfiguration: (configuration: ServingConfiguration) => void = () => undefined;
   /** Targets whose entry is missing and that are kept until the grace period ends. */
   const expiredIds = new Set<string>();
   let gracePeriodEndMs = 0;
@@ -78,6 +82,7 @@
     }
     if (table !== undefined && decoded.value.version <= table.version) return;
     table = buildRoutingTable(decoded.value);
+    handleConfiguration(decoded.value);
     logger.info('a configuration is in force', {
       version: table.version,
       revision: object.revision,
@@ -106,6 +111,10 @@
     getRoutingTable: () => table,
     hasListedTargets: () => hasListedTargets,
     isZoneEvacuated: (availabilityZone) => evacuatedZones.has(availabilityZone),
+    onConfiguration(listener) {
+      handleConfiguration = listener;
+      if (table !== undefined) listener(table.configuration);
+    },
     configurationListener: {
       handleList: (objects) => objects.forEach(applyConfiguration),
       handleObject: applyConfiguration,
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -1,3 +1,4 @@
+import type { ErrorReporter } from '../errors/index.ts';
 import type { EngineControl } from '../formation/index.ts';
 import type { Target } from '../fleet/index.ts';
 import type { WireFormat } from '../forwarding/index.ts';
@@ -55,6 +56,7 @@
 export interface GatewayDependencies {
   timers: TimerService;
   logger: Logger;
+  errorReporter: ErrorReporter;
   store: StoreClient;
   control: EngineControl;
   wire: WireFormat;
--- /dev/null
+++ b/src/core/peers/address.ts
@@ -0,0 +1,17 @@
+import { isIPv4 } from 'node:net';
+
+/** IP address and UDP port of a gateway. */
+export interface PeerAddress {
+  host: string;
+  port: number;
+}
+
+const MAX_PORT = 65_535;
+
+/** Parses `host:port` with an IPv4 address; undefined if it is not one that a socket can send to. */
+export function parseAddress(text: string): PeerAddress | undefined {
+  const [host = '', portText = '', ...rest] = text.split(':');
+  const port = Number(portText);
+  const isValid = isIPv4(host) && Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+  return isValid && rest.length === 0 ? { host, port } : undefined;
+}
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -1,9 +1,11 @@
 import { createSocket } from 'node:dgram';
-import { formatProblem } from '../errors/index.ts';
+import type { ErrorReporter } from '../errors/index.ts';
+import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
 import type { TargetLoad } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
+import { parseAddress } from './address.ts';
 import { createAddressBook } from './address-book.ts';
 import { createDigestAggregator } from './digests.ts';
 import { createPeerTable } from './peer-table.ts';
@@ -20,6 +22,7 @@
   port: number;
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe' | 'scheduleOnce'>;
   logger: Logger;
+  errorReporter: ErrorReporter;
 }
 
 /** Supplies what is sent to the other gateways, and receives what they report. */
@@ -79,7 +82,7 @@
 
 /** Creates the exchange; it sends nothing until it is started. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
-  const { vmName, availabilityZone, host, port, timers, logger } = options;
+  const { vmName, availabilityZone, host, port, timers, logger, errorReporter } = options;
   const ownAddress = `${host}:${port}`;
   const table = createPeerTable(vmName, timers);
   const addressBook = createAddressBook(timers);
@@ -122,9 +125,10 @@
     if (peerAddresses.length === 0) return;
     const bytes = encodePacket(packet);
     for (const address of peerAddresses) {
-      const [peerHost, peerPort] = address.split(':');
+      const peerAddress = parseAddress(address);
+      if (peerAddress === undefined) continue;
       // A failed send is treated as a lost datagram; the next packet follows within a period.
-      socket.send(bytes, Number(peerPort), peerHost, () => undefined);
+      socket.send(bytes, peerAddress.port, peerAddress.host, () => undefined);
     }
   };
 
@@ -237,9 +241,7 @@
     try {
       handlePacket(decodePacket(bytes));
     } catch (error) {
-      logger.warn('failed to process a packet from another gateway', {
-        problem: formatProblem(error),
-      });
+      errorReporter.report(ErrorOrigin.Packet, error);
     }
   });
   socket.on('error', (error) =>
@@ -260,7 +262,9 @@
       });
     },
     addAddress(address) {
-      if (address !== ownAddress) addressBook.addAddress(address);
+      if (parseAddress(address) === undefined) {
+        logger.warn('ignored an invalid address of a gateway', { address });
+      } else if (address !== ownAddress) addressBook.addAddress(address);
     },
     listPeers: table.listPeers,
     countGateways: () => table.countPeers() + 1,
--- /dev/null
+++ b/src/core/peers/malformed-packets.test.ts
@@ -0,0 +1,109 @@
+import { createSocket } from 'node:dgram';
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { createErrorReporter } from '../errors/index.ts';
+import { createLogger } from '../logs/index.ts';
+import { createTimerService } from '../timers/index.ts';
+import { createPeerExchange } from './create-peer-exchange.ts';
+import { buildPeerStatus } from './fixtures/peer-status.ts';
+import { decodePacket, encodePacket } from './packets.ts';
+import type { PeerPacket } from './types.ts';
+
+const RUNS = 10_000;
+const HOST = '127.0.0.31';
+const PORT = 7_341;
+const timers = createTimerService();
+
+const PACKET: PeerPacket = {
+  sender: buildPeerStatus('vm-1'),
+  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'] },
+  digest: {
+    peers: [{ status: buildPeerStatus('vm-2'), ageMs: 120, isLost: true }],
+    loads: [{ targetId: 'u', inFlight: 1 }],
+    suspectIds: [],
+    isComplete: true,
+  },
+  progress: [],
+};
+
+const extremes = fc.constantFrom(
+  0,
+  -1,
+  1,
+  0.5,
+  2 ** 31,
+  2 ** 32,
+  2 ** 53,
+  Infinity,
+  -Infinity,
+  NaN,
+);
+
+describe('malformed packets', () => {
+  // Guards against a process that one figure ends: every age, count and load must be encodable.
+  it('encodes ages, counts and capacities outside the range of the wire', () => {
+    fc.assert(
+      fc.property(extremes, extremes, extremes, (ageMs, inFlight, capacity) => {
+        const sender = buildPeerStatus('vm-1', { capacity });
+        const loads = [{ targetId: 't', inFlight }];
+        const peers = [{ status: sender, ageMs, isLost: false }];
+        const digest = { loads, suspectIds: [], peers, isComplete: false };
+        const packet = { sender, loadReport: { loads, suspectIds: [] }, digest, progress: [] };
+        expect(decodePacket(encodePacket(packet)).digest?.peers.length).toEqual(1);
+      }),
+    );
+  });
+
+  // Guards against a datagram that ends a gateway or keeps it from the packets that follow.
+  it(`survives ${RUNS} random and mutated datagrams`, async () => {
+    const errorReporter = createErrorReporter(() => undefined);
+    const exchange = createPeerExchange({
+      vmName: 'self',
+      availabilityZone: 'a',
+      host: HOST,
+      port: PORT,
+      timers,
+      logger: createLogger('test'),
+      errorReporter,
+    });
+    await exchange.start({
+      getStatus: () => buildPeerStatus('self'),
+      getLoadReport: () => ({ loads: [], suspectIds: [] }),
+      getProgress: () => [],
+      handleStatus: () => undefined,
+      handleLoadReport: () => undefined,
+      handleSuspects: () => undefined,
+      handleProgress: () => undefined,
+    });
+    const sound = encodePacket(PACKET);
+    const mutation = fc.array(
+      fc.tuple(fc.nat({ max: sound.length - 1 }), fc.integer({ min: 0, max: 255 })),
+      { minLength: 1, maxLength: 8 },
+    );
+    const datagrams = [
+      ...fc.sample(fc.uint8Array({ maxLength: 300 }), RUNS / 2),
+      ...fc.sample(mutation, RUNS / 2).map((changes) => {
+        const bytes = Uint8Array.from(sound);
+        changes.forEach(([index, value]) => {
+          bytes[index] = value;
+        });
+        return bytes;
+      }),
+    ];
+    const socket = createSocket('udp4');
+    for (const [index, bytes] of datagrams.entries()) {
+      socket.send(bytes, PORT, HOST);
+      if (index % 100 === 0) await timers.waitFor(1);
+    }
+    await timers.waitFor(50);
+    const last = encodePacket({ ...PACKET, sender: buildPeerStatus('vm-last') });
+    socket.send(last, PORT, HOST);
+    const isHeard = (): boolean =>
+      exchange.listPeers().some(({ status }) => status.vmName === 'vm-last');
+    for (let count = 0; count < 100 && !isHeard(); count++) await timers.waitFor(10);
+    socket.close();
+    expect(isHeard()).toEqual(true);
+    exchange.stop();
+  });
+});
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -12,6 +12,7 @@
 } from '../rpc/generated/clementinefork/v1/gateway_pb.ts';
 import type { StoreObject } from '../store/index.ts';
 import { StoreKind } from '../store/index.ts';
+import { parseAddress } from './address.ts';
 import type { PeerDigest, PeerPacket, PeerStatus, RelayedPeer } from './types.ts';
 import { PeerState } from './types.ts';
 
@@ -112,6 +113,9 @@
 }
 
 function decodeStatus(member: GatewayMember): PeerStatus {
+  if (parseAddress(member.peerAddress) === undefined) {
+    throw new TypeError('the address of a gateway is invalid');
+  }
   return {
     vmName: member.vmName,
     incarnation: Number(member.incarnation),
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -1,4 +1,11 @@
-import { createError, ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
+import type { ErrorReporter } from '../errors/index.ts';
+import {
+  createError,
+  ErrorKind,
+  ErrorOrigin,
+  formatProblem,
+  isServingError,
+} from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
 import { startLogWriter } from '../logs/index.ts';
 import { createTimerService } from '../timers/index.ts';
@@ -43,8 +50,20 @@
 
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
-/** Starts a daemon and stops it gracefully on the first SIGTERM or SIGINT. */
-export async function runDaemon(logger: Logger, start: () => Promise<Daemon>): Promise<void> {
+/**
+ * Starts a daemon and stops it gracefully on the first SIGTERM or SIGINT. With a reporter, an error
+ * that nothing else has caught is reported and the process goes on.
+ */
+export async function runDaemon(
+  logger: Logger,
+  start: () => Promise<Daemon>,
+  errorReporter?: ErrorReporter,
+): Promise<void> {
+  if (errorReporter !== undefined) {
+    const report = (error: unknown): void => errorReporter.report(ErrorOrigin.Process, error);
+    process.on('uncaughtException', report);
+    process.on('unhandledRejection', report);
+  }
   const logWriter = startLogWriter(createTimerService());
   await runAndReportErrors(async () => {
     const daemon = await start().catch((error: unknown) => {
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -1,3 +1,5 @@
+import type { ErrorReporter } from '../errors/index.ts';
+import { ErrorOrigin } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { StoreClient, ObjectChange, StoreKind } from '../store/index.ts';
 import { StoreFailure } from '../store/index.ts';
@@ -11,6 +13,7 @@
   store: Pick<StoreClient, 'listObjects' | 'watchObjects'>;
   timers: Pick<TimerService, 'getMonotonicMs' | 'waitFor'>;
   logger: Logger;
+  errorReporter: ErrorReporter;
   listener: FeedListener;
   /** Maximum long-poll wait of one watch call. */
   waitMs: number;
@@ -44,7 +47,8 @@
 
 /** Starts a feed: it lists a kind, then watches it, and lists again if the history is gone. */
 export function startFeed(options: FeedOptions): Feed {
-  const { kind, store, timers, logger, listener, waitMs, getPauseMs, isWatcher } = options;
+  const { kind, store, timers, logger, errorReporter, listener } = options;
+  const { waitMs, getPauseMs, isWatcher } = options;
   const abortController = new AbortController();
   const changeLog = createChangeLog(timers);
   let confirmedMs: number | undefined;
@@ -53,6 +57,15 @@
   /** Whether others have read changes that this process has missed. */
   let hasGap = false;
 
+  /** An object that the listener cannot process must not keep it from the later ones. */
+  const callListener = (call: () => void): void => {
+    try {
+      call();
+    } catch (error) {
+      errorReporter.report(ErrorOrigin.Feed, error);
+    }
+  };
+
   const confirmCopy = (atMs: number): void => {
     const outageMs = atMs - (confirmedMs ?? atMs);
     if (failures > 0) {
@@ -66,8 +79,9 @@
   const applyEvents = (events: readonly ObjectChange[], readRevision: number): void => {
     changeLog.addChanges(events, readRevision);
     for (const { object, isDeleted } of events) {
-      if (isDeleted) listener.handleDelete(object);
-      else listener.handleObject(object);
+      callListener(() =>
+        isDeleted ? listener.handleDelete(object) : listener.handleObject(object),
+      );
     }
   };
 
@@ -89,7 +103,7 @@
     confirmCopy(sentMs);
     ({ revision } = result.value);
     changeLog.reset(revision);
-    listener.handleList(result.value.objects);
+    callListener(() => listener.handleList(result.value.objects));
   };
 
   const readChanges = async (since: number): Promise<void> => {
@@ -125,20 +139,26 @@
     confirmedMs !== undefined &&
     timers.getMonotonicMs() - confirmedMs < waitMs + FOLLOW_MARGIN_MS;
 
+  const step = async (): Promise<void> => {
+    if (revision === undefined) await readList();
+    else if (isFollowing()) await timers.waitFor(FOLLOW_POLL_MS, abortController.signal);
+    else await readChanges(revision);
+  };
+
   const run = async (): Promise<void> => {
     while (!abortController.signal.aborted) {
-      if (revision === undefined) await readList();
-      else if (isFollowing()) await timers.waitFor(FOLLOW_POLL_MS, abortController.signal);
-      else await readChanges(revision);
+      try {
+        await step();
+      } catch (error) {
+        errorReporter.report(ErrorOrigin.Feed, error);
+        // The copy may be incomplete, so it is listed again.
+        revision = undefined;
+        await timers.waitFor(RETRY_MAX_MS, abortController.signal);
+      }
     }
   };
 
-  void run().catch((error: unknown) =>
-    logger.error('a watch of the store stopped unexpectedly; restart the gateway', {
-      kind,
-      problem: String(error),
-    }),
-  );
+  void run();
 
   return {
     getConfirmedMs: () => confirmedMs,
--- a/src/core/store-feed/feed.test.ts
+++ b/src/core/store-feed/feed.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
 import type { StoreChanges, StoreList, StoreObject, StoreResult } from '../store/index.ts';
 import { StoreFailure, StoreKind } from '../store/index.ts';
@@ -38,6 +39,7 @@
     kind: StoreKind.Configuration,
     timers,
     logger: createLogger('test'),
+    errorReporter: createErrorReporter(() => undefined),
     waitMs: WATCH_MS,
     isWatcher: () => true,
     getPauseMs: () => 0,
--- a/src/core/store-feed/follow.test.ts
+++ b/src/core/store-feed/follow.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
 import type { ObjectChange } from '../store/index.ts';
 import { StoreFailure, StoreKind } from '../store/index.ts';
@@ -33,6 +34,7 @@
       kind: StoreKind.Targets,
       timers,
       logger: createLogger('test'),
+      errorReporter: createErrorReporter(() => undefined),
       waitMs: WATCH_MS,
       getPauseMs: () => 0,
       isWatcher: () => isWatcher,
--- a/src/core/timers/timer-service.ts
+++ b/src/core/timers/timer-service.ts
@@ -3,10 +3,26 @@
 import type { TimerService } from './types.ts';
 import { createWaitFor } from './wait.ts';
 
-/** Creates a timer service that uses the system clocks and timers. */
-export function createTimerService(): TimerService {
+/** Called with an error that a listener of a timer has thrown. */
+export type TimerErrorHandler = (error: unknown) => void;
+
+/**
+ * Creates a timer service that uses the system clocks and timers. Without `handleError`, an error
+ * that a listener throws ends the process.
+ */
+export function createTimerService(handleError?: TimerErrorHandler): TimerService {
+  const wrapListener = (listener: () => void): (() => void) => {
+    if (handleError === undefined) return listener;
+    return () => {
+      try {
+        listener();
+      } catch (error) {
+        handleError(error);
+      }
+    };
+  };
   const scheduleOnce: TimerService['scheduleOnce'] = (delayMs, listener) => {
-    const timer = setTimeout(listener, Math.max(0, delayMs));
+    const timer = setTimeout(wrapListener(listener), Math.max(0, delayMs));
     return () => clearTimeout(timer);
   };
   return {
@@ -14,7 +30,7 @@
     getWallMs: () => Date.now(),
     scheduleOnce,
     subscribe(periodMs, listener) {
-      const timer = setInterval(listener, periodMs);
+      const timer = setInterval(wrapListener(listener), periodMs);
       return () => clearInterval(timer);
     },
     waitFor: createWaitFor(scheduleOnce),
--- a/src/platform/auxiliary-servers.ts
+++ b/src/platform/auxiliary-servers.ts
@@ -22,6 +22,16 @@
   handleProblem(problem: string): void;
 }
 
+/**
+ * Limits of all three servers; their requests are small and have no body. Without them, one that
+ * never ends keeps its connection for minutes.
+ */
+const SERVER_OPTIONS = {
+  bodyLimit: 1_024,
+  requestTimeout: 5_000,
+  http: { headersTimeout: 3_000, connectionsCheckingInterval: 1_000 },
+} as const;
+
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1_000;
@@ -30,7 +40,7 @@
 export async function startAuxiliaryServers(
   options: AuxiliaryServerOptions,
 ): Promise<{ close(): Promise<void> }> {
-  const directory = fastify();
+  const directory = fastify(SERVER_OPTIONS);
   directory.get('/resolve', (_request, reply) => {
     const response = options.getDirectoryResponse();
     if (response === undefined) return reply.code(HTTP_UNAVAILABLE).send({});
@@ -39,11 +49,11 @@
       ttl_s: response.ttlMs / MS_PER_SECOND,
     });
   });
-  const readiness = fastify();
+  const readiness = fastify(SERVER_OPTIONS);
   readiness.get('/ready', (_request, reply) =>
     reply.code(options.isReady() ? HTTP_OK : HTTP_UNAVAILABLE).send(''),
   );
-  const metrics = fastify();
+  const metrics = fastify(SERVER_OPTIONS);
   metrics.get('/metrics', async (_request, reply) =>
     reply.type('text/plain; version=0.0.4').send(await options.renderMetrics()),
   );
--- a/src/platform/decode-target.ts
+++ b/src/platform/decode-target.ts
@@ -6,10 +6,13 @@
 const READY_STATE = 'ready';
 const DRAINING_STATE = 'draining';
 
+/** Largest rank of a group member; ranks index arrays, so that an entry must not choose any number. */
+const MAX_RANK = 1_023;
+
 const groupSchema = z.object({
   name: z.string(),
-  epoch: z.number(),
-  rank: z.number(),
+  epoch: z.int().nonnegative(),
+  rank: z.int().min(0).max(MAX_RANK),
   state: z.enum(GroupState),
 });
 
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -18,7 +18,7 @@
 const objectSchema = z.object({
   metadata: z.object({
     name: z.string(),
-    revision: z.number(),
+    revision: z.int().nonnegative(),
     deleting: z.boolean().optional(),
   }),
   spec: z.unknown(),
@@ -52,11 +52,11 @@
   items: z.array(objectSchema),
   more: z.boolean().default(false),
   // Store revision at which the page was read.
-  as_of: z.number(),
+  as_of: z.int().nonnegative(),
 });
 const changesSchema = z.object({
   events: z.array(z.object({ object: objectSchema, deleted: z.boolean().default(false) })),
-  as_of: z.number(),
+  as_of: z.int().nonnegative(),
 });
 
 interface StoreCall {
