Bound the age of copies by the site's bounds, and send all changes in packets

Cause: the wait of a watch on the configuration (2,500 ms) and the slack of a follower (600 ms) exceeded config_apply_ms (2,000 ms) whenever a watcher was lost or cut off. Each start listed 760 engines from the store.

Change: waits are shares of the bounds in the settings. Packets carry the last change of each object, compressed, up to 40 KB; a gap must last 300 ms before a follower calls the store. Targets are listed from a replica and brought up to date by a watch before they are used. Three gateways watch for the fleet, whatever the number of zones. Connections to the store that were idle for 2 s are not reused.

The test of changes that are too large now uses text that does not compress, since the former text fits into a packet.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -2,7 +2,7 @@
 import { createLeaderElection } from '../leader-election/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { Feed, FeedListener } from '../store-feed/index.ts';
-import { startFeed } from '../store-feed/index.ts';
+import { computeFeedTiming, startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
 import { headLocationSchema, startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
@@ -21,17 +21,10 @@
 import type { DirectoryResponse, GatewayDependencies, GatewayParameters } from './types.ts';
 import { createStoreView } from './store-view.ts';
 
-/** Maximum long-poll wait of the watch on targets; also the interval that confirms the copy. */
-const TARGET_WATCH_MS = 1_000;
-/**
- * Maximum long-poll wait of watches on kinds that change rarely. A dead connection is detected when
- * the wait ends, which leaves time to apply an evacuation within its limit of 5 s.
- */
-const RARE_CHANGE_WATCH_MS = 2_500;
 /** Pause of the leader after a watch that returned events; short because it acts on them. */
 const LEADER_PAUSE_MS = 40;
-/** Pause of other watchers: every gateway must know of a leaving target within 2 s. */
-const WATCHER_PAUSE_MS = 200;
+/** Share of the time to learn of a leaving target for which other watchers pause. */
+const WATCHER_PAUSE_SHARE = 0.1;
 /** Maximum age of the copy of the targets on which the leader still acts. */
 const MAX_TARGET_COPY_AGE_MS = 2_500;
 /** Lifetime of a directory response; some callers keep it three times as long. */
@@ -104,7 +97,7 @@
   const startKindFeed = (
     kind: StoreKind,
     listener: FeedListener,
-    waitMs: number,
+    boundMs: number,
     getPauseMs: () => number,
   ): Feed => {
     const feed = startFeed({
@@ -114,31 +107,34 @@
       logger,
       errorReporter,
       listener,
-      waitMs,
+      timing: computeFeedTiming(boundMs),
+      // The other kinds fit into one page.
+      isListedStale: kind === StoreKind.Targets,
       getPauseMs,
       isWatcher,
     });
     feeds.set(kind, feed);
     return feed;
   };
-  const getTargetPauseMs = (): number => (isLeader() ? LEADER_PAUSE_MS : WATCHER_PAUSE_MS);
+  const getTargetPauseMs = (): number =>
+    isLeader() ? LEADER_PAUSE_MS : settings.leavingBoundMs * WATCHER_PAUSE_SHARE;
   const targetFeed = startKindFeed(
     StoreKind.Targets,
     storeView.targetListener,
-    TARGET_WATCH_MS,
+    settings.leavingBoundMs,
     getTargetPauseMs,
   );
   const getNoPauseMs = (): number => 0;
   startKindFeed(
     StoreKind.Configuration,
     storeView.configurationListener,
-    RARE_CHANGE_WATCH_MS,
+    settings.configurationBoundMs,
     getNoPauseMs,
   );
   startKindFeed(
     StoreKind.Evacuations,
     storeView.evacuationListener,
-    RARE_CHANGE_WATCH_MS,
+    settings.evacuationBoundMs,
     getNoPauseMs,
   );
 
@@ -236,7 +232,16 @@
     handleLost: peerExchange.sendNow,
   });
   const handleAddress = peerExchange.addAddress;
-  void registerGateway({ vmName, peerAddress, store, timers, logger, handleAddress });
+  const { isFirstStart } = settings;
+  void registerGateway({
+    vmName,
+    peerAddress,
+    store,
+    timers,
+    logger,
+    handleAddress,
+    isFirstStart,
+  });
 
   const getDirectoryResponse = (): DirectoryResponse | undefined => {
     const own = getState() === PeerState.Ready ? [callersAddress] : [];
--- a/src/core/gateway/registration.ts
+++ b/src/core/gateway/registration.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '../logs/index.ts';
 import type { StoreClient, StoreObject } from '../store/index.ts';
-import { StoreFailure, StoreKind } from '../store/index.ts';
+import { Consistency, StoreFailure, StoreKind } from '../store/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
 /** Options of `registerGateway`. */
@@ -13,6 +13,11 @@
   logger: Logger;
   /** Called with the peer address of each gateway registered in the store. */
   handleAddress(address: string): void;
+  /**
+   * Whether all gateways start now. Otherwise a list that is some seconds old suffices, as each
+   * gateway in it knows the others.
+   */
+  isFirstStart: boolean;
 }
 
 /** Time between attempts to register. */
@@ -41,7 +46,10 @@
 
 async function tryRegister(options: RegistrationOptions): Promise<string | undefined> {
   const problem = await writeAddress(options);
-  const list = await options.store.listObjects(StoreKind.Gateways);
+  const list = await options.store.listObjects(
+    StoreKind.Gateways,
+    options.isFirstStart ? Consistency.Current : Consistency.Stale,
+  );
   if (list.kind !== 'ok') return list.problem;
   for (const object of list.value.objects) {
     const address = readPeerAddress(object);
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -25,6 +25,12 @@
   peerPort: number;
   /** Time between SIGTERM and SIGKILL. */
   graceMs: number;
+  /** Time within which a target that is leaving gets no more requests. */
+  leavingBoundMs: number;
+  /** Time within which a configuration is in force everywhere. */
+  configurationBoundMs: number;
+  /** Time within which the targets of an evacuated zone get no more requests. */
+  evacuationBoundMs: number;
   /** Retries allowed per request of a service, for all gateways together. */
   retryRatio: number;
   /** Retries allowed per window and service in addition to the ratio, for all gateways together. */
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -142,18 +142,18 @@
     const peers = table.listPeers().map(({ status }) => status);
     const toAddresses = (list: readonly PeerStatus[]): string[] =>
       list.map(({ peerAddress }) => peerAddress);
+    const isReporter = isMesh ? watchers.has(vmName) || sender.dutyTerm > 0 : hubs.has(vmName);
+    const progress = isReporter ? listener.getProgress(CHANGE_REPEAT_PERIODS * getPeriodMs()) : [];
     const build = (digest: PeerDigest | undefined, hasProgress: boolean): PeerPacket => ({
       sender,
       loadReport,
       digest,
-      progress: hasProgress
-        ? (listener?.getProgress(CHANGE_REPEAT_PERIODS * getPeriodMs()) ?? [])
-        : [],
+      progress: hasProgress ? progress : [],
     });
     const otherHubs = peers.filter((peer) => hubs.has(peer.vmName));
     const zoneNonHubs = peers.filter((peer) => isInOwnZone(peer) && !hubs.has(peer.vmName));
     if (isMesh) {
-      sendTo(toAddresses(otherHubs), build(undefined, watchers.has(vmName) || sender.dutyTerm > 0));
+      sendTo(toAddresses(otherHubs), build(undefined, true));
     } else if (hubs.has(vmName)) {
       const zoneNonHubNames = new Set(zoneNonHubs.map((peer) => peer.vmName));
       const zoneDigest = aggregator.buildZoneDigest((name) => zoneNonHubNames.has(name));
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from 'node:crypto';
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { StoreKind } from '../store/index.ts';
@@ -59,7 +60,9 @@
   it('omit changes that are too large', () => {
     const [progress] = PACKET.progress;
     if (progress === undefined) throw new Error('no progress');
-    const object = { name: 'main', revision: 17, spec: 'x'.repeat(100_000), status: undefined };
+    // Random text does not compress.
+    const spec = randomBytes(100_000).toString('base64');
+    const object = { name: 'main', revision: 17, spec, status: undefined };
     const changes = [{ object, isDeleted: false, readRevision: 18 }];
     const bytes = encodePacket({ ...PACKET, progress: [{ ...progress, changes }] });
     expect(bytes.length < 1_000).toEqual(true);
@@ -67,6 +70,36 @@
     expect(decoded?.sinceRevision).toEqual(decoded?.changedRevision);
   });
 
+  // Guards against gaps in every gateway's copy whenever many engines change at once: 195 gateways
+  // then called the store themselves (rodopi-wax-large).
+  it('carry the changes of 300 targets in one datagram, the last one of each', () => {
+    const [progress] = PACKET.progress;
+    if (progress === undefined) throw new Error('no progress');
+    const buildSpec = (index: number, state: string): object => ({
+      service: 'assistant-llm',
+      address: `10.1.64.${index}:8041`,
+      models: [{ name: 'model-a', version: 1, adapters: [] }],
+      group: { name: `g${index % 40}`, epoch: index % 40, rank: index % 8, state },
+      born: 1_777_973_030_939 + index,
+    });
+    const changes = Array.from({ length: 600 }, (_, index) => ({
+      object: {
+        name: `i-${index % 300}`,
+        revision: 100 + index,
+        spec: buildSpec(index % 300, index < 300 ? 'joining' : 'ready'),
+        status: undefined,
+      },
+      isDeleted: false,
+      readRevision: 800,
+    }));
+    const bytes = encodePacket({ ...PACKET, progress: [{ ...progress, changes }] });
+    expect(bytes.length < 20_000).toEqual(true);
+    const [decoded] = decodePacket(bytes).progress;
+    expect(decoded?.sinceRevision).toEqual(progress.sinceRevision);
+    expect(decoded?.changes.length).toEqual(300);
+    expect(decoded?.changes[7]?.object.spec).toEqual(buildSpec(7, 'ready'));
+  });
+
   // Guards against a crash when another program sends bytes to the port.
   it('rejects bytes that are not a packet', () => {
     expect(() => decodePacket(Buffer.from('not a packet'))).toThrow();
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -1,6 +1,6 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { TargetLoad } from '../fleet/index.ts';
-import type { FeedChange, FeedProgress } from '../store-feed/index.ts';
+import type { FeedProgress } from '../store-feed/index.ts';
 import type {
   GatewayDigest,
   GatewayMember,
@@ -10,9 +10,10 @@
   GatewayPacketSchema,
   GatewayState,
 } from '../rpc/generated/clementinefork/v1/gateway_pb.ts';
-import type { StoreObject } from '../store/index.ts';
 import { StoreKind } from '../store/index.ts';
+import { decodeChanges, encodeProgress } from './change-codec.ts';
 import { parseAddress } from './address.ts';
+import { toUint32 } from './uint32.ts';
 import type { PeerDigest, PeerPacket, PeerStatus, RelayedPeer } from './types.ts';
 import { PeerState } from './types.ts';
 
@@ -22,8 +23,8 @@
   [PeerState.Leaving]: GatewayState.LEAVING,
 };
 
-/** Maximum bytes of one kind's changes in a packet; a configuration with many routes exceeds it. */
-const MAX_CHANGES_BYTES = 16_384;
+/** Maximum bytes of the changes of all kinds in a packet, whose limit is 64 KB. */
+const MAX_CHANGES_BYTES = 40_000;
 
 const STORE_KINDS: ReadonlySet<string> = new Set(Object.values(StoreKind));
 
@@ -32,13 +33,6 @@
   return state === GatewayState.LEAVING ? PeerState.Leaving : PeerState.Starting;
 }
 
-const MAX_UINT32 = 0xffff_ffff;
-
-/** Rounds to an unsigned 32-bit integer; values outside its range, and NaN, become the nearest bound. */
-function toUint32(value: number): number {
-  return value >= 0 ? Math.round(Math.min(value, MAX_UINT32)) : 0;
-}
-
 function toWireLoads(loads: readonly TargetLoad[]): TargetLoad[] {
   return loads.map(({ targetId, inFlight }) => ({ targetId, inFlight: toUint32(inFlight) }));
 }
@@ -55,44 +49,14 @@
   };
 }
 
-/** Caches encoded specs, since each goes into several packets. */
-const encodedSpecs = new WeakMap<StoreObject, Uint8Array>();
-
-function encodeSpec(object: StoreObject): Uint8Array {
-  const known = encodedSpecs.get(object);
-  if (known !== undefined) return known;
-  const bytes = Buffer.from(JSON.stringify(object.spec ?? null));
-  encodedSpecs.set(object, bytes);
-  return bytes;
-}
-
-function toWireChange({ object, isDeleted, readRevision }: FeedChange) {
-  return {
-    name: object.name,
-    revision: BigInt(object.revision),
-    isDeleted,
-    spec: isDeleted ? new Uint8Array() : encodeSpec(object),
-    readRevision: BigInt(readRevision),
-  };
-}
-
-function toWireProgress(progress: FeedProgress) {
-  const changes = progress.changes.map(toWireChange);
-  const bytes = changes.reduce((total, { spec }) => total + spec.length, 0);
-  const isTooLarge = bytes > MAX_CHANGES_BYTES;
-  return {
-    kind: progress.kind,
-    revision: BigInt(progress.revision),
-    changedRevision: BigInt(progress.changedRevision),
-    ageMs: toUint32(progress.ageMs),
-    // Receivers read omitted changes from the store.
-    sinceRevision: BigInt(isTooLarge ? progress.changedRevision : progress.sinceRevision),
-    changes: isTooLarge ? [] : changes,
-  };
-}
-
 /** Encodes a packet as a datagram. */
 export function encodePacket({ sender, loadReport, digest, progress }: PeerPacket): Uint8Array {
+  let changeBytes = 0;
+  const encodedProgress = progress.map((one) => {
+    const encoded = encodeProgress(one, MAX_CHANGES_BYTES - changeBytes);
+    changeBytes += encoded.compressedChanges.length;
+    return encoded;
+  });
   return toBinary(
     GatewayPacketSchema,
     create(GatewayPacketSchema, {
@@ -107,7 +71,7 @@
           isComplete: digest.isComplete,
         },
       }),
-      progress: progress.map(toWireProgress),
+      progress: encodedProgress,
     }),
   );
 }
@@ -152,19 +116,10 @@
       changedRevision: Number(progress.changedRevision),
       ageMs: progress.ageMs,
       sinceRevision: Number(progress.sinceRevision),
-      changes: progress.changes.map((change) => ({
-        object: {
-          name: change.name,
-          revision: Number(change.revision),
-          // Parsed lazily: most packets repeat changes that have already been applied.
-          get spec(): unknown {
-            return change.isDeleted ? null : JSON.parse(Buffer.from(change.spec).toString());
-          },
-          status: undefined,
-        },
-        isDeleted: change.isDeleted,
-        readRevision: Number(change.readRevision),
-      })),
+      // Decoded lazily: most packets repeat changes that have already been applied.
+      get changes() {
+        return decodeChanges(progress);
+      },
     },
   ];
 }
--- a/src/core/peers/topology.ts
+++ b/src/core/peers/topology.ts
@@ -9,8 +9,11 @@
 const MAX_MESH_SIZE = 12;
 /** Hubs in each zone if there are more gateways; two, so that one of them may fail. */
 const HUBS_PER_ZONE = 2;
-/** Gateways in each zone that watch the store on behalf of the others. */
-const WATCHERS_PER_ZONE = 1;
+/**
+ * Gateways that watch the store on behalf of the others, in as many zones; with three, one zone may
+ * be lost together with another watcher.
+ */
+const MAX_WATCHERS = 3;
 
 /** Which gateways exchange packets, as seen by one gateway. */
 export interface Topology {
@@ -53,11 +56,12 @@
     list.push(gateway);
     byZone.set(gateway.availabilityZone, list);
   }
-  const sortedZones = [...byZone].map(([zone, list]) => sortZoneGateways(zone, list));
+  const zoneOrder = computeRendezvousOrder('watchers', [...byZone.keys()]);
+  const sortedZones = zoneOrder.map((zone) => sortZoneGateways(zone, byZone.get(zone) ?? []));
   const isMesh = gatewayCount <= MAX_MESH_SIZE;
   const hubs = isMesh
     ? gateways.map(({ vmName }) => vmName)
     : sortedZones.flatMap((order) => order.slice(0, HUBS_PER_ZONE));
-  const watchers = sortedZones.flatMap((order) => order.slice(0, WATCHERS_PER_ZONE));
+  const watchers = sortedZones.slice(0, MAX_WATCHERS).flatMap(([first]) => first ?? []);
   return { isMesh, hubs: new Set(hubs), watchers: new Set(watchers) };
 }
--- /dev/null
+++ b/src/core/peers/uint32.ts
@@ -0,0 +1,6 @@
+const MAX_UINT32 = 0xffff_ffff;
+
+/** Rounds to an unsigned 32-bit integer; values outside its range, and NaN, become the nearest bound. */
+export function toUint32(value: number): number {
+  return value >= 0 ? Math.round(Math.min(value, MAX_UINT32)) : 0;
+}
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -1,10 +1,11 @@
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
-import type { StoreClient, ObjectChange, StoreKind } from '../store/index.ts';
-import { StoreFailure } from '../store/index.ts';
+import type { ObjectChange, StoreClient, StoreKind, StoreList } from '../store/index.ts';
+import { Consistency, StoreFailure } from '../store/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import { createChangeLog } from './change-log.ts';
+import type { FeedTiming } from './timing.ts';
 import type { Feed, FeedListener, FeedProgress } from './types.ts';
 
 /** Options of a feed. */
@@ -15,8 +16,12 @@
   logger: Logger;
   errorReporter: ErrorReporter;
   listener: FeedListener;
-  /** Maximum long-poll wait of one watch call. */
-  waitMs: number;
+  timing: FeedTiming;
+  /**
+   * Whether the kind is listed from a replica that may lag, which costs the store less. The list is
+   * used only after a watch has brought it up to date.
+   */
+  isListedStale: boolean;
   /** Returns the pause after a watch with events; changes in quick succession then share a call. */
   getPauseMs(): number;
   /** Whether this process watches the store itself instead of relying on other processes. */
@@ -34,28 +39,32 @@
 /**
  * Long-poll wait of watches after a failed call, until one succeeds. A call that was sent just before
  * the store recovered may get no response; with a short wait it times out soon, so that a changed
- * configuration is still known within its limit of 2 s.
+ * configuration is still known within its limit. Also the wait of the watch that brings a stale list
+ * up to date.
  */
-const RECOVERY_WATCH_MS = 50;
+const SHORT_WATCH_MS = 50;
+/** A watch that returns this many events may have left out later ones. */
+const FULL_PAGE_EVENTS = 400;
 /**
- * A follower whose copy was not confirmed by others for this long beyond one watch calls the store
- * itself: with the watch of 1 s on targets, a leaving target is then known within 2 s.
+ * How long a follower waits for missing changes in the packets of another process before it calls
+ * the store; a little longer than the longest packet period.
  */
-const FOLLOW_MARGIN_MS = 600;
+const GAP_GRACE_MS = 300;
 /** Period at which a follower checks whether others still confirm its copy. */
 const FOLLOW_POLL_MS = 100;
 
 /** Starts a feed: it lists a kind, then watches it, and lists again if the history is gone. */
 export function startFeed(options: FeedOptions): Feed {
   const { kind, store, timers, logger, errorReporter, listener } = options;
-  const { waitMs, getPauseMs, isWatcher } = options;
+  const { isListedStale, getPauseMs, isWatcher } = options;
+  const { waitMs, followLimitMs } = options.timing;
   const abortController = new AbortController();
   const changeLog = createChangeLog(timers);
   let confirmedMs: number | undefined;
   let revision: number | undefined;
   let failures = 0;
-  /** Whether others have read changes that this process has missed. */
-  let hasGap = false;
+  /** Revision of changes that others have read and this process has missed, and since when. */
+  let gap: { revision: number; sinceMs: number } | undefined;
 
   /** An object that the listener cannot process must not keep it from the later ones. */
   const callListener = (call: () => void): void => {
@@ -92,24 +101,53 @@
     await timers.waitFor(delayMs, abortController.signal);
   };
 
-  const readList = async (): Promise<void> => {
+  const applyList = (list: StoreList, confirmedAtMs: number): void => {
+    confirmCopy(confirmedAtMs);
+    ({ revision } = list);
+    changeLog.reset(list.revision);
+    callListener(() => listener.handleList(list.objects));
+  };
+
+  const readCurrentList = async (): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    const result = await store.listObjects(kind);
+    const result = await store.listObjects(kind, Consistency.Current);
     if (abortController.signal.aborted) return;
-    if (result.kind !== 'ok') {
-      await waitAfterFailure(result.problem);
-      return;
+    if (result.kind === 'ok') applyList(result.value, sentMs);
+    else await waitAfterFailure(result.problem);
+  };
+
+  /** Lists the kind as it was some seconds ago, then applies the changes since; false if it failed. */
+  const readStaleList = async (): Promise<boolean> => {
+    const stale = await store.listObjects(kind, Consistency.Stale);
+    if (stale.kind !== 'ok') return false;
+    const objects = new Map(stale.value.objects.map((object) => [object.name, object]));
+    let since = stale.value.revision;
+    for (;;) {
+      const sentMs = timers.getMonotonicMs();
+      const result = await store.watchObjects(kind, since, SHORT_WATCH_MS);
+      if (abortController.signal.aborted) return true;
+      if (result.kind !== 'ok') return false;
+      for (const { object, isDeleted } of result.value.events) {
+        if (isDeleted) objects.delete(object.name);
+        else objects.set(object.name, object);
+      }
+      since = result.value.revision;
+      if (result.value.events.length < FULL_PAGE_EVENTS) {
+        applyList({ objects: [...objects.values()], revision: since }, sentMs);
+        return true;
+      }
     }
-    confirmCopy(sentMs);
-    ({ revision } = result.value);
-    changeLog.reset(revision);
-    callListener(() => listener.handleList(result.value.objects));
+  };
+
+  const readList = async (): Promise<void> => {
+    if (isListedStale && (await readStaleList())) return;
+    await readCurrentList();
   };
 
   const readChanges = async (since: number): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    hasGap = false;
-    const callWaitMs = failures > 0 ? RECOVERY_WATCH_MS : waitMs;
+    gap = undefined;
+    const callWaitMs = failures > 0 ? SHORT_WATCH_MS : waitMs;
     const result = await store.watchObjects(kind, since, callWaitMs);
     if (abortController.signal.aborted) return;
     if (result.kind === StoreFailure.HistoryGone) {
@@ -133,11 +171,17 @@
     if (events.length > 0) await timers.waitFor(getPauseMs(), abortController.signal);
   };
 
+  /** Whether changes are missing that no other process has sent meanwhile. */
+  const hasLastingGap = (): boolean =>
+    gap !== undefined &&
+    gap.revision > (revision ?? 0) &&
+    timers.getMonotonicMs() - gap.sinceMs > GAP_GRACE_MS;
+
   const isFollowing = (): boolean =>
     !isWatcher() &&
-    !hasGap &&
+    !hasLastingGap() &&
     confirmedMs !== undefined &&
-    timers.getMonotonicMs() - confirmedMs < waitMs + FOLLOW_MARGIN_MS;
+    timers.getMonotonicMs() - confirmedMs < followLimitMs;
 
   const step = async (): Promise<void> => {
     if (revision === undefined) await readList();
@@ -173,7 +217,8 @@
       const knownRevision = revision;
       if (progress.changedRevision > knownRevision) {
         if (progress.sinceRevision > knownRevision) {
-          hasGap = true;
+          const isNew = gap === undefined || gap.revision <= knownRevision;
+          if (isNew) gap = { revision: progress.sinceRevision, sinceMs: timers.getMonotonicMs() };
           return;
         }
         confirmCopy(timers.getMonotonicMs() - progress.ageMs);
--- a/src/core/store-feed/feed.test.ts
+++ b/src/core/store-feed/feed.test.ts
@@ -6,10 +6,11 @@
 import { StoreFailure, StoreKind } from '../store/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { startFeed } from './create-feed.ts';
+import { computeFeedTiming } from './timing.ts';
 
 /** Time beyond the wait of a watch after which a call of the fake client times out. */
 const TIMEOUT_MARGIN_MS = 700;
-const WATCH_MS = 2_500;
+const BOUND_MS = 5_000;
 
 /** Whether the fake store responds, ignores calls or has lost its history. */
 enum StoreMode {
@@ -40,7 +41,8 @@
     timers,
     logger: createLogger('test'),
     errorReporter: createErrorReporter(() => undefined),
-    waitMs: WATCH_MS,
+    timing: computeFeedTiming(BOUND_MS),
+    isListedStale: false,
     isWatcher: () => true,
     getPauseMs: () => 0,
     listener: {
--- a/src/core/store-feed/follow.test.ts
+++ b/src/core/store-feed/follow.test.ts
@@ -6,9 +6,11 @@
 import { StoreFailure, StoreKind } from '../store/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { startFeed } from './create-feed.ts';
+import { computeFeedTiming } from './timing.ts';
 import type { Feed } from './types.ts';
 
-const WATCH_MS = 1_000;
+/** Time within which a leaving target or a configuration must be known. */
+const BOUND_MS = 2_000;
 const RECENT_MS = 300;
 const PACKET_PERIOD_MS = 120;
 const START_MS = 200;
@@ -35,7 +37,8 @@
       timers,
       logger: createLogger('test'),
       errorReporter: createErrorReporter(() => undefined),
-      waitMs: WATCH_MS,
+      timing: computeFeedTiming(BOUND_MS),
+      isListedStale: false,
       getPauseMs: () => 0,
       isWatcher: () => isWatcher,
       listener: {
--- a/src/core/store/index.ts
+++ b/src/core/store/index.ts
@@ -1,6 +1,6 @@
 export { createInstrumentedStore } from './instrumented-store.ts';
 export type { StoreCallResult } from './instrumented-store.ts';
-export { StoreFailure, StoreKind } from './types.ts';
+export { Consistency, StoreFailure, StoreKind } from './types.ts';
 export type {
   StoreChanges,
   StoreClient,
--- a/src/core/store/instrumented-store.ts
+++ b/src/core/store/instrumented-store.ts
@@ -23,7 +23,8 @@
     return result;
   };
   return {
-    listObjects: (kind) => awaitAndRecord('list', kind, store.listObjects(kind)),
+    listObjects: (kind, consistency) =>
+      awaitAndRecord(`list-${consistency}`, kind, store.listObjects(kind, consistency)),
     watchObjects: (kind, since, waitMs) =>
       awaitAndRecord('watch', kind, store.watchObjects(kind, since, waitMs)),
     fetchObject: (kind, name) => awaitAndRecord('fetch', kind, store.fetchObject(kind, name)),
--- a/src/core/store/types.ts
+++ b/src/core/store/types.ts
@@ -55,10 +55,17 @@
 export type StoreResult<Value> =
   { kind: 'ok'; value: Value } | { kind: StoreFailure; problem: string };
 
+/** How current a listing must be. */
+export enum Consistency {
+  Current = 'current',
+  /** May be some seconds old; costs the store less and does not count towards its rate. */
+  Stale = 'stale',
+}
+
 /** Client of the platform's object store. Failures are returned, not thrown. */
 export interface StoreClient {
   /** Lists all objects of a kind; a watch from the returned revision misses no change. */
-  listObjects(kind: StoreKind): Promise<StoreResult<StoreList>>;
+  listObjects(kind: StoreKind, consistency: Consistency): Promise<StoreResult<StoreList>>;
   /**
    * Returns the changes of a kind since a revision (long poll): as soon as there are any, or none
    * once `waitMs` have passed. Fails with `HistoryGone` if the store no longer has the changes.
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -16,6 +16,8 @@
   limits: z.object({ cpu_share: z.number(), cores: z.number() }),
   bounds: z.object({
     drain_ms: z.number(),
+    config_apply_ms: z.number(),
+    evacuation_ms: z.number(),
     grace_s: z.number(),
     retry_budget_ratio: z.number(),
     budget_window_s: z.number(),
@@ -56,6 +58,12 @@
   isFirstStart: boolean;
   /** Time between SIGTERM and SIGKILL. */
   graceMs: number;
+  /** Time within which a target that is leaving gets no more requests. */
+  leavingBoundMs: number;
+  /** Time within which a configuration is in force everywhere. */
+  configurationBoundMs: number;
+  /** Time within which the targets of an evacuated zone get no more requests. */
+  evacuationBoundMs: number;
   /** Retries allowed per request of a service, for all gateways together. */
   retryRatio: number;
   /** Retries allowed per window and service in addition to the ratio, for all gateways together. */
@@ -93,6 +101,9 @@
   store: parseSocket(file.platform.address),
   isFirstStart: file.bootstrap,
   graceMs: file.bounds.grace_s * MS_PER_SECOND,
+  leavingBoundMs: file.bounds.drain_ms,
+  configurationBoundMs: file.bounds.config_apply_ms,
+  evacuationBoundMs: file.bounds.evacuation_ms,
   retryRatio: file.bounds.retry_budget_ratio,
   retrySlack: file.bounds.retry_budget_slack,
   retryWindowMs: file.bounds.budget_window_s * MS_PER_SECOND,
--- a/src/platform/store-client.test.ts
+++ b/src/platform/store-client.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { StoreClient } from '../core/store/index.ts';
-import { StoreFailure, StoreKind } from '../core/store/index.ts';
+import { Consistency, StoreFailure, StoreKind } from '../core/store/index.ts';
 import { createTimerService } from '../core/timers/index.ts';
 import type { StandInStore } from '../stand-ins/store/index.ts';
 import { createStandInStore, StoreFault } from '../stand-ins/store/index.ts';
@@ -24,14 +24,14 @@
   it('lists a kind over several pages', () =>
     runWithStore(async (store, client) => {
       for (let index = 0; index < 120; index++) store.putObject('servers', `i-${index}`, {});
-      const result = await client.listObjects(StoreKind.Targets);
+      const result = await client.listObjects(StoreKind.Targets, Consistency.Current);
       if (result.kind !== 'ok') throw new Error(result.problem);
       expect(new Set(result.value.objects.map(({ name }) => name)).size).toEqual(120);
     }));
 
   it('watches changes and deletions from a revision', () =>
     runWithStore(async (store, client) => {
-      const list = await client.listObjects(StoreKind.Evacuations);
+      const list = await client.listObjects(StoreKind.Evacuations, Consistency.Current);
       if (list.kind !== 'ok') throw new Error(list.problem);
       store.putObject('evacuations', 'a', {});
       store.removeObject('evacuations', 'a');
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,7 +1,7 @@
 import { Client } from 'undici';
 import { z } from 'zod';
 import { createError, ErrorKind, formatProblem } from '../core/errors/index.ts';
-import { StoreFailure, StoreKind } from '../core/store/index.ts';
+import { Consistency, StoreFailure, StoreKind } from '../core/store/index.ts';
 import type { StoreClient, StoreObject, StoreResult } from '../core/store/index.ts';
 import type { TimerService } from '../core/timers/index.ts';
 import type { SocketAddress } from './settings.ts';
@@ -32,6 +32,18 @@
 /** Timeout of establishing a connection; a round trip takes a few ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/**
+ * An idle connection is not used again after this time: it may have gone silent, and the call on it
+ * would cost a timeout that a follower cannot spare.
+ */
+const MAX_IDLE_MS = 2_000;
+
+/** A connection without a call, and since when. */
+interface IdleClient {
+  client: Client;
+  sinceMs: number;
+}
+
 const HTTP_OK = 200;
 const HTTP_CREATED = 201;
 const HTTP_NOT_FOUND = 404;
@@ -79,10 +91,10 @@
 /** Creates the client of the platform's object store. Each call has a timeout. */
 export function createStoreClient(
   address: SocketAddress,
-  timers: Pick<TimerService, 'scheduleOnce'>,
+  timers: Pick<TimerService, 'getMonotonicMs' | 'scheduleOnce'>,
 ): StoreClient {
   const origin = `http://${address.host}:${address.port}`;
-  const idleClients: Client[] = [];
+  let idleClients: IdleClient[] = [];
 
   const createClient = (): Client =>
     new Client(origin, {
@@ -92,11 +104,20 @@
       bodyTimeout: 0,
     });
 
+  /** Returns the connection used last, and closes those that have been idle for too long. */
+  const takeIdleClient = (): Client | undefined => {
+    const now = timers.getMonotonicMs();
+    const old = idleClients.filter(({ sinceMs }) => now - sinceMs > MAX_IDLE_MS);
+    idleClients = idleClients.filter(({ sinceMs }) => now - sinceMs <= MAX_IDLE_MS);
+    old.forEach(({ client }) => void client.destroy());
+    return idleClients.pop()?.client;
+  };
+
   const sendCall = async <Schema extends z.ZodType>(
     call: StoreCall,
     schema: Schema,
   ): Promise<StoreResult<z.output<Schema>>> => {
-    const client = idleClients.pop() ?? createClient();
+    const client = takeIdleClient() ?? createClient();
     // An abort signal has no effect until the connection is established; destroy() always does.
     const cancelDeadline = timers.scheduleOnce(call.timeoutMs ?? CALL_TIMEOUT_MS, () => {
       void client.destroy(new Error('no response in time'));
@@ -109,7 +130,7 @@
         body: call.body === undefined ? null : JSON.stringify(call.body),
       });
       const text = await response.body.text();
-      idleClients.push(client);
+      idleClients.push({ client, sinceMs: timers.getMonotonicMs() });
       return parseResponse(call, response.statusCode, text, schema);
     } catch (error) {
       // After a lost response, the connection delivers nothing further.
@@ -126,22 +147,26 @@
   const listPage = async (
     kind: StoreKind,
     after: string | undefined,
+    consistency: Consistency,
   ): Promise<StoreResult<z.infer<typeof listSchema>>> => {
+    const query = new URLSearchParams();
     // Despite its name, after_rev takes the name of the last object of the previous page.
-    const query = after === undefined ? '' : `?after_rev=${encodeURIComponent(after)}`;
-    return sendCall({ method: 'GET', path: `${formatPath(kind)}${query}` }, listSchema);
+    if (after !== undefined) query.set('after_rev', after);
+    if (consistency === Consistency.Stale) query.set('allow_stale', '1');
+    const suffix = query.size === 0 ? '' : `?${query.toString()}`;
+    return sendCall({ method: 'GET', path: `${formatPath(kind)}${suffix}` }, listSchema);
   };
 
   return {
-    async listObjects(kind) {
+    async listObjects(kind, consistency) {
       const objects: StoreObject[] = [];
-      let revision: number | undefined;
+      let revision = Infinity;
       for (;;) {
-        const page = await listPage(kind, objects.at(-1)?.name);
+        const page = await listPage(kind, objects.at(-1)?.name, consistency);
         if (page.kind !== 'ok') return page;
         objects.push(...page.value.items.map(toStoreObject));
-        // A watch from the first page's revision also returns changes made during the listing.
-        revision ??= page.value.as_of;
+        // A watch from the lowest revision returns the changes that the other pages may lack.
+        revision = Math.min(revision, page.value.as_of);
         if (!page.value.more || page.value.items.length === 0) break;
       }
       return { kind: 'ok', value: { objects, revision } };
@@ -180,7 +205,7 @@
       return result.kind === 'ok' ? { kind: 'ok', value: undefined } : result;
     },
     async close() {
-      await Promise.all(idleClients.splice(0).map((client) => client.destroy()));
+      await Promise.all(idleClients.splice(0).map(({ client }) => client.destroy()));
     },
   };
 }
--- a/src/stand-ins/soak/gateway-settings.ts
+++ b/src/stand-ins/soak/gateway-settings.ts
@@ -16,6 +16,8 @@
 /** Limits from the platform's specification that a gateway reads from its settings. */
 const BOUNDS = {
   drain_ms: 2000,
+  config_apply_ms: 2000,
+  evacuation_ms: 5000,
   grace_s: 8,
   retry_budget_ratio: 0.2,
   budget_window_s: 10,
