--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -109,7 +109,9 @@
     const now = timers.getMonotonicMs();
     const old = idleClients.filter(({ sinceMs }) => now - sinceMs > MAX_IDLE_MS);
     idleClients = idleClients.filter(({ sinceMs }) => now - sinceMs <= MAX_IDLE_MS);
-    old.forEach(({ client }) => void client.destroy());
+    old.forEach(({ client }) => {
+      void client.destroy();
+    });
     return idleClients.pop()?.client;
   };
 
