Take a head for dead only while another member answers, and check again later

Cause: a head without an entry that did not answer counted as dead for good.

Change: the end of a group is confirmed by the head, or presumed for 600 ms, and only if a member answers in the same round in which the head does not.

Also: a retirement whose close fails, or that is 7 s old, frees its domain; several retirements of one plan are checked together; epochs of a term cannot run out silently; staging that fails is logged; a released lease is not taken back at once; only own calls count as answers of the store; registration ends with the process; records of unused targets are removed.

--- a/src/core/fleet/target-monitor.ts
+++ b/src/core/fleet/target-monitor.ts
@@ -91,6 +91,9 @@
  */
 const MASS_SILENCE_SHARE = 0.6;
 const MASS_SILENCE_MIN_TARGETS = 4;
+/** Records of targets are kept for this long after their last request. */
+const RECORD_TTL_MS = 60_000;
+const RECORD_CHECK_PERIOD_MS = 10_000;
 /** Weight of the newest result in the moving average of failures. */
 const FAILURE_WEIGHT = 0.15;
 
@@ -104,6 +107,8 @@
 
 interface TargetRecord {
   requests: Set<TrackedRequest>;
+  /** When the record was last asked for. */
+  usedMs: number;
   lastDataMs: number;
   suspectUntilMs: number;
   isLocalSuspicion: boolean;
@@ -121,9 +126,13 @@
 
   const getRecord = (targetId: string): TargetRecord => {
     const known = records.get(targetId);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      known.usedMs = timers.getMonotonicMs();
+      return known;
+    }
     const created: TargetRecord = {
       requests: new Set(),
+      usedMs: timers.getMonotonicMs(),
       lastDataMs: 0,
       suspectUntilMs: 0,
       isLocalSuspicion: false,
@@ -176,7 +185,16 @@
     stalled.forEach((request) => request.handleSilence());
   };
 
+  /** Removes the records of targets that have not been used for a while; most are gone. */
+  const removeOldRecords = (): void => {
+    const oldestMs = timers.getMonotonicMs() - RECORD_TTL_MS;
+    for (const [targetId, { requests, usedMs }] of records) {
+      if (requests.size === 0 && usedMs < oldestMs) records.delete(targetId);
+    }
+  };
+
   const stopChecks: Unsubscribe = timers.subscribe(SILENCE_CHECK_PERIOD_MS, checkSilence);
+  const stopRemoval: Unsubscribe = timers.subscribe(RECORD_CHECK_PERIOD_MS, removeOldRecords);
 
   return {
     onSuspect(listener) {
@@ -245,6 +263,9 @@
         .filter(([, record]) => record.requests.size > 0)
         .map(([targetId, record]) => ({ targetId, inFlight: record.requests.size })),
     getFailureShare: (targetId) => records.get(targetId)?.failureShare ?? 0,
-    stop: stopChecks,
+    stop() {
+      stopChecks();
+      stopRemoval();
+    },
   };
 }
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -168,6 +168,31 @@
     harness.formation.stop();
   });
 
+  // Guards against taking a head for dead that a partition hides together with its members: they come
+  // back before its entry does (rule TWO, drnosek-orders slow-machines-burst and trouble-1 of the
+  // grown site).
+  for (const cutMs of [900, 1_500, 3_000, 5_500]) {
+    it(`asks a head again after a partition of ${cutMs} ms before its members are reused`, async () => {
+      const harness = await startServing();
+      const engines = [...harness.engines.values()].filter(({ domain }) => domain === SMALL_DOMAIN);
+      const heads = harness.listOpenHeads('small').filter(({ domain }) => domain === SMALL_DOMAIN);
+      engines.forEach((engine) => {
+        engine.isReachable = false;
+      });
+      heads.forEach((head) => {
+        head.hasEntry = false;
+      });
+      harness.setEntryUpdatesEnabled(true);
+      await harness.timers.runForAsync(cutMs);
+      engines.forEach((engine) => {
+        engine.isReachable = true;
+      });
+      await harness.timers.runForAsync(3_000);
+      expect(harness.violations).toEqual([]);
+      harness.formation.stop();
+    });
+  }
+
   // Guards against reusing epochs after late lease renewals (rule TWO, temir-feed, mix
   // 1076434966097).
   it('uses no epoch twice when the lease was temporarily not renewed', async () => {
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -77,6 +77,8 @@
   closeGroup(group: EngineGroup, isGraceful: boolean): Promise<CloseResult>;
   /** Queries a head whether it has stopped serving a group; false if it does not respond. */
   hasStoppedServing(head: Target, name: string, epoch: number): Promise<boolean>;
+  /** Queries an engine once; returns whether it responded. */
+  hasResponded(target: Target): Promise<boolean>;
   /** Queries an engine up to twice; returns whether it responded. */
   isReachable(target: Target): Promise<boolean>;
 }
@@ -150,6 +152,9 @@
     );
   };
 
+  const hasResponded = async (target: Target): Promise<boolean> =>
+    (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
+
   return {
     async formGroup(name, epoch, model, members, expectedMs) {
       const ids = members.map(({ id }) => id);
@@ -219,10 +224,7 @@
       return isClosed ? CloseResult.Closed : CloseResult.NotConfirmed;
     },
     hasStoppedServing,
-    async isReachable(target) {
-      const first = await control.queryState(target, STATE_QUERY_TIMEOUT_MS);
-      if (first !== undefined) return true;
-      return (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
-    },
+    hasResponded,
+    isReachable: async (target) => (await hasResponded(target)) || hasResponded(target),
   };
 }
--- a/src/core/formation/head-registry.ts
+++ b/src/core/formation/head-registry.ts
@@ -14,6 +14,18 @@
 /** Location of the head of a group. */
 export type HeadLocation = z.infer<typeof headLocationSchema>;
 
+/** Whether a group has ended, as far as an order to close it has shown. */
+export enum GroupEnd {
+  /** The head has stopped serving it. */
+  Confirmed = 'confirmed',
+  /**
+   * The head has no entry and does not respond. It may be dead, or cut off together with members
+   * that come back before it.
+   */
+  Presumed = 'presumed',
+  NotEnded = 'not-ended',
+}
+
 /** Tracks the heads of groups, also after their store entries are gone. */
 export interface HeadRegistry {
   /** Records the groups that the entries show now. */
@@ -23,7 +35,8 @@
    * - The head is reachable, its entry shows joining or ready, and the head has not confirmed that
    *   it does not serve.
    * - The head is unreachable, its entry shows open or closing, and the stall time has not passed.
-   * - The head has no entry, and the group has not ended. The wait is limited if the head refuses
+   * - The head has no entry, and the group has not ended; a presumed end holds for a short time and
+   *   must then be checked again. The wait is limited if the head refuses
    *   connections (stall time), or if this process does not know the head.
    */
   mayBeOpen(group: EngineGroup): boolean;
@@ -33,8 +46,8 @@
   markCloseRequested(group: EngineGroup): void;
   /** Records that the head refuses connections: it may be leaving with requests that stall. */
   markNotListening(group: EngineGroup): void;
-  /** Records whether a close has ended the group; if not, its head is ordered to close it again. */
-  recordCloseResult(group: EngineGroup, isEnded: boolean): void;
+  /** Records what a close has shown; unless the end is confirmed, the head is ordered to close again. */
+  recordCloseResult(group: EngineGroup, end: GroupEnd): void;
   /**
    * Returns the head of a group if its entry shows joining or ready and the head has not confirmed
    * that it does not serve.
@@ -61,6 +74,11 @@
  * twice the time after which a head that lost its members breaks its group.
  */
 const UNKNOWN_HEAD_WAIT_MS = 10_000;
+/**
+ * How long the members of a group may be used after its head did not respond. Later, a partition that
+ * hid the head may be over, so it is asked again.
+ */
+const PRESUMED_END_MS = 600;
 /** The record of a group is removed when no entry has named the group for this long. */
 const RECORD_TTL_MS = 60_000;
 
@@ -74,8 +92,9 @@
   missingSinceMs: number | undefined;
   /** Since when the head has refused connections. */
   notListeningSinceMs: number | undefined;
-  /** Whether the head has stopped serving the group, or is dead. */
-  isEnded: boolean;
+  end: GroupEnd;
+  /** When the end was presumed. */
+  endPresumedMs: number;
   /** Whether the head has been ordered to close the group. */
   isCloseRequested: boolean;
   /** Whether the head itself reported that it does not serve the group. */
@@ -117,13 +136,18 @@
       seenMs: now,
       missingSinceMs: hasReachableEntry ? undefined : (record?.missingSinceMs ?? now),
       notListeningSinceMs: hasReachableEntry ? undefined : record?.notListeningSinceMs,
-      isEnded: record?.isEnded === true && !hasReachableEntry,
+      end: hasReachableEntry ? GroupEnd.NotEnded : (record?.end ?? GroupEnd.NotEnded),
+      endPresumedMs: record?.endPresumedMs ?? -Infinity,
       isCloseRequested: record?.isCloseRequested === true && !hasReachableEntry,
       isNotServing:
         record?.isNotServing === true && !ACTIVE_HEAD_STATES.has(headEngine?.group?.state),
     });
   };
 
+  const hasEnded = ({ end, endPresumedMs }: HeadRecord): boolean =>
+    end === GroupEnd.Confirmed ||
+    (end === GroupEnd.Presumed && timers.getMonotonicMs() - endPresumedMs <= PRESUMED_END_MS);
+
   const findKnownHead = (group: EngineGroup, record: HeadRecord): Target | undefined =>
     record.head ?? (record.storedLocation && buildHeadTarget(record.storedLocation, group));
 
@@ -141,7 +165,7 @@
     },
     mayBeOpen(group) {
       const record = records.get(formatGroupKey(group));
-      if (record === undefined || record.isEnded) return false;
+      if (record === undefined || hasEnded(record)) return false;
       const { headEngine } = group;
       // An entry may be older than the order that opened the group.
       if (record.missingSinceMs === undefined)
@@ -176,10 +200,15 @@
       if (record !== undefined) record.notListeningSinceMs ??= timers.getMonotonicMs();
     },
     markCloseRequested: (group) => setRecord(group, { isCloseRequested: true }),
-    recordCloseResult: (group, isEnded) => setRecord(group, { isEnded, isCloseRequested: isEnded }),
+    recordCloseResult: (group, end) =>
+      setRecord(group, {
+        end,
+        endPresumedMs: timers.getMonotonicMs(),
+        isCloseRequested: end === GroupEnd.Confirmed,
+      }),
     listLocations: () =>
-      [...records].flatMap(([group, { head, storedLocation, isEnded }]) => {
-        if (isEnded) return [];
+      [...records].flatMap(([group, { head, storedLocation, end }]) => {
+        if (end === GroupEnd.Confirmed) return [];
         return head === undefined
           ? (storedLocation ?? [])
           : { group, headId: head.id, address: head.address };
@@ -196,7 +225,8 @@
             seenMs: now,
             missingSinceMs: undefined,
             notListeningSinceMs: undefined,
-            isEnded: false,
+            end: GroupEnd.NotEnded,
+            endPresumedMs: -Infinity,
             isCloseRequested: false,
             isNotServing: false,
           });
--- a/src/core/formation/plan-formation.ts
+++ b/src/core/formation/plan-formation.ts
@@ -247,12 +247,18 @@
   const { model } = wantedChoice;
   const actions: FormationAction[] = [];
   let available = wantedChoice.joinableEngines.length;
-  for (const group of listRetirableGroups(input, model, domain, counts)) {
-    if (available >= model.groupSize) break;
+  // Each retirement lowers the coverage that the next one is checked against.
+  const remaining = new Map(counts);
+  while (available < model.groupSize) {
+    const [group] = listRetirableGroups(input, model, domain, remaining).filter(
+      (one) => !actions.some((action) => action.kind === 'retire' && action.group === one),
+    );
+    if (group?.model === undefined) return [];
+    remaining.set(group.model, (remaining.get(group.model) ?? 0) - 1);
     available += group.membersByRank.length;
     actions.push({ kind: 'retire', group, model });
   }
-  if (available < model.groupSize) return [];
+  remaining.forEach((count, name) => counts.set(name, count));
   counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
   return actions;
 }
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
-import { createHeadRegistry } from './head-registry.ts';
+import { createHeadRegistry, GroupEnd } from './head-registry.ts';
 import type { HeadLocation } from './head-registry.ts';
 import { CloseResult, createGroupOperations } from './group-operations.ts';
 import type { FormationAction } from './plan-formation.ts';
@@ -89,11 +89,13 @@
 /** The first plan is made at most this long after the wait began. */
 const REGISTRATION_SETTLE_LIMIT_MS = 5_000;
 
+/** Interval at which the entry of an engine that stages a model is checked. */
+const STAGING_CHECK_PERIOD_MS = 100;
 /** Delay before a head that serves, or did not respond, is queried again. */
 const HEAD_QUERY_PERIOD_MS = 400;
 /**
- * A fabric domain that retired groups for a model but could not form a group of it should form
- * groups of other models again after this time. The deadline is recorded but not enforced.
+ * A fabric domain that retired groups for a model but could not form a group of it forms groups of
+ * other models again after this time.
  */
 const DOMAIN_RESERVATION_MS = 7_000;
 /** Longest time for which an engine's store entry may show a state from before an order. */
@@ -182,6 +184,11 @@
     options.listServices().find(({ name }) => name === member?.service)?.engine?.openMs ?? 0;
 
   const formGroup = (model: ModelSpec, members: Target[]): void => {
+    if (epochCount >= EPOCHS_PER_TERM) {
+      // Epochs of the next term would repeat those of this one; a new term has its own.
+      logger.error('the epochs of this term are used up; restart the gateway', { term });
+      return;
+    }
     const domain = members[0]?.fabricDomain ?? '';
     if (domainReservations.get(domain)?.model === model.name) domainReservations.delete(domain);
     const epoch = term * EPOCHS_PER_TERM + epochCount++;
@@ -212,21 +219,23 @@
   const stageModel = (engine: Target, model: ModelSpec): void => {
     staging.set(engine.id, model.name);
     loadStartsMs.push(timers.getMonotonicMs());
-    void control.sendOrder(engine, { kind: 'stage', model: model.name }).then(async (result) => {
-      logger.info('ordered an engine to stage a model', {
-        engine: engine.id,
-        model: model.name,
-        result,
-      });
+    const orderAndWait = async (): Promise<void> => {
+      const result = await control.sendOrder(engine, { kind: 'stage', model: model.name });
+      const context = { engine: engine.id, model: model.name, result };
+      logger.info('ordered an engine to stage a model', context);
       const limitMs =
         result === OrderResult.Accepted ? model.loadMs * 2 : FAILED_ORDER_EXCLUSION_MS;
       const untilMs = timers.getMonotonicMs() + limitMs;
       while (timers.getMonotonicMs() < untilMs) {
         if (fleet.findTarget(engine.id)?.stagedModels.includes(model.name) !== false) break;
-        await timers.waitFor(100);
+        await timers.waitFor(STAGING_CHECK_PERIOD_MS);
       }
-      staging.delete(engine.id);
-    });
+    };
+    orderAndWait()
+      .catch((error: unknown) =>
+        logger.error('failed to stage a model', { engine: engine.id, problem: String(error) }),
+      )
+      .finally(() => staging.delete(engine.id));
   };
 
   /** Queries engines that were not queried recently and excludes those that do not respond. */
@@ -269,6 +278,7 @@
       const context = { group: group.name, domain, forModel: model.name, isClosed };
       logger.info('retired a group for another model', context);
       if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
+      else domainReservations.delete(domain);
     });
   };
 
@@ -279,23 +289,35 @@
     else dissolveGroup(action);
   };
 
+  /** Asks a head without an entry, and the members with one, whether they respond. */
+  const assessHead = async (head: Target, members: readonly Target[]): Promise<GroupEnd> => {
+    if (options.hasRequestsOfOtherGateways(head.id)) return GroupEnd.NotEnded;
+    // The head is asked twice, so that it is asked again after any query that a member answers.
+    const [isHeadReachable, responses] = await Promise.all([
+      groupOperations.isReachable(head),
+      Promise.all(members.map((member) => groupOperations.hasResponded(member))),
+    ]);
+    return isHeadReachable || !responses.includes(true) ? GroupEnd.NotEnded : GroupEnd.Presumed;
+  };
+
   /**
-   * Closes a group whose head has no store entry. A head that does not respond, and to which no
-   * other gateway has requests, counts as dead. One that refuses connections may be leaving with
-   * requests in progress, so its members are not used until the stall time has passed.
+   * Closes a group whose head has no store entry. A head that does not respond while another member
+   * does, and to which no other gateway has requests, counts as dead; if no member responds, they may
+   * all be cut off from this process. A head that refuses connections may be leaving with requests in
+   * progress, so its members are not used until the stall time has passed.
    */
   const closeGroupWithoutHeadEntry = (group: EngineGroup, head: Target): void => {
     headRegistry.markCloseRequested(group);
-    const ids = listMembers(group).map(({ id }) => id);
+    const members = listMembers(group);
+    const ids = members.map(({ id }) => id);
     runOperation(ids, undefined, async () => {
       const result = await groupOperations.closeGroup({ ...group, headEngine: head }, false);
-      const isClosed = result === CloseResult.Closed;
-      const isAlive =
-        !isClosed &&
-        (options.hasRequestsOfOtherGateways(head.id) || (await groupOperations.isReachable(head)));
-      if (result === CloseResult.NotListening && !isAlive) headRegistry.markNotListening(group);
-      else headRegistry.recordCloseResult(group, !isAlive);
-      const context = { group: group.name, head: head.id, result, isAlive };
+      const end =
+        result === CloseResult.Closed ? GroupEnd.Confirmed : await assessHead(head, members);
+      if (result === CloseResult.NotListening && end !== GroupEnd.NotEnded) {
+        headRegistry.markNotListening(group);
+      } else headRegistry.recordCloseResult(group, end);
+      const context = { group: group.name, head: head.id, result, end };
       logger.info('tried to close a group whose head has no entry', context);
     });
   };
@@ -430,6 +452,9 @@
     if (term === 0 && now - headsUpdatedMs < FOLLOWER_UPDATE_PERIOD_MS) return;
     headsUpdatedMs = now;
     for (const [id, untilMs] of excludedUntilMs) if (now >= untilMs) excludedUntilMs.delete(id);
+    for (const [domain, { untilMs }] of domainReservations) {
+      if (now >= untilMs) domainReservations.delete(domain);
+    }
     options
       .listServices()
       .forEach(({ name }) => headRegistry.update(fleet.listServiceGroups(name)));
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -233,15 +233,19 @@
   });
   const handleAddress = peerExchange.addAddress;
   const { isFirstStart } = settings;
-  void registerGateway({
-    vmName,
-    peerAddress,
-    store,
-    timers,
-    logger,
-    handleAddress,
-    isFirstStart,
-  });
+  const registrationAbort = new AbortController();
+  void registerGateway(
+    {
+      vmName,
+      peerAddress,
+      store,
+      timers,
+      logger,
+      handleAddress,
+      isFirstStart,
+    },
+    registrationAbort.signal,
+  );
 
   const getDirectoryResponse = (): DirectoryResponse | undefined => {
     const own = getState() === PeerState.Ready ? [callersAddress] : [];
@@ -319,6 +323,7 @@
       const startMs = timers.getMonotonicMs();
       stopRequestedMs = startMs;
       peerExchange.sendNow();
+      registrationAbort.abort();
       formation.stop();
       await leaderElection.release();
       leaderElection.stop();
--- a/src/core/gateway/registration.ts
+++ b/src/core/gateway/registration.ts
@@ -59,12 +59,15 @@
 }
 
 /** Registers this gateway and lists the others once; retries until both have succeeded. */
-export async function registerGateway(options: RegistrationOptions): Promise<void> {
+export async function registerGateway(
+  options: RegistrationOptions,
+  signal: AbortSignal,
+): Promise<void> {
   const { timers, logger } = options;
-  for (;;) {
+  while (!signal.aborted) {
     const problem = await tryRegister(options);
     if (problem === undefined) return;
     logger.warn('failed to register the gateway; retrying', { problem });
-    await timers.waitFor(REGISTER_RETRY_MS);
+    await timers.waitFor(REGISTER_RETRY_MS, signal);
   }
 }
--- a/src/core/leader-election/create-leader-election.ts
+++ b/src/core/leader-election/create-leader-election.ts
@@ -94,6 +94,8 @@
   /** Revision of another gateway's lease, and since when it has not changed. */
   let observed: { revision: number; sinceMs: number } | undefined;
   let isStopped = false;
+  /** Until when this process does not compete, after it has released the lease. */
+  let competesFromMs = 0;
   let cancelNext: Unsubscribe | undefined;
 
   /** Records that this process holds the lease, after an acquisition or a renewal. */
@@ -161,7 +163,7 @@
   };
 
   const checkLease = async (): Promise<void> => {
-    if (isOtherLeaderKnown() || !isCandidate()) {
+    if (isOtherLeaderKnown() || !isCandidate() || timers.getMonotonicMs() < competesFromMs) {
       observed = undefined;
       return;
     }
@@ -226,6 +228,7 @@
       const record = heldLease;
       if (record === undefined) return;
       markLost('released');
+      competesFromMs = timers.getMonotonicMs() + LEASE_MS;
       await store.replaceObject(StoreKind.Duties, name, revision, {
         ...record,
         holder: '',
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -75,16 +75,19 @@
     }
   };
 
+  /** Records that the copy matched the store at a time, as this or another process has read. */
   const confirmCopy = (atMs: number): void => {
     const outageMs = atMs - (confirmedMs ?? atMs);
-    if (failures > 0) {
-      logger.info('the store answers again', { kind, failures, awayMs: Math.round(outageMs) });
-    }
     if (outageMs > waitMs + OUTAGE_THRESHOLD_MS) listener.handleOutageEnd?.();
-    failures = 0;
     confirmedMs = Math.max(atMs, confirmedMs ?? atMs);
   };
 
+  /** Records that the store has answered a call of this process. */
+  const recordAnswer = (): void => {
+    if (failures > 0) logger.info('the store answers again', { kind, failures });
+    failures = 0;
+  };
+
   const applyEvents = (events: readonly ObjectChange[], readRevision: number): void => {
     changeLog.addChanges(events, readRevision);
     for (const { object, isDeleted } of events) {
@@ -102,6 +105,7 @@
   };
 
   const applyList = (list: StoreList, confirmedAtMs: number): void => {
+    recordAnswer();
     confirmCopy(confirmedAtMs);
     ({ revision } = list);
     changeLog.reset(list.revision);
@@ -159,6 +163,7 @@
       await waitAfterFailure(result.problem);
       return;
     }
+    recordAnswer();
     const { events, revision: readRevision } = result.value;
     // Without events the store responds at the end of the wait; with events, the time is unknown.
     const hasWaited = events.length === 0 && timers.getMonotonicMs() - sentMs >= callWaitMs;
--- a/src/core/store/instrumented-store.ts
+++ b/src/core/store/instrumented-store.ts
@@ -24,7 +24,7 @@
   };
   return {
     listObjects: (kind, consistency) =>
-      awaitAndRecord(`list-${consistency}`, kind, store.listObjects(kind, consistency)),
+      awaitAndRecord('list', kind, store.listObjects(kind, consistency)),
     watchObjects: (kind, since, waitMs) =>
       awaitAndRecord('watch', kind, store.watchObjects(kind, since, waitMs)),
     fetchObject: (kind, name) => awaitAndRecord('fetch', kind, store.fetchObject(kind, name)),
