Place requests on slots of a gateway's own, and refuse at once what cannot be in time

A waiting request polled for itself every 15 ms. Loads of other gateways are up to 0.4 s old, so that a limit on them alone leaves targets idle or overfull.

Change: core/placement decides, without a network or a clock of its own. The slots of all heads are divided into one range for each gateway, which it can count exactly; slots of others are used while their targets seem less than 0.6 full. A target may hold what its slots and the slack until the objective allow. Requests wait in one line for each model, by priority and time left, and are refused at once if the expected wait exceeds the slack; callers return spread over the time that the targets need. Resumed streams go first. Engines are divided among the models by the work that arrives at all gateways, within 0.6 to 1.5 of the configured shares.

--- a/src/core/fleet/target-monitor.ts
+++ b/src/core/fleet/target-monitor.ts
@@ -48,6 +48,8 @@
   hasRequestsOfOtherGateways(targetId: string): boolean;
   /** Returns the number of requests in progress at a target, summed over all gateways. */
   countInFlight(targetId: string): number;
+  /** Returns the number of requests in progress at a target that this gateway has sent. */
+  countLocalInFlight(targetId: string): number;
   /** Returns the requests in progress that this gateway has sent, for each target with some. */
   listLocalLoads(): TargetLoad[];
   /** Returns the share of recent requests that the target failed, from 0 to 1. */
@@ -258,6 +260,7 @@
     hasRequestsOfOtherGateways: (targetId) => (otherGatewayLoads.get(targetId) ?? 0) > 0,
     countInFlight: (targetId) =>
       (records.get(targetId)?.requests.size ?? 0) + (otherGatewayLoads.get(targetId) ?? 0),
+    countLocalInFlight: (targetId) => records.get(targetId)?.requests.size ?? 0,
     listLocalLoads: () =>
       [...records]
         .filter(([, record]) => record.requests.size > 0)
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -3,6 +3,8 @@
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import { computeEngineShares } from './engine-shares.ts';
+import type { ModelDemand } from './engine-shares.ts';
 import { createHeadRegistry, GroupEnd } from './head-registry.ts';
 import type { HeadLocation } from './head-registry.ts';
 import { CloseResult, createGroupOperations } from './group-operations.ts';
@@ -31,6 +33,8 @@
   isZoneEvacuated(availabilityZone: string): boolean;
   /** Returns the number of requests in progress at a target, summed over all gateways. */
   countInFlight(targetId: string): number;
+  /** Returns the requests for a model that all gateways receive. */
+  getDemand(service: string, model: string): ModelDemand;
   /** Whether another gateway has requests in progress at a target, which then counts as alive. */
   hasRequestsOfOtherGateways(targetId: string): boolean;
   /** Time after which a group breaks when its head or another member does not respond, in ms. */
@@ -428,7 +432,7 @@
       isZoneEvacuated,
       isInitialFormation,
       loadBudget: computeLoadBudget(spec),
-      engineShares: new Map(spec.models.map((model) => [model.name, computeShare(spec, model)])),
+      engineShares: computeEngineShares(spec, (model) => options.getDemand(service.name, model)),
     });
     actions.forEach(applyAction);
   };
@@ -484,9 +488,3 @@
     stop: stopPlanning,
   };
 }
-
-/** Returns the share of the engines that a model should have, from 0 to 1. */
-function computeShare(spec: EngineSpec, model: ModelSpec): number {
-  const total = spec.models.reduce((sum, one) => sum + one.engineShareWeight, 0);
-  return model.engineShareWeight / Math.max(total, Number.EPSILON);
-}
--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -1,5 +1,7 @@
 import type { EngineGroup, Fleet, Target, TargetMonitor } from '../fleet/index.ts';
 import { GroupState, areAllMembersOperational } from '../fleet/index.ts';
+import type { Position } from '../placement/index.ts';
+import { computeOwnSlots } from '../placement/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
@@ -11,23 +13,18 @@
   /** Whether operators have evacuated an availability zone. */
   isZoneEvacuated(availabilityZone: string): boolean;
   /** Returns the position of this gateway among all; they share the limits of cold targets. */
-  getPosition(): GatewayPosition;
+  getPosition(): Position;
   /** Returns a random number from 0 to 1, to break ties and to draw samples. */
   random(): number;
 }
 
-/** Position of a gateway in an order that is the same for all gateways. */
-export interface GatewayPosition {
-  index: number;
-  /** Number of gateways. */
-  count: number;
-}
-
 /** What a request needs, and the targets that it has already tried. */
 export interface TargetQuery {
   service: ServiceSpec;
   model: string | undefined;
   triedIds: ReadonlySet<string>;
+  /** Requests that a target may hold to be chosen; undefined for any number. */
+  maxInFlight?: number | undefined;
 }
 
 /** Chooses targets for requests. */
@@ -37,6 +34,8 @@
    * cold, this also reserves one of the requests that its limit allows this gateway.
    */
   chooseTarget(query: TargetQuery): Target | undefined;
+  /** Counts the targets that could be chosen if they had places; `maxInFlight` is ignored. */
+  countUsableTargets(query: TargetQuery): number;
 }
 
 /** Added cost factor of a target that failed all recent requests: its load counts 1 + 8 times. */
@@ -50,7 +49,12 @@
  * gateway then compares two targets picked at random.
  */
 const MAX_GATEWAYS_FOR_FULL_RANKING = 12;
-/** Number of targets with a free slot that are picked at random and compared by load. */
+/**
+ * Share of a target's slots up to which gateways use slots that are not their own. The rest makes up
+ * for requests that they do not know of yet.
+ */
+const BORROWABLE_SHARE = 0.6;
+/** Number of targets that are picked at random and compared by load. */
 const SAMPLED_TARGET_COUNT = 2;
 
 /**
@@ -65,6 +69,14 @@
   return sum;
 }
 
+function compareByZone(left: Target, right: Target): number {
+  const [leftKey, rightKey] = [left, right].map(({ availabilityZone, id }) => [
+    availabilityZone,
+    id,
+  ]);
+  return String(leftKey) < String(rightKey) ? -1 : 1;
+}
+
 /**
  * Creates a chooser of the least loaded target that is not leaving and not suspect; of engines, only
  * heads of complete, open groups are chosen. Suspect targets are used if all candidates are suspect.
@@ -86,16 +98,15 @@
     return areAllMembersOperational(group, spec.groupSize) && group.membersByRank.every(isUsable);
   };
 
-  const listCandidates = (query: TargetQuery): Target[] => {
+  /** Lists plain targets, or the heads of complete open groups. */
+  const listUsable = (query: TargetQuery): Target[] => {
     const { service } = query;
-    const all =
-      service.engine === undefined
-        ? fleet.listTargets(service.name).filter(isUsable)
-        : fleet
-            .listServiceGroups(service.name)
-            .filter((group) => isGroupUsable(group, query))
-            .flatMap((group) => group.headEngine ?? []);
-    return all.filter(({ id }) => !query.triedIds.has(id));
+    return service.engine === undefined
+      ? fleet.listTargets(service.name).filter(isUsable)
+      : fleet
+          .listServiceGroups(service.name)
+          .filter((group) => isGroupUsable(group, query))
+          .flatMap((group) => group.headEngine ?? []);
   };
 
   const isCold = (target: Target): boolean =>
@@ -128,8 +139,8 @@
     return inFlight * (1 + FAILURE_PENALTY * monitor.getFailureShare(target.id)) + random() / 2;
   };
 
-  const hasFreeSlot = (target: Target, { engine }: ServiceSpec): boolean =>
-    engine === undefined || monitor.countInFlight(target.id) < engine.slots;
+  const hasPlace = (target: Target, { maxInFlight = Infinity }: TargetQuery): boolean =>
+    monitor.countInFlight(target.id) < maxInFlight;
 
   /** Returns the targets in random order. */
   const shuffleTargets = (targets: readonly Target[]): Target[] => {
@@ -144,23 +155,62 @@
       .map(({ target }) => target);
 
   /**
-   * Orders targets by preference, according to the known loads. The targets outside a random sample
-   * follow in case those in it cannot accept the request.
+   * Orders targets without slots of their own: all by load, or, with many gateways, the better one of
+   * two picked at random first.
    */
-  const orderTargets = (targets: readonly Target[], service: ServiceSpec): Target[] => {
+  const orderPlainTargets = (targets: readonly Target[]): Target[] => {
     if (getPosition().count <= MAX_GATEWAYS_FOR_FULL_RANKING) return rankTargets(targets);
     const shuffled = shuffleTargets(targets);
-    const free = shuffled.filter((target) => hasFreeSlot(target, service));
-    const full = shuffled.filter((target) => !hasFreeSlot(target, service));
-    const sample = rankTargets(free.slice(0, SAMPLED_TARGET_COUNT));
-    return [...sample, ...free.slice(SAMPLED_TARGET_COUNT), ...rankTargets(full)];
+    const sample = rankTargets(shuffled.slice(0, SAMPLED_TARGET_COUNT));
+    return [...sample, ...shuffled.slice(SAMPLED_TARGET_COUNT)];
+  };
+
+  /** Lists the targets where this gateway has a slot of its own that is free. */
+  const listWithOwnSlot = (targets: readonly Target[], all: readonly Target[], slots: number) => {
+    const position = getPosition();
+    const order = [...all].sort(compareByZone);
+    return targets.filter((target) => {
+      const placed = { index: order.indexOf(target), count: order.length, slots };
+      return monitor.countLocalInFlight(target.id) < computeOwnSlots(placed, position);
+    });
+  };
+
+  /**
+   * Orders engines by preference: those with a slot of this gateway's own, then one of two picked at
+   * random that seem to have a free slot, then the least loaded ones.
+   */
+  const orderEngines = (
+    targets: readonly Target[],
+    all: readonly Target[],
+    slots: number,
+    isAnyLoadAllowed: boolean,
+  ): Target[] => {
+    const own = rankTargets(listWithOwnSlot(targets, all, slots));
+    const borrowable = targets.filter(
+      (target) => monitor.countInFlight(target.id) < slots * BORROWABLE_SHARE,
+    );
+    const shuffled = shuffleTargets(borrowable);
+    const sample = rankTargets(shuffled.slice(0, SAMPLED_TARGET_COUNT));
+    return [...own, ...sample, ...shuffled, ...(isAnyLoadAllowed ? rankTargets(targets) : [])];
+  };
+
+  /** Leaves out the suspect and the tried targets; suspect ones remain if there are no others. */
+  const selectTrusted = (usable: readonly Target[], query: TargetQuery): Target[] => {
+    const candidates = usable.filter(({ id }) => !query.triedIds.has(id));
+    const trusted = candidates.filter(({ id }) => !monitor.isSuspect(id));
+    return trusted.length > 0 ? trusted : candidates;
   };
 
   return {
+    countUsableTargets: (query) => selectTrusted(listUsable(query), query).length,
     chooseTarget(query) {
-      const candidates = listCandidates(query);
-      const trusted = candidates.filter(({ id }) => !monitor.isSuspect(id));
-      const ordered = orderTargets(trusted.length > 0 ? trusted : candidates, query.service);
+      const usable = listUsable(query);
+      const withPlace = selectTrusted(usable, query).filter((target) => hasPlace(target, query));
+      const { engine } = query.service;
+      const ordered =
+        engine === undefined
+          ? orderPlainTargets(withPlace)
+          : orderEngines(withPlace, usable, engine.slots, query.maxInFlight === undefined);
       return ordered.find((target) => reserveColdRequest(target, query.service));
     },
   };
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -2,7 +2,15 @@
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
-import type { TargetChooser } from './choose-target.ts';
+import type { DemandMeter, ServiceTimes, WaitingLines } from '../placement/index.ts';
+import {
+  computeExpectedWaitMs,
+  computeMaxInFlight,
+  computeRetryAfterMs,
+  formatPlaceKey,
+  RefusalCause,
+} from '../placement/index.ts';
+import type { TargetChooser, TargetQuery } from './choose-target.ts';
 import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
 import type { RetryBudget } from './retry-budget.ts';
@@ -48,6 +56,11 @@
   monitor: TargetMonitor;
   chooser: TargetChooser;
   budget: RetryBudget;
+  lines: WaitingLines;
+  serviceTimes: ServiceTimes;
+  demandMeter: Pick<DemandMeter, 'recordRequest'>;
+  /** Returns the number of gateways that share the targets. */
+  countGateways(): number;
   random(): number;
   /** Called for each retry, with its reason. */
   recordRetry(request: RoutedRequest, targetId: string, reason: string): void;
@@ -69,19 +82,16 @@
 /** Statuses with which a target refuses a request that it has not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([421, 429, HTTP_UNAVAILABLE]);
 
-/** Delay before the next attempt to choose a target. */
+/** Delay before a started stream next tries to find another target. */
 const TARGET_CHOICE_RETRY_MS = 15;
-/** Share of the latency objective for which a request may wait for a target. */
-const MAX_WAIT_SHARE = 1 / 8;
+/** Share of the latency objective for which a request may wait for a target in any case. */
+const MIN_WAIT_SHARE = 1 / 8;
 /** Longest wait of a started stream for another target to resume on. */
 const RESUME_WAIT_MS = 1_500;
 /** An idempotent request without a response after this multiple of its objective is sent again. */
 const ATTEMPT_TIMEOUT_FACTOR = 1.5;
 /** No attempt starts with less time left than this, as a target could not complete it. */
 const MIN_REMAINING_MS = 10;
-/** Retry-After of a refusal: random within a range, so that callers do not all retry at once. */
-const RETRY_AFTER_MIN_MS = 150;
-const RETRY_AFTER_SPREAD_MS = 350;
 /** Most sends of one request, including refused ones; connections that failed do not count. */
 const MAX_SENDS = 4;
 /** Largest response that is buffered until it is complete. */
@@ -103,6 +113,7 @@
   bufferedBytes: number;
   /** Buffered bytes when the attempt timeout was last started. */
   checkedBytes: number;
+  sentMs: number;
   wasSent: boolean;
   cancelAttemptTimeout: Unsubscribe | undefined;
 }
@@ -136,7 +147,8 @@
   finish: (result: ForwardingResult) => void,
 ): ForwardedRequest {
   const { request, route, service } = input;
-  const { timers, client, monitor, chooser, budget, wire } = dependencies;
+  const { timers, client, monitor, chooser, budget, wire, lines, serviceTimes } = dependencies;
+  const placeKey = formatPlaceKey(service.name, request.model);
   const isStreaming = route.kind === RequestKind.Streaming;
   const isRetryable = route.kind === RequestKind.Idempotent || (isStreaming && route.isResumable);
 
@@ -192,7 +204,9 @@
       return;
     }
     if (!mayHaveRun) {
-      const retryAfterMs = RETRY_AFTER_MIN_MS + dependencies.random() * RETRY_AFTER_SPREAD_MS;
+      const cause = reason === FailureReason.NoTarget ? RefusalCause.NoTarget : RefusalCause.Full;
+      const durationMs = serviceTimes.getDurationMs(placeKey);
+      const retryAfterMs = computeRetryAfterMs(cause, durationMs, dependencies.random());
       sendGatewayResponse(HTTP_UNAVAILABLE, retryAfterMs);
       reportResult(Outcome.NotRun, HTTP_UNAVAILABLE, reason);
       return;
@@ -203,33 +217,83 @@
     reportResult(isLate ? Outcome.TimedOut : Outcome.Unknown, status, reason);
   }
 
-  /** Tries to choose a target again after a delay, for as long as the request may wait. */
-  function waitForTarget(sinceMs: number, reason: FailureReason): void {
-    const limitMs = isBodyStarted ? RESUME_WAIT_MS : route.latencyObjectiveMs * MAX_WAIT_SHARE;
-    if (timers.getMonotonicMs() - sinceMs >= limitMs) {
-      endWithoutResponse(reason);
+  /** Returns the time at which the request must be at a target for its first event to be in time. */
+  function getSlackEndMs(): number {
+    const objectiveEndMs = input.arrivedMs + route.latencyObjectiveMs;
+    return objectiveEndMs - serviceTimes.getFirstEventMs(placeKey);
+  }
+
+  function buildQuery(): TargetQuery {
+    const { engine } = service;
+    const query = { service, model: request.model, triedIds };
+    // A request that a target has begun is finished wherever a target can take it.
+    if (engine === undefined || mayHaveRun) return query;
+    const slackMs = getSlackEndMs() - timers.getMonotonicMs();
+    const durationMs = serviceTimes.getDurationMs(placeKey);
+    const maxInFlight = computeMaxInFlight({ slots: engine.slots, slackMs, durationMs });
+    return { ...query, maxInFlight };
+  }
+
+  /** Tries again to find another target for a started stream, for as long as it may wait. */
+  function waitToResume(sinceMs: number): void {
+    if (timers.getMonotonicMs() - sinceMs >= RESUME_WAIT_MS) {
+      endWithoutResponse(FailureReason.NoTarget);
       return;
     }
     cancelWait = timers.scheduleOnce(TARGET_CHOICE_RETRY_MS, () => startAttempt(sinceMs));
   }
 
-  function startAttempt(waitingSinceMs = timers.getMonotonicMs()): void {
+  /** Waits for a place at a target, or refuses the request at once if none will be free in time. */
+  function waitForPlace(query: TargetQuery): void {
+    const now = timers.getMonotonicMs();
+    const targets = chooser.countUsableTargets(query);
+    const reason = targets === 0 ? FailureReason.NoTarget : FailureReason.TargetsFull;
+    const isFull = targets > 0 && service.engine !== undefined;
+    const minEndMs = input.arrivedMs + route.latencyObjectiveMs * MIN_WAIT_SHARE;
+    const giveUpMs = isFull ? Math.max(getSlackEndMs(), minEndMs) : minEndMs;
+    const { priority } = route;
+    const expectedWaitMs = computeExpectedWaitMs({
+      ahead: lines.countAhead(placeKey, { priority, giveUpMs }),
+      totalSlots: targets * (service.engine?.slots ?? 1),
+      durationMs: serviceTimes.getDurationMs(placeKey),
+      gateways: dependencies.countGateways(),
+    });
+    const isHopeless = isFull && now + expectedWaitMs > giveUpMs;
+    if (now >= giveUpMs || isHopeless) {
+      endWithoutResponse(reason);
+      return;
+    }
+    cancelWait = lines.add(placeKey, {
+      priority,
+      giveUpMs,
+      tryStart: () => tryStartAttempt(buildQuery()),
+      giveUp: () => endWithoutResponse(reason),
+    });
+  }
+
+  function startAttempt(resumeSinceMs = timers.getMonotonicMs()): void {
     if (isDone) return;
     // The deadline timer ends the request when the remaining time has passed.
     if (getRemainingMs() < MIN_REMAINING_MS) return;
-    const target = chooser.chooseTarget({ service, model: request.model, triedIds });
-    if (target === undefined) {
-      waitForTarget(waitingSinceMs, FailureReason.NoTarget);
-      return;
-    }
+    const query = buildQuery();
+    if (tryStartAttempt(query)) return;
+    if (isBodyStarted) waitToResume(resumeSinceMs);
+    else waitForPlace(query);
+  }
+
+  /** Sends the request if a target can take it; returns whether the wait for a target is over. */
+  function tryStartAttempt(query: TargetQuery): boolean {
+    const target = chooser.chooseTarget(query);
+    if (target === undefined) return false;
     if (targetIds.length > 0) {
       if (!budget.takeRetry(service.name)) {
         endWithoutResponse(FailureReason.RetryBudget);
-        return;
+        return true;
       }
       dependencies.recordRetry(input, target.id, retryReason);
     }
     sendTo(target);
+    return true;
   }
 
   /** Tries another target after a failed attempt, if the request allows it. */
@@ -256,13 +320,22 @@
       parts: [],
       bufferedBytes: 0,
       checkedBytes: 0,
+      sentMs: timers.getMonotonicMs(),
       wasSent: false,
       cancelAttemptTimeout: undefined,
     };
     current = attempt;
     const remainingMs = getRemainingMs();
     attempt.exchange = client.send(
-      { request, body: input.body, target, remainingMs, customer: input.customer, lastEventId },
+      {
+        request,
+        body: input.body,
+        target,
+        remainingMs,
+        customer: input.customer,
+        lastEventId,
+        isUrgent: mayHaveRun,
+      },
       {
         handleSent: () => handleSent(attempt),
         handleHead: (head) => handleHead(attempt, head),
@@ -300,8 +373,7 @@
     const canRetryElsewhere =
       isRetryable && possiblyRunAttempts < route.maxAttempts && budget.hasRetry(service.name);
     if (!canRetryElsewhere) return;
-    const query = { service, model: request.model, triedIds };
-    if (chooser.chooseTarget(query) === undefined) return;
+    if (chooser.countUsableTargets({ service, model: request.model, triedIds }) === 0) return;
     mayHaveRun = true;
     endAttempt(true);
     retry('silent', FailureReason.TargetFailed);
@@ -362,6 +434,9 @@
       parts.push(event.bytes);
     }
     if (parts.length === 0) return;
+    if (!isBodyStarted) {
+      serviceTimes.recordFirstEvent(placeKey, timers.getMonotonicMs() - attempt.sentMs);
+    }
     startBody(attempt);
     const now = timers.getMonotonicMs();
     longestGapMs = Math.max(longestGapMs, now - (lastPartMs ?? now));
@@ -415,6 +490,8 @@
     startBody(attempt);
     current = undefined;
     attempt.handle.recordEnd(false);
+    serviceTimes.recordDuration(placeKey, timers.getMonotonicMs() - attempt.sentMs);
+    lines.serve(placeKey);
     sink.endBody();
     reportResult(Outcome.Answered, attempt.head?.status);
   }
@@ -446,6 +523,7 @@
     endWithoutResponse(FailureReason.TimeLimit);
   });
   budget.recordRequest(service.name);
+  if (service.engine !== undefined) dependencies.demandMeter.recordRequest(placeKey);
   startAttempt();
 
   return {
--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -66,6 +66,7 @@
         remainingMs: 1_000,
         customer: undefined,
         lastEventId: undefined,
+        isUrgent: false,
       },
       {
         handleSent: () => undefined,
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -37,6 +37,8 @@
    * forwarded, or else the last one that the caller had received.
    */
   lastEventId: string | undefined;
+  /** Whether the target should process it before others, because an earlier target failed it. */
+  isUrgent: boolean;
 }
 
 /** Status and header fields of a target's response, parsed from HTTP. */
@@ -91,8 +93,10 @@
   NoRoute = 'no-route',
   /** The request has no key of a customer, and its route does not allow anonymous requests. */
   UnknownKey = 'unknown-key',
-  /** No target could accept the request within the time that it may wait for one. */
+  /** No target can be used for the request. */
   NoTarget = 'no-target',
+  /** All targets hold as many requests as they can process in time. */
+  TargetsFull = 'targets-full',
   /** A target refused the request, which may not be sent to another one. */
   RefusedByTarget = 'all-busy',
   /** The retry budget of the service was used up. */
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -4,8 +4,17 @@
 import type { Feed, FeedListener } from '../store-feed/index.ts';
 import { computeFeedTiming, startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
+import type { ModelDemand } from '../formation/index.ts';
 import { headLocationSchema, startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
+import type { Demand } from '../placement/index.ts';
+import {
+  createDemandMeter,
+  createServiceTimes,
+  createWaitingLines,
+  formatPlaceKey,
+  sumDemands,
+} from '../placement/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -157,6 +166,15 @@
     windowMs: settings.retryWindowMs,
     countGateways,
   });
+  const serviceTimes = createServiceTimes();
+  const demandMeter = createDemandMeter(timers);
+  let otherDemands: Demand[] = [];
+  const getDemand = (service: string, model: string): ModelDemand => {
+    const wanted = formatPlaceKey(service, model);
+    const demands = sumDemands([demandMeter.listDemands(), otherDemands]);
+    const requestsPerSecond = demands.find(({ key }) => key === wanted)?.requestsPerSecond ?? 0;
+    return { requestsPerSecond, durationMs: serviceTimes.getDurationMs(wanted) };
+  };
   const requestLog = createRequestLog(logger, timers, metrics);
   const { recordRetry } = requestLog;
   const handler = createRequestHandler({
@@ -165,7 +183,20 @@
     isRefusing: () =>
       stopRequestedMs !== undefined &&
       timers.getMonotonicMs() - stopRequestedMs > ACCEPT_AFTER_STOP_MS,
-    forwardingDependencies: { timers, wire, client, monitor, chooser, random, budget, recordRetry },
+    forwardingDependencies: {
+      timers,
+      wire,
+      client,
+      monitor,
+      chooser,
+      random,
+      budget,
+      recordRetry,
+      countGateways,
+      lines: createWaitingLines(timers),
+      serviceTimes,
+      demandMeter,
+    },
   });
 
   const formation = startFormation({
@@ -181,6 +212,7 @@
       !settings.isFirstStart || havePeersReceivedRequests || handler.hasReceivedRequests(),
     isZoneEvacuated,
     countInFlight: monitor.countInFlight,
+    getDemand,
     hasRequestsOfOtherGateways: monitor.hasRequestsOfOtherGateways,
     stallMs: settings.stallMs,
   });
@@ -208,13 +240,20 @@
       hasRequests: handler.hasReceivedRequests(),
       dutyTerm: leaderElection.getTerm(),
     }),
-    getLoadReport: () => ({ loads: monitor.listLocalLoads(), suspectIds: monitor.listSuspects() }),
+    getLoadReport: () => ({
+      loads: monitor.listLocalLoads(),
+      suspectIds: monitor.listSuspects(),
+      demands: demandMeter.listDemands(),
+    }),
     getProgress: (recentMs) =>
       [...feeds.values()].flatMap((feed) => feed.getProgress(recentMs) ?? []),
     handleStatus(status) {
       havePeersReceivedRequests ||= status.hasRequests;
     },
-    handleLoadReport: ({ loads }) => monitor.setOtherGatewayLoads(loads),
+    handleLoadReport({ loads, demands }) {
+      monitor.setOtherGatewayLoads(loads);
+      otherDemands = demands;
+    },
     handleSuspects(targetIds) {
       for (const id of targetIds) {
         monitor.markSuspectByOtherGateway(id);
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -2,8 +2,8 @@
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
-import type { TargetLoad } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
+import type { Position } from '../placement/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { parseAddress } from './address.ts';
 import { createAddressBook } from './address-book.ts';
@@ -50,8 +50,8 @@
   listPeers(): Peer[];
   /** Counts the gateways that have not timed out, this one included. */
   countGateways(): number;
-  /** Returns the index of this gateway among all gateways sorted by name, and their count. */
-  getPosition(): { index: number; count: number };
+  /** Returns the index of this gateway among all, sorted by zone and name, and their count. */
+  getPosition(): Position;
   /** Whether this gateway watches the store on behalf of others. */
   isWatcher(): boolean;
   /** Whether this gateway relays state between its zone and the other hubs; in a mesh, all do. */
@@ -80,6 +80,10 @@
 /** Minimum time between the last send and an immediate one. */
 const MIN_SEND_GAP_MS = 30;
 
+function formatPositionKey(gateway: Pick<PeerStatus, 'availabilityZone' | 'vmName'>): string {
+  return `${gateway.availabilityZone}/${gateway.vmName}`;
+}
+
 /** Creates the exchange; it sends nothing until it is started. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
   const { vmName, availabilityZone, host, port, timers, logger, errorReporter } = options;
@@ -97,7 +101,7 @@
   let stopSending: Unsubscribe | undefined;
   let cancelSendNow: Unsubscribe | undefined;
   let lastSentMs = -Infinity;
-  let reportedLoads: TargetLoad[] = [];
+  let reported: Pick<PeerLoadReport, 'loads' | 'demands'> = { loads: [], demands: [] };
   let topology: Topology = { isMesh: true, hubs: new Set(), watchers: new Set() };
   let topologyChangeCount = -1;
   let topologyGatewayCount = 0;
@@ -138,7 +142,7 @@
     const { isMesh, hubs, watchers } = getTopology();
     const sender = listener.getStatus();
     const loadReport = listener.getLoadReport();
-    reportedLoads = loadReport.loads;
+    reported = loadReport;
     const peers = table.listPeers().map(({ status }) => status);
     const toAddresses = (list: readonly PeerStatus[]): string[] =>
       list.map(({ peerAddress }) => peerAddress);
@@ -166,7 +170,7 @@
       addressBook.takeDueAddresses((address) => heardAddresses.has(address)),
       build(undefined, false),
     );
-    listener.handleLoadReport(aggregator.computePeerLoads(reportedLoads));
+    listener.handleLoadReport(aggregator.computePeerLoads(reported));
   };
 
   const sendNow = (): void => {
@@ -198,7 +202,9 @@
     if (known !== undefined && known.status.incarnation > sender.incarnation) return;
     const suspectIds = [...loadReport.suspectIds, ...(digest?.suspectIds ?? [])];
     const knownSuspectIds = new Set(
-      suspectIds.length > 0 ? aggregator.computePeerLoads([]).suspectIds : [],
+      suspectIds.length > 0
+        ? aggregator.computePeerLoads({ loads: [], demands: [] }).suspectIds
+        : [],
     );
     handlePeerStatus(sender, 0);
     aggregator.addPacket(packet);
@@ -271,11 +277,9 @@
     getPosition() {
       if (positionChangeCount !== table.getChangeCount()) {
         positionChangeCount = table.getChangeCount();
-        const names = table.listPeers().map(({ status }) => status.vmName);
-        position = {
-          index: names.filter((name) => name < vmName).length,
-          count: names.length + 1,
-        };
+        const ownKey = formatPositionKey({ vmName, availabilityZone });
+        const keys = table.listPeers().map(({ status }) => formatPositionKey(status));
+        position = { index: keys.filter((key) => key < ownKey).length, count: keys.length + 1 };
       }
       return position;
     },
--- a/src/core/peers/digests.test.ts
+++ b/src/core/peers/digests.test.ts
@@ -27,7 +27,7 @@
   inFlight: number,
   suspectIds: string[] = [],
 ): PeerLoadReport {
-  return { loads: [{ targetId, inFlight }], suspectIds };
+  return { loads: [{ targetId, inFlight }], suspectIds, demands: [] };
 }
 
 interface Session {
@@ -71,7 +71,9 @@
     const zoneDigest = { ...createLoadReport('t', 5), peers: [], isComplete: false };
     receive(createStatus('hub-b1', 'b'), createLoadReport('t', 0), zoneDigest);
     receive(createStatus('hub-b2', 'b'), createLoadReport('t', 0), zoneDigest);
-    expect(aggregator.computePeerLoads([]).loads).toEqual([{ targetId: 't', inFlight: 5 }]);
+    expect(aggregator.computePeerLoads({ loads: [], demands: [] }).loads).toEqual([
+      { targetId: 't', inFlight: 5 },
+    ]);
   });
 
   // Guards against a gateway that avoids targets because of its own requests there.
@@ -79,16 +81,16 @@
     const { aggregator, receive } = startSession();
     const completeDigest = { ...createLoadReport('t', 5), peers: [], isComplete: true };
     receive(createStatus('hub-a', 'a'), createLoadReport('t', 1), completeDigest);
-    expect(aggregator.computePeerLoads([{ targetId: 't', inFlight: 2 }]).loads).toEqual([
-      { targetId: 't', inFlight: 3 },
-    ]);
+    expect(
+      aggregator.computePeerLoads({ loads: [{ targetId: 't', inFlight: 2 }], demands: [] }).loads,
+    ).toEqual([{ targetId: 't', inFlight: 3 }]);
   });
 
   // Guards against treating a dead target as alive because requests wait there.
   it('does not count requests at a target that their gateway suspects', () => {
     const { aggregator, receive } = startSession();
     receive(createStatus('leaf-1', 'a'), createLoadReport('t', 4, ['t']));
-    const { loads, suspectIds } = aggregator.computePeerLoads([]);
+    const { loads, suspectIds } = aggregator.computePeerLoads({ loads: [], demands: [] });
     expect(loads).toEqual([]);
     expect(suspectIds).toEqual(['t']);
   });
@@ -97,7 +99,7 @@
     const { aggregator, receive, timers } = startSession();
     receive(createStatus('leaf-1', 'a'), createLoadReport('t', 4));
     timers.runFor(2_000);
-    expect(aggregator.computePeerLoads([]).loads).toEqual([]);
+    expect(aggregator.computePeerLoads({ loads: [], demands: [] }).loads).toEqual([]);
   });
 
   // Guards against every gateway competing for the leadership although there is a leader.
--- a/src/core/peers/digests.ts
+++ b/src/core/peers/digests.ts
@@ -1,4 +1,5 @@
 import type { TargetLoad } from '../fleet/index.ts';
+import { sumDemands } from '../placement/index.ts';
 import type { PeerTable } from './peer-table.ts';
 import type { Peer, PeerDigest, PeerPacket, PeerLoadReport, RelayedPeer } from './types.ts';
 
@@ -40,10 +41,10 @@
   /** Records a lost gateway, so that digests tell other gateways to remove it too. */
   addLostPeer(peer: Peer): void;
   /**
-   * Combines the loads and suspects of all other gateways. `ownReported` holds the loads that this
-   * gateway sent last; they are subtracted if a hub's complete digest, which includes them, is used.
+   * Combines the loads, suspects and demands of all other gateways. `ownReported` is what this gateway
+   * sent last; it is subtracted if a hub's complete digest, which includes it, is used.
    */
-  computePeerLoads(ownReported: readonly TargetLoad[]): PeerLoadReport;
+  computePeerLoads(ownReported: Pick<PeerLoadReport, 'loads' | 'demands'>): PeerLoadReport;
   /**
    * Builds the digest of the gateways that `isInZone` selects, those of this zone that are not hubs;
    * it is sent to the other hubs. Each call moves the digests on to the next gateways in turn.
@@ -129,6 +130,7 @@
   const mergeLoadReports = (reports: readonly PeerLoadReport[]): PeerLoadReport => ({
     loads: computeTotalLoads(reports.map(listNonSuspectLoads)),
     suspectIds: [...new Set(reports.flatMap(({ suspectIds }) => suspectIds))],
+    demands: sumDemands(reports.map(({ demands }) => demands)),
   });
 
   return {
@@ -150,12 +152,17 @@
           ...listZoneDigests(),
         ]);
       }
-      const own = new Map(ownReported.map(({ targetId, inFlight }) => [targetId, inFlight]));
+      const own = new Map(ownReported.loads.map(({ targetId, inFlight }) => [targetId, inFlight]));
       const loads = completeDigest.loads.flatMap(({ targetId, inFlight }) => {
         const others = inFlight - (own.get(targetId) ?? 0);
         return others > 0 ? { targetId, inFlight: others } : [];
       });
-      return { loads, suspectIds: completeDigest.suspectIds };
+      const ownDemands = ownReported.demands.map(({ key, requestsPerSecond }) => ({
+        key,
+        requestsPerSecond: -requestsPerSecond,
+      }));
+      const demands = sumDemands([completeDigest.demands, ownDemands]);
+      return { loads, suspectIds: completeDigest.suspectIds, demands };
     },
     buildZoneDigest(isInZone) {
       const zonePackets = listFreshPackets().filter(({ sender }) => isInZone(sender.vmName));
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -17,11 +17,12 @@
 
 const PACKET: PeerPacket = {
   sender: buildPeerStatus('vm-1'),
-  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'] },
+  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'], demands: [] },
   digest: {
     peers: [{ status: buildPeerStatus('vm-2'), ageMs: 120, isLost: true }],
     loads: [{ targetId: 'u', inFlight: 1 }],
     suspectIds: [],
+    demands: [],
     isComplete: true,
   },
   progress: [],
@@ -48,8 +49,13 @@
         const sender = buildPeerStatus('vm-1', { capacity });
         const loads = [{ targetId: 't', inFlight }];
         const peers = [{ status: sender, ageMs, isLost: false }];
-        const digest = { loads, suspectIds: [], peers, isComplete: false };
-        const packet = { sender, loadReport: { loads, suspectIds: [] }, digest, progress: [] };
+        const digest = { loads, suspectIds: [], demands: [], peers, isComplete: false };
+        const packet = {
+          sender,
+          loadReport: { loads, suspectIds: [], demands: [] },
+          digest,
+          progress: [],
+        };
         expect(decodePacket(encodePacket(packet)).digest?.peers.length).toEqual(1);
       }),
     );
@@ -69,7 +75,7 @@
     });
     await exchange.start({
       getStatus: () => buildPeerStatus('self'),
-      getLoadReport: () => ({ loads: [], suspectIds: [] }),
+      getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
       getProgress: () => [],
       handleStatus: () => undefined,
       handleLoadReport: () => undefined,
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -20,11 +20,12 @@
 
 const PACKET: PeerPacket = {
   sender: SENDER,
-  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'] },
+  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'], demands: [] },
   digest: {
     peers: [{ status: { ...SENDER, vmName: 'vm-2' }, ageMs: 120, isLost: true }],
     loads: [{ targetId: 'u', inFlight: 1 }],
     suspectIds: [],
+    demands: [],
     isComplete: true,
   },
   progress: [
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -1,7 +1,9 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { TargetLoad } from '../fleet/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
+import type { Demand } from '../placement/index.ts';
 import type {
+  GatewayDemand,
   GatewayDigest,
   GatewayMember,
   StoreProgress,
@@ -37,6 +39,22 @@
   return loads.map(({ targetId, inFlight }) => ({ targetId, inFlight: toUint32(inFlight) }));
 }
 
+const SECONDS_PER_KILOSECOND = 1_000;
+
+function toWireDemands(demands: readonly Demand[]) {
+  return demands.map(({ key, requestsPerSecond }) => ({
+    key,
+    perKilosecond: toUint32(requestsPerSecond * SECONDS_PER_KILOSECOND),
+  }));
+}
+
+function decodeDemands(demands: readonly GatewayDemand[]): Demand[] {
+  return demands.map(({ key, perKilosecond }) => ({
+    key,
+    requestsPerSecond: perKilosecond / SECONDS_PER_KILOSECOND,
+  }));
+}
+
 function toWirePeer(status: PeerStatus, ageMs = 0, isLost = false) {
   return {
     ...status,
@@ -63,11 +81,13 @@
       sender: toWirePeer(sender),
       loads: toWireLoads(loadReport.loads),
       suspectIds: loadReport.suspectIds,
+      demands: toWireDemands(loadReport.demands),
       ...(digest && {
         digest: {
           members: digest.peers.map((peer) => toWirePeer(peer.status, peer.ageMs, peer.isLost)),
           loads: toWireLoads(digest.loads),
           suspectIds: digest.suspectIds,
+          demands: toWireDemands(digest.demands),
           isComplete: digest.isComplete,
         },
       }),
@@ -102,6 +122,7 @@
     peers: digest.members.map(decodePeer),
     loads: digest.loads.map(({ targetId, inFlight }) => ({ targetId, inFlight })),
     suspectIds: digest.suspectIds,
+    demands: decodeDemands(digest.demands),
     isComplete: digest.isComplete,
   };
 }
@@ -133,6 +154,7 @@
     loadReport: {
       loads: packet.loads.map(({ targetId, inFlight }) => ({ targetId, inFlight })),
       suspectIds: packet.suspectIds,
+      demands: decodeDemands(packet.demands),
     },
     digest: packet.digest && decodeDigest(packet.digest),
     progress: packet.progress.flatMap(decodeProgress),
--- a/src/core/peers/peer-table.test.ts
+++ b/src/core/peers/peer-table.test.ts
@@ -25,10 +25,13 @@
     const { getMonotonicMs } = timers;
     const aggregator = createDigestAggregator({ table, availabilityZone: 'a', getMonotonicMs });
     table.markLost({ status, ageMs: 0, isLost: true });
-    const digest = aggregator.buildCompleteDigest({ loads: [], suspectIds: [] });
+    const digest = aggregator.buildCompleteDigest({ loads: [], suspectIds: [], demands: [] });
     expect(digest.peers).toEqual([]);
     const packet = { sender: buildPeerStatus('self'), digest, progress: [] };
-    const bytes = encodePacket({ ...packet, loadReport: { loads: [], suspectIds: [] } });
+    const bytes = encodePacket({
+      ...packet,
+      loadReport: { loads: [], suspectIds: [], demands: [] },
+    });
     expect(decodePacket(bytes).digest?.peers).toEqual([]);
   });
 
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -1,3 +1,4 @@
+import type { Demand } from '../placement/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
 import type { TargetLoad } from '../fleet/index.ts';
 
@@ -32,6 +33,8 @@
   loads: TargetLoad[];
   /** Ids of targets that do not respond or cannot be reached. */
   suspectIds: string[];
+  /** Requests that arrive, also those that are refused. */
+  demands: Demand[];
 }
 
 /** Another gateway's state as relayed by a hub. */
--- /dev/null
+++ b/src/core/placement/index.ts
@@ -0,0 +1,16 @@
+export {
+  computeExpectedWaitMs,
+  computeMaxInFlight,
+  computeRetryAfterMs,
+  RefusalCause,
+} from './admission.ts';
+export { computeOwnSlots } from './own-places.ts';
+export type { Position } from './own-places.ts';
+export { createServiceTimes } from './service-times.ts';
+export type { ServiceTimes } from './service-times.ts';
+export type { PlaceKey, Waiter } from './types.ts';
+export { createWaitingLines } from './waiting-lines.ts';
+export type { WaitingLines } from './waiting-lines.ts';
+export { createDemandMeter, sumDemands } from './demand.ts';
+export type { Demand, DemandMeter } from './demand.ts';
+export { formatPlaceKey } from './place-key.ts';
--- /dev/null
+++ b/src/core/placement/waiting-lines.ts
@@ -0,0 +1,79 @@
+import type { TimerService, Unsubscribe } from '../timers/index.ts';
+import type { PlaceKey, Waiter } from './types.ts';
+
+/** Requests of this gateway that wait for a place, in one line for each key. */
+export interface WaitingLines {
+  /** Adds a request; the returned function removes it again. */
+  add(key: PlaceKey, waiter: Waiter): Unsubscribe;
+  /** Counts the requests that are served before one with these properties. */
+  countAhead(key: PlaceKey, waiter: Pick<Waiter, 'priority' | 'giveUpMs'>): number;
+  /** Starts waiting requests now, for example because a place became free. */
+  serve(key: PlaceKey): void;
+  countWaiting(): number;
+}
+
+/** Interval at which the lines are checked for new places and for requests whose time is up. */
+const CHECK_PERIOD_MS = 15;
+/** Requests of a line that may find no place before the rest of the line is skipped. */
+const MAX_FAILED_STARTS = 3;
+
+/** Sorts by priority, and by the time that is left; the most urgent request comes first. */
+function compareWaiters(
+  left: Pick<Waiter, 'priority' | 'giveUpMs'>,
+  right: Pick<Waiter, 'priority' | 'giveUpMs'>,
+): number {
+  return left.priority - right.priority || left.giveUpMs - right.giveUpMs;
+}
+
+/** Creates empty lines; a timer runs only while a request waits. */
+export function createWaitingLines(
+  timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>,
+): WaitingLines {
+  const lines = new Map<PlaceKey, Waiter[]>();
+  let stopChecks: Unsubscribe | undefined;
+
+  const countWaiting = (): number => [...lines.values()].reduce((sum, one) => sum + one.length, 0);
+
+  const remove = (key: PlaceKey, waiter: Waiter): void => {
+    const line = (lines.get(key) ?? []).filter((one) => one !== waiter);
+    if (line.length > 0) lines.set(key, line);
+    else lines.delete(key);
+    if (lines.size > 0) return;
+    stopChecks?.();
+    stopChecks = undefined;
+  };
+
+  const serve = (key: PlaceKey): void => {
+    let failedStarts = 0;
+    for (const waiter of [...(lines.get(key) ?? [])]) {
+      if (waiter.tryStart()) remove(key, waiter);
+      else failedStarts++;
+      if (failedStarts >= MAX_FAILED_STARTS) return;
+    }
+  };
+
+  const check = (): void => {
+    const now = timers.getMonotonicMs();
+    for (const key of [...lines.keys()]) {
+      serve(key);
+      for (const waiter of [...(lines.get(key) ?? [])]) {
+        if (now < waiter.giveUpMs) continue;
+        remove(key, waiter);
+        waiter.giveUp();
+      }
+    }
+  };
+
+  return {
+    add(key, waiter) {
+      const line = [...(lines.get(key) ?? []), waiter].sort(compareWaiters);
+      lines.set(key, line);
+      stopChecks ??= timers.subscribe(CHECK_PERIOD_MS, check);
+      return () => remove(key, waiter);
+    },
+    countAhead: (key, waiter) =>
+      (lines.get(key) ?? []).filter((one) => compareWaiters(one, waiter) <= 0).length,
+    serve,
+    countWaiting,
+  };
+}
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -21,6 +21,8 @@
   timeoutMs: number;
   /** Latency objective for the response, or for the first event of a stream. */
   latencyObjectiveMs: number;
+  /** Rank among the requests that wait for a target; 0 is served first. */
+  priority: number;
   /** Objective for the longest pause between two events of a stream; undefined without one. */
   gapObjectiveMs: number | undefined;
   services: RouteService[];
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -22,6 +22,7 @@
     timeout_ms: z.number().optional(),
     target_latency_ms: z.number().optional(),
     gap_target_ms: z.number().optional(),
+    priority: z.number().default(0),
     // A route has one service, or splits its requests across several.
     service: z.string().optional(),
     traffic_split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
@@ -40,6 +41,7 @@
       timeoutMs,
       latencyObjectiveMs: route.target_latency_ms ?? timeoutMs,
       gapObjectiveMs: route.gap_target_ms,
+      priority: route.priority,
       services: toRouteServices(route),
       maxAttempts: route.max_attempts,
       isAnonymousAllowed: route.allow_anonymous,
--- a/src/platform/wire-format.test.ts
+++ b/src/platform/wire-format.test.ts
@@ -26,6 +26,7 @@
     remainingMs: 7_900.7,
     customer,
     lastEventId: '12',
+    isUrgent: true,
   });
 }
 
@@ -57,6 +58,7 @@
       'x-deadline-ms: 7900',
       'x-expect-instance: i-1',
       'x-model: m',
+      'x-request-urgency: 1',
       'x-tenant: hule930',
       'x-token-usage: 1460,80',
     ]);
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -9,6 +9,8 @@
 
 const HTTP_MISDIRECTED = 421;
 const MS_PER_SECOND = 1_000;
+/** Urgency from 0 (first) to 9; requests without one have 5. */
+const URGENT = '1';
 
 /** Hop-by-hop header fields (RFC 9110, section 7.6.1), and fields about framing. */
 const CONNECTION_FIELDS: ReadonlySet<string> = new Set([
@@ -105,10 +107,12 @@
   remainingMs,
   customer,
   lastEventId,
+  isUrgent,
 }: TargetRequest): HeaderList {
   const headers = [...request.forwardedHeaders];
   headers.push('X-Deadline-Ms', String(Math.max(1, Math.floor(remainingMs))));
   headers.push('X-Expect-Instance', target.id);
+  if (isUrgent) headers.push('X-Request-Urgency', URGENT);
   if (customer !== undefined) headers.push('X-Tenant', customer);
   if (lastEventId !== undefined) headers.push('Last-Event-Id', lastEventId);
   return headers;
