--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -1,16 +1,22 @@
-import { command, number, option } from 'cmd-ts';
+import { randomInt } from 'node:crypto';
+import { command, number, option, optional } from 'cmd-ts';
 import { ExitStatus, runAndReportErrors, runProgram } from '../../core/process/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import { runSoak } from '../../stand-ins/soak/run-soak.ts';
 
 const BUILD_FOLDER = 'dist';
+const MAX_DRAWN_SEED = 1_000_000;
 
 await runProgram(
   command({
     name: 'soak',
     description: 'Runs gateway processes under random faults and checks their guarantees.',
     args: {
-      seed: option({ type: number, long: 'seed', description: 'first seed' }),
+      seed: option({
+        type: optional(number),
+        long: 'seed',
+        description: 'first seed; default: drawn and printed',
+      }),
       count: option({
         type: number,
         long: 'count',
@@ -36,8 +42,10 @@
         description: 'number of callers, each with its own connections',
       }),
     },
-    handler: ({ seed: firstSeed, count, ...size }) =>
+    handler: ({ seed: givenSeed, count, ...size }) =>
       runAndReportErrors(async () => {
+        const firstSeed = givenSeed ?? randomInt(MAX_DRAWN_SEED);
+        if (givenSeed === undefined) process.stdout.write(`drew seed ${firstSeed}\n`);
         const timers = createTimerService();
         for (let seed = firstSeed; seed < firstSeed + count; seed++) {
           const result = await runSoak({ ...size, seed, timers, buildFolder: BUILD_FOLDER });
