Let a new gateway take roles and shares only once it knows how many others there are

Cause: a gateway that starts knows nobody, so that it counted itself as the only one: hub and watcher of each zone that it had not heard, candidate for the lease, and owner of the whole limit of a cold target. At first start all of 195 gateways fetched the lease and watched all kinds.

Change: positions count the registered gateways; roles wait until half of them are heard, at most 3 s; a gateway is ready once it has listed the others. Log lines of unanswered requests tell how the last target failed; explain shows an event of several gateways once, and names no cause that came later.

--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -56,23 +56,39 @@
   return GATEWAY_STATE_MESSAGES.some((pattern) => pattern.test(message));
 }
 
+/** Leaves out what several gateways logged about the same event, except for the first of them. */
+function selectFirstOfEqual(sorted: readonly LogEntry[]): LogEntry[] {
+  const seen = new Set<string>();
+  return sorted.filter(({ message, values }) => {
+    const key = `${message} ${JSON.stringify(values)}`;
+    if (seen.has(key)) return false;
+    seen.add(key);
+    return true;
+  });
+}
+
 function buildCause(last: LogEntry, contextEntries: readonly LogEntry[]): string {
   const { reason, outcome } = last.values;
   const reasonText = isReason(reason) ? CAUSE_BY_REASON[reason] : 'the gateway logged no reason';
+  const { failure } = last.values;
+  const failureText =
+    typeof failure === 'string' && failure !== '' ? ` The last target failed: ${failure}.` : '';
   const outcomeText = typeof outcome === 'string' ? outcome : last.message;
   const ids = new Set(listTargetIds(last));
-  const relatedEntries = contextEntries.filter((entry) =>
+  // What was noticed after the failure is shown, but cannot have caused it.
+  const earlierEntries = contextEntries.filter(({ wallMs }) => wallMs <= last.wallMs);
+  const relatedEntries = earlierEntries.filter((entry) =>
     listTargetIds(entry).some((id) => ids.has(id)),
   );
   // A gateway's general state explains only requests that were sent to no target.
-  const gatewayStateEntries = ids.size === 0 ? contextEntries.filter(isGatewayStateEntry) : [];
+  const gatewayStateEntries = ids.size === 0 ? earlierEntries.filter(isGatewayStateEntry) : [];
   const lastRelated = relatedEntries.at(-1) ?? gatewayStateEntries.at(-1);
-  if (lastRelated === undefined) return `${outcomeText}: ${reasonText}.`;
+  if (lastRelated === undefined) return `${outcomeText}: ${reasonText}.${failureText}`;
   const sinceMs = Math.round(last.wallMs - lastRelated.wallMs);
   const detail = Object.entries(lastRelated.values)
     .map(([name, value]) => `${name} ${String(value)}`)
     .join(', ');
-  return `${outcomeText}: ${reasonText}. Last related event, ${sinceMs} ms earlier: ${lastRelated.message} (${detail}).`;
+  return `${outcomeText}: ${reasonText}.${failureText} Last related event, ${sinceMs} ms earlier: ${lastRelated.message} (${detail}).`;
 }
 
 /** Explains the outcome of a request from log lines; returns undefined if no line names it. */
@@ -89,13 +105,15 @@
   const ids = new Set(requestEntries.flatMap(listTargetIds));
   const isRelated = (entry: LogEntry): boolean =>
     ids.size > 0 ? listTargetIds(entry).some((id) => ids.has(id)) : isGatewayStateEntry(entry);
-  const contextEntries = entries
-    .filter(({ values }) => values.request === undefined)
-    .filter(
-      ({ wallMs }) => wallMs > first.wallMs - LOOKBACK_MS && wallMs < last.wallMs + LOOKAHEAD_MS,
-    )
-    .filter((entry) => isRelated(entry))
-    .sort((left, right) => left.wallMs - right.wallMs);
+  const contextEntries = selectFirstOfEqual(
+    entries
+      .filter(({ values }) => values.request === undefined)
+      .filter(
+        ({ wallMs }) => wallMs > first.wallMs - LOOKBACK_MS && wallMs < last.wallMs + LOOKAHEAD_MS,
+      )
+      .filter((entry) => isRelated(entry))
+      .sort((left, right) => left.wallMs - right.wallMs),
+  );
   const path = [...requestEntries, ...contextEntries].sort(
     (left, right) => left.wallMs - right.wallMs,
   );
--- a/src/core/explanations/explanations.test.ts
+++ b/src/core/explanations/explanations.test.ts
@@ -48,6 +48,34 @@
     });
   }
 
+  // Guards against a cause that came after the failure, and against one fact printed for each gateway.
+  it('names only what came before, once, and how the last target failed', () => {
+    const buildLine = (wallMs: number, context: object, message: string): string =>
+      JSON.stringify({ context, message: `[gateway] ${message}`, time: wallMs });
+    const suspect = { target: 'i-1', reason: 'silent' };
+    const log = [
+      buildLine(100, suspect, 'a target is suspect'),
+      buildLine(101, suspect, 'a target is suspect'),
+      buildLine(
+        150,
+        {
+          request: 'r1',
+          outcome: 'unknown',
+          reason: 'attempts-used',
+          targets: 'i-1 i-2',
+          failure: 'status 502',
+        },
+        'a request was not answered',
+      ),
+      buildLine(200, { target: 'i-2' }, 'a target is gone'),
+    ].join('\n');
+    const explanation = explainRequest(parseLog(log, 'a'), 'r1');
+    expect(explanation?.path.length).toEqual(3);
+    expect(explanation?.cause).toEqual(
+      'unknown: the request used all attempts that its route allows. The last target failed: status 502. Last related event, 50 ms earlier: a target is suspect (target i-1, reason silent).',
+    );
+  });
+
   it('returns undefined for a request that no line names', () => {
     expect(explainRequest(entries, 'unknown')).toEqual(undefined);
   });
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -46,6 +46,8 @@
   firstByteMs: number | undefined;
   /** Longest pause between two parts of a stream; 0 for a response that was not streamed. */
   longestGapMs: number;
+  /** How the last target that failed or refused the request did so; empty if none has. */
+  lastFailure: string;
 }
 
 /** Dependencies that all forwarded requests share. */
@@ -166,7 +168,7 @@
   let current: Attempt | undefined;
   let cancelWait: Unsubscribe | undefined;
   let cancelDeadline: Unsubscribe | undefined;
-  let retryReason = '';
+  let lastFailure = '';
 
   function getRemainingMs(): number {
     return input.dueMs - timers.getMonotonicMs();
@@ -184,7 +186,15 @@
     isDone = true;
     cancelWait?.();
     cancelDeadline?.();
-    finish({ outcome, reason, status, targetIds, firstByteMs, longestGapMs });
+    finish({
+      outcome,
+      reason,
+      status,
+      targetIds,
+      firstByteMs,
+      longestGapMs,
+      lastFailure,
+    });
   }
 
   function sendGatewayResponse(status: number, retryAfterMs: number | undefined): void {
@@ -290,7 +300,7 @@
         endWithoutResponse(FailureReason.RetryBudget);
         return true;
       }
-      dependencies.recordRetry(input, target.id, retryReason);
+      dependencies.recordRetry(input, target.id, lastFailure);
     }
     sendTo(target);
     return true;
@@ -299,7 +309,7 @@
   /** Tries another target after a failed attempt, if the request allows it. */
   function retry(reason: string, failure: FailureReason): void {
     if (isDone) return;
-    retryReason = reason;
+    lastFailure = reason;
     const isAllowed = isRetryable || !mayHaveRun;
     if (!isAllowed || possiblyRunAttempts >= route.maxAttempts || targetIds.length >= MAX_SENDS) {
       endWithoutResponse(isAllowed ? FailureReason.AttemptsUsed : failure);
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -66,6 +66,7 @@
   const { fleet } = storeView;
   let stopRequestedMs: number | undefined;
   let havePeersReceivedRequests = false;
+  let hasListedGateways = false;
 
   const listServices = (): readonly ServiceSpec[] =>
     storeView.getRoutingTable()?.configuration.services ?? [];
@@ -224,7 +225,11 @@
 
   const getState = (): PeerState => {
     if (stopRequestedMs !== undefined) return PeerState.Leaving;
-    const isReady = storeView.getRoutingTable() !== undefined && storeView.hasListedTargets();
+    // A gateway that does not know how many others there are would exceed the limits they share.
+    const isReady =
+      storeView.getRoutingTable() !== undefined &&
+      storeView.hasListedTargets() &&
+      hasListedGateways;
     return isReady ? PeerState.Ready : PeerState.Starting;
   };
 
@@ -270,7 +275,6 @@
     },
     handleLost: peerExchange.sendNow,
   });
-  const handleAddress = peerExchange.addAddress;
   const { isFirstStart } = settings;
   const registrationAbort = new AbortController();
   void registerGateway(
@@ -280,7 +284,10 @@
       store,
       timers,
       logger,
-      handleAddress,
+      handleAddresses: (addresses) => {
+        hasListedGateways = true;
+        peerExchange.addRegisteredAddresses(addresses);
+      },
       isFirstStart,
     },
     registrationAbort.signal,
--- a/src/core/gateway/registration.ts
+++ b/src/core/gateway/registration.ts
@@ -11,8 +11,8 @@
   store: StoreClient;
   timers: Pick<TimerService, 'waitFor'>;
   logger: Logger;
-  /** Called with the peer address of each gateway registered in the store. */
-  handleAddress(address: string): void;
+  /** Called with the peer addresses of the gateways registered in the store. */
+  handleAddresses(addresses: readonly string[]): void;
   /**
    * Whether all gateways start now. Otherwise a list that is some seconds old suffices, as each
    * gateway in it knows the others.
@@ -51,10 +51,7 @@
     options.isFirstStart ? Consistency.Current : Consistency.Stale,
   );
   if (list.kind !== 'ok') return list.problem;
-  for (const object of list.value.objects) {
-    const address = readPeerAddress(object);
-    if (address !== undefined) options.handleAddress(address);
-  }
+  options.handleAddresses(list.value.objects.flatMap((object) => readPeerAddress(object) ?? []));
   return problem;
 }
 
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -95,6 +95,7 @@
         reason: result.reason ?? '',
         status: result.status ?? 0,
         targets: result.targetIds.join(' '),
+        failure: result.lastFailure,
         firstByteMs: Math.round(result.firstByteMs ?? 0),
         longestGapMs: Math.round(result.longestGapMs),
         configuration: input.configurationVersion,
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -44,13 +44,16 @@
 export interface PeerExchange {
   /** Opens the socket and starts to send and receive. */
   start(listener: PeerExchangeListener): Promise<void>;
-  /** Adds the address (`host:port`) of a gateway that is registered in the store. */
-  addAddress(address: string): void;
+  /** Adds the addresses (`host:port`) of all gateways that are registered in the store. */
+  addRegisteredAddresses(addresses: readonly string[]): void;
   /** Lists the other gateways that have not timed out. */
   listPeers(): Peer[];
   /** Counts the gateways that have not timed out, this one included. */
   countGateways(): number;
-  /** Returns the index of this gateway among all, sorted by zone and name, and their count. */
+  /**
+   * Returns the index of this gateway among those heard, sorted by zone and name, and the count of
+   * all. Until all are heard, the count keeps a new gateway from taking what belongs to the others.
+   */
   getPosition(): Position;
   /** Whether this gateway watches the store on behalf of others. */
   isWatcher(): boolean;
@@ -77,6 +80,12 @@
  * reports each one within 2 s, at 16 in each packet; with more, it takes longer.
  */
 const RELAYED_TIMEOUT_MS = 4_500;
+/**
+ * A new gateway takes no role for this long unless it has heard half of the registered gateways: it
+ * would count itself as the first of every zone that it has not heard.
+ */
+const SETTLE_MS = 3_000;
+const SETTLED_SHARE = 0.5;
 /** Minimum time between the last send and an immediate one. */
 const MIN_SEND_GAP_MS = 30;
 
@@ -100,6 +109,9 @@
   let listener: PeerExchangeListener | undefined;
   let stopSending: Unsubscribe | undefined;
   let cancelSendNow: Unsubscribe | undefined;
+  const startedMs = timers.getMonotonicMs();
+  /** Whether the address book contains the gateways that are registered in the store. */
+  let areOthersRegistered = false;
   let lastSentMs = -Infinity;
   let reported: Pick<PeerLoadReport, 'loads' | 'demands'> = { loads: [], demands: [] };
   let topology: Topology = { isMesh: true, hubs: new Set(), watchers: new Set() };
@@ -108,9 +120,13 @@
   let position = { index: 0, count: 1 };
   let positionChangeCount = -1;
 
+  /** Counts the gateways, also those that are registered and have not sent a packet yet. */
+  const countExpectedGateways = (): number =>
+    Math.max(table.countPeers(), addressBook.countCandidates()) + 1;
+
   const getTopology = (): Topology => {
     const changeCount = table.getChangeCount();
-    const gatewayCount = Math.max(table.countPeers(), addressBook.countCandidates()) + 1;
+    const gatewayCount = countExpectedGateways();
     const isKnown = topologyChangeCount === changeCount && topologyGatewayCount === gatewayCount;
     if (listener !== undefined && !isKnown) {
       topologyChangeCount = changeCount;
@@ -121,6 +137,10 @@
     return topology;
   };
   const isHub = (name: string): boolean => getTopology().hubs.has(name);
+  /** Whether this gateway knows enough others to derive its own role from them. */
+  const isSettled = (): boolean =>
+    timers.getMonotonicMs() - startedMs >= SETTLE_MS ||
+    (areOthersRegistered && table.countPeers() + 1 >= countExpectedGateways() * SETTLED_SHARE);
   const isInOwnZone = ({ availabilityZone: zone }: PeerStatus): boolean =>
     zone === availabilityZone;
   const getPeriodMs = (): number => (getTopology().isMesh ? MESH_PERIOD_MS : HUB_PERIOD_MS);
@@ -267,24 +287,29 @@
         if (timers.getMonotonicMs() >= dueMs) sendAll();
       });
     },
-    addAddress(address) {
-      if (parseAddress(address) === undefined) {
-        logger.warn('ignored an invalid address of a gateway', { address });
-      } else if (address !== ownAddress) addressBook.addAddress(address);
+    addRegisteredAddresses(addresses) {
+      areOthersRegistered = true;
+      for (const address of addresses) {
+        if (parseAddress(address) === undefined) {
+          logger.warn('ignored an invalid address of a gateway', { address });
+        } else if (address !== ownAddress) addressBook.addAddress(address);
+      }
     },
     listPeers: table.listPeers,
     countGateways: () => table.countPeers() + 1,
     getPosition() {
-      if (positionChangeCount !== table.getChangeCount()) {
-        positionChangeCount = table.getChangeCount();
+      const changeCount = table.getChangeCount();
+      const count = countExpectedGateways();
+      if (positionChangeCount !== changeCount || position.count !== count) {
+        positionChangeCount = changeCount;
         const ownKey = formatPositionKey({ vmName, availabilityZone });
         const keys = table.listPeers().map(({ status }) => formatPositionKey(status));
-        position = { index: keys.filter((key) => key < ownKey).length, count: keys.length + 1 };
+        position = { index: keys.filter((key) => key < ownKey).length, count };
       }
       return position;
     },
-    isWatcher: () => getTopology().watchers.has(vmName),
-    isHub: () => isHub(vmName),
+    isWatcher: () => isSettled() && getTopology().watchers.has(vmName),
+    isHub: () => isSettled() && isHub(vmName),
     sendNow,
     stop() {
       stopSending?.();
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -63,6 +63,7 @@
   let confirmedMs: number | undefined;
   let revision: number | undefined;
   let failures = 0;
+  let firstFailureMs = 0;
   /** Revision of changes that others have read and this process has missed, and since when. */
   let gap: { revision: number; sinceMs: number } | undefined;
 
@@ -84,7 +85,9 @@
 
   /** Records that the store has answered a call of this process. */
   const recordAnswer = (): void => {
-    if (failures > 0) logger.info('the store answers again', { kind, failures });
+    if (failures === 0) return;
+    const awayMs = Math.round(timers.getMonotonicMs() - firstFailureMs);
+    logger.info('the store answers again', { kind, failures, awayMs });
     failures = 0;
   };
 
@@ -98,7 +101,10 @@
   };
 
   const waitAfterFailure = async (problem: string): Promise<void> => {
-    if (failures === 0) logger.warn('the store does not answer', { kind, problem });
+    if (failures === 0) {
+      firstFailureMs = timers.getMonotonicMs();
+      logger.warn('the store does not answer', { kind, problem });
+    }
     const delayMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures);
     failures++;
     await timers.waitFor(delayMs, abortController.signal);
