Wait for another target when the one that has begun a request fails

Cause: a request without an event yet whose target failed ended with 502 at once if no other target could be used, although a group often opens a moment later; the wait counted from its arrival.

Change: every request that a target has begun waits up to 1.5 s, as started streams did.

Test: forward-request.test.ts, waits for another target; it fails before.

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -228,6 +228,17 @@
     });
   }
 
+  // Guards against failing streams that a group could serve which opens a moment later.
+  it('waits for another target when the only one failed before the first event', async () => {
+    const harness = startTestForwarding({ kind: RequestKind.Streaming, targetCount: 1 });
+    acceptSend(harness, 0).listener.handleError(SendFailure.Sent, 'reset');
+    await harness.timers.runForAsync(500, 10);
+    expect(harness.caller.status).toEqual(undefined);
+    harness.fleet.setTarget({ ...getSend(harness, 0).request.target, id: 'added' });
+    await harness.timers.runForAsync(50, 10);
+    expect(harness.sends.length).toEqual(2);
+  });
+
   // Guards against aborting streams because no retry budget is left (scale-2 of rodopi-wax).
   it('keeps waiting for a silent target when no retry budget is left', async () => {
     const harness = startTestForwarding({ kind: RequestKind.Streaming, slack: 0 });
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -84,11 +84,11 @@
 /** Statuses with which a target refuses a request that it has not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([421, 429, HTTP_UNAVAILABLE]);
 
-/** Delay before a started stream next tries to find another target. */
+/** Delay before a request that a target has begun next tries to find another one. */
 const TARGET_CHOICE_RETRY_MS = 15;
 /** Share of the latency objective for which a request may wait for a target in any case. */
 const MIN_WAIT_SHARE = 1 / 8;
-/** Longest wait of a started stream for another target to resume on. */
+/** Longest wait of a request that a target has begun for another target. */
 const RESUME_WAIT_MS = 1_500;
 /** An idempotent request without a response after this multiple of its objective is sent again. */
 const ATTEMPT_TIMEOUT_FACTOR = 1.5;
@@ -244,7 +244,10 @@
     return { ...query, maxInFlight };
   }
 
-  /** Tries again to find another target for a started stream, for as long as it may wait. */
+  /**
+   * Tries again to find another target for a request that a target has begun. It cannot be refused as
+   * not run, so it waits longer than one that can.
+   */
   function waitToResume(sinceMs: number): void {
     if (timers.getMonotonicMs() - sinceMs >= RESUME_WAIT_MS) {
       endWithoutResponse(FailureReason.NoTarget);
@@ -287,7 +290,7 @@
     if (getRemainingMs() < MIN_REMAINING_MS) return;
     const query = buildQuery();
     if (tryStartAttempt(query)) return;
-    if (isBodyStarted) waitToResume(resumeSinceMs);
+    if (mayHaveRun) waitToResume(resumeSinceMs);
     else waitForPlace(query);
   }
 
