--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -2,17 +2,12 @@
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
-import type { DemandMeter, ServiceTimes, WaitingLines } from '../placement/index.ts';
-import {
-  computeExpectedWaitMs,
-  computeMaxInFlight,
-  computeRetryAfterMs,
-  formatPlaceKey,
-  RefusalCause,
-} from '../placement/index.ts';
-import type { TargetChooser, TargetQuery } from './choose-target.ts';
+import type { DemandMeter } from '../placement/index.ts';
+import type { TargetQuery } from './choose-target.ts';
 import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
+import type { RequestPlacementOptions } from './request-placement.ts';
+import { createRequestPlacement } from './request-placement.ts';
 import type { RetryBudget } from './retry-budget.ts';
 import type { CallerSink } from './caller-sink.ts';
 import type { TargetExchange, TargetClient } from './target-client.ts';
@@ -51,19 +46,13 @@
 }
 
 /** Dependencies that all forwarded requests share. */
-export interface ForwardingDependencies {
+export interface ForwardingDependencies extends RequestPlacementOptions {
   timers: TimerService;
   wire: WireFormat;
   client: TargetClient;
   monitor: TargetMonitor;
-  chooser: TargetChooser;
   budget: RetryBudget;
-  lines: WaitingLines;
-  serviceTimes: ServiceTimes;
   demandMeter: Pick<DemandMeter, 'recordRequest'>;
-  /** Returns the number of gateways that share the targets. */
-  countGateways(): number;
-  random(): number;
   /** Called for each retry, with its reason. */
   recordRetry(request: RoutedRequest, targetId: string, reason: string): void;
 }
@@ -86,8 +75,6 @@
 
 /** Delay before a request that a target has begun next tries to find another one. */
 const TARGET_CHOICE_RETRY_MS = 15;
-/** Share of the latency objective for which a request may wait for a target in any case. */
-const MIN_WAIT_SHARE = 1 / 8;
 /** Longest wait of a request that a target has begun for another target. */
 const RESUME_WAIT_MS = 1_500;
 /** An idempotent request without a response after this multiple of its objective is sent again. */
@@ -150,7 +137,7 @@
 ): ForwardedRequest {
   const { request, route, service } = input;
   const { timers, client, monitor, chooser, budget, wire, lines, serviceTimes } = dependencies;
-  const placeKey = formatPlaceKey(service.name, request.model);
+  const placement = createRequestPlacement(input, dependencies);
   const isStreaming = route.kind === RequestKind.Streaming;
   const isRetryable = route.kind === RequestKind.Idempotent || (isStreaming && route.isResumable);
 
@@ -214,9 +201,7 @@
       return;
     }
     if (!mayHaveRun) {
-      const cause = reason === FailureReason.NoTarget ? RefusalCause.NoTarget : RefusalCause.Full;
-      const durationMs = serviceTimes.getDurationMs(placeKey);
-      const retryAfterMs = computeRetryAfterMs(cause, durationMs, dependencies.random());
+      const retryAfterMs = placement.getRetryAfterMs(reason);
       sendGatewayResponse(HTTP_UNAVAILABLE, retryAfterMs);
       reportResult(Outcome.NotRun, HTTP_UNAVAILABLE, reason);
       return;
@@ -227,23 +212,6 @@
     reportResult(isLate ? Outcome.TimedOut : Outcome.Unknown, status, reason);
   }
 
-  /** Returns the time at which the request must be at a target for its first event to be in time. */
-  function getSlackEndMs(): number {
-    const objectiveEndMs = input.arrivedMs + route.latencyObjectiveMs;
-    return objectiveEndMs - serviceTimes.getFirstEventMs(placeKey);
-  }
-
-  function buildQuery(): TargetQuery {
-    const { engine } = service;
-    const query = { service, model: request.model, triedIds };
-    // A request that a target has begun is finished wherever a target can take it.
-    if (engine === undefined || mayHaveRun) return query;
-    const slackMs = getSlackEndMs() - timers.getMonotonicMs();
-    const durationMs = serviceTimes.getDurationMs(placeKey);
-    const maxInFlight = computeMaxInFlight({ slots: engine.slots, slackMs, durationMs });
-    return { ...query, maxInFlight };
-  }
-
   /**
    * Tries again to find another target for a request that a target has begun. It cannot be refused as
    * not run, so it waits longer than one that can.
@@ -258,28 +226,15 @@
 
   /** Waits for a place at a target, or refuses the request at once if none will be free in time. */
   function waitForPlace(query: TargetQuery): void {
-    const now = timers.getMonotonicMs();
-    const targets = chooser.countUsableTargets(query);
-    const reason = targets === 0 ? FailureReason.NoTarget : FailureReason.TargetsFull;
-    const isFull = targets > 0 && service.engine !== undefined;
-    const minEndMs = input.arrivedMs + route.latencyObjectiveMs * MIN_WAIT_SHARE;
-    const giveUpMs = isFull ? Math.max(getSlackEndMs(), minEndMs) : minEndMs;
-    const { priority } = route;
-    const expectedWaitMs = computeExpectedWaitMs({
-      ahead: lines.countAhead(placeKey, { priority, giveUpMs }),
-      totalSlots: targets * (service.engine?.slots ?? 1),
-      durationMs: serviceTimes.getDurationMs(placeKey),
-      gateways: dependencies.countGateways(),
-    });
-    const isHopeless = isFull && now + expectedWaitMs > giveUpMs;
-    if (now >= giveUpMs || isHopeless) {
+    const { giveUpMs, reason } = placement.planWait(query);
+    if (giveUpMs === undefined) {
       endWithoutResponse(reason);
       return;
     }
-    cancelWait = lines.add(placeKey, {
-      priority,
+    cancelWait = lines.add(placement.key, {
+      priority: route.priority,
       giveUpMs,
-      tryStart: () => tryStartAttempt(buildQuery()),
+      tryStart: () => tryStartAttempt(placement.buildQuery(mayHaveRun, triedIds)),
       giveUp: () => endWithoutResponse(reason),
     });
   }
@@ -288,7 +243,7 @@
     if (isDone) return;
     // The deadline timer ends the request when the remaining time has passed.
     if (getRemainingMs() < MIN_REMAINING_MS) return;
-    const query = buildQuery();
+    const query = placement.buildQuery(mayHaveRun, triedIds);
     if (tryStartAttempt(query)) return;
     if (mayHaveRun) waitToResume(resumeSinceMs);
     else waitForPlace(query);
@@ -448,7 +403,7 @@
     }
     if (parts.length === 0) return;
     if (!isBodyStarted) {
-      serviceTimes.recordFirstEvent(placeKey, timers.getMonotonicMs() - attempt.sentMs);
+      serviceTimes.recordFirstEvent(placement.key, timers.getMonotonicMs() - attempt.sentMs);
     }
     startBody(attempt);
     const now = timers.getMonotonicMs();
@@ -503,8 +458,8 @@
     startBody(attempt);
     current = undefined;
     attempt.handle.recordEnd(false);
-    serviceTimes.recordDuration(placeKey, timers.getMonotonicMs() - attempt.sentMs);
-    lines.serve(placeKey);
+    serviceTimes.recordDuration(placement.key, timers.getMonotonicMs() - attempt.sentMs);
+    lines.serve(placement.key);
     sink.endBody();
     reportResult(Outcome.Answered, attempt.head?.status);
   }
@@ -536,7 +491,7 @@
     endWithoutResponse(FailureReason.TimeLimit);
   });
   budget.recordRequest(service.name);
-  if (service.engine !== undefined) dependencies.demandMeter.recordRequest(placeKey);
+  if (service.engine !== undefined) dependencies.demandMeter.recordRequest(placement.key);
   startAttempt();
 
   return {
--- /dev/null
+++ b/src/core/forwarding/request-placement.ts
@@ -0,0 +1,93 @@
+import {
+  computeExpectedWaitMs,
+  computeMaxInFlight,
+  computeRetryAfterMs,
+  formatPlaceKey,
+  RefusalCause,
+} from '../placement/index.ts';
+import type { PlaceKey, ServiceTimes, WaitingLines } from '../placement/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import type { TargetChooser, TargetQuery } from './choose-target.ts';
+import type { RoutedRequest } from './forward-request.ts';
+import { FailureReason } from './types.ts';
+
+/** Dependencies of the placement of one request. */
+export interface RequestPlacementOptions {
+  timers: Pick<TimerService, 'getMonotonicMs'>;
+  chooser: TargetChooser;
+  lines: WaitingLines;
+  serviceTimes: ServiceTimes;
+  /** Returns the number of gateways that share the targets. */
+  countGateways(): number;
+  random(): number;
+}
+
+/** Until when a request may wait for a place, and why it is refused if it gets none. */
+export interface WaitPlan {
+  /** Undefined if the request is refused at once. */
+  giveUpMs: number | undefined;
+  reason: FailureReason;
+}
+
+/** Applies the placement decisions to one request. */
+export interface RequestPlacement {
+  key: PlaceKey;
+  /** Builds the query for a target; one that has begun may be continued at a full target. */
+  buildQuery(hasBegun: boolean, triedIds: ReadonlySet<string>): TargetQuery;
+  /** Decides how long the request waits, after no target was found for the query. */
+  planWait(query: TargetQuery): WaitPlan;
+  /** Returns when the caller of the request, which was refused, should return. */
+  getRetryAfterMs(reason: FailureReason): number;
+}
+
+/** Share of the latency objective for which a request may wait for a target in any case. */
+const MIN_WAIT_SHARE = 1 / 8;
+
+/** Creates the placement of a request. */
+export function createRequestPlacement(
+  input: RoutedRequest,
+  options: RequestPlacementOptions,
+): RequestPlacement {
+  const { request, route, service, arrivedMs } = input;
+  const { timers, chooser, lines, serviceTimes } = options;
+  const key = formatPlaceKey(service.name, request.model);
+
+  /** Returns the time at which the request must be at a target for its first event to be in time. */
+  const getSlackEndMs = (): number =>
+    arrivedMs + route.latencyObjectiveMs - serviceTimes.getFirstEventMs(key);
+
+  return {
+    key,
+    buildQuery(hasBegun, triedIds) {
+      const query = { service, model: request.model, triedIds };
+      if (service.engine === undefined || hasBegun) return query;
+      const maxInFlight = computeMaxInFlight({
+        slots: service.engine.slots,
+        slackMs: getSlackEndMs() - timers.getMonotonicMs(),
+        durationMs: serviceTimes.getDurationMs(key),
+      });
+      return { ...query, maxInFlight };
+    },
+    planWait(query) {
+      const now = timers.getMonotonicMs();
+      const minEndMs = arrivedMs + route.latencyObjectiveMs * MIN_WAIT_SHARE;
+      const targets = chooser.countUsableTargets(query);
+      if (targets === 0 || service.engine === undefined) {
+        return { reason: FailureReason.NoTarget, giveUpMs: now < minEndMs ? minEndMs : undefined };
+      }
+      const giveUpMs = Math.max(getSlackEndMs(), minEndMs);
+      const expectedWaitMs = computeExpectedWaitMs({
+        ahead: lines.countAhead(key, { priority: route.priority, giveUpMs }),
+        totalSlots: targets * service.engine.slots,
+        durationMs: serviceTimes.getDurationMs(key),
+        gateways: options.countGateways(),
+      });
+      const reason = FailureReason.TargetsFull;
+      return { reason, giveUpMs: now + expectedWaitMs > giveUpMs ? undefined : giveUpMs };
+    },
+    getRetryAfterMs(reason) {
+      const cause = reason === FailureReason.NoTarget ? RefusalCause.NoTarget : RefusalCause.Full;
+      return computeRetryAfterMs(cause, serviceTimes.getDurationMs(key), options.random());
+    },
+  };
+}
