--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -42,7 +42,7 @@
 
 /** Exchanges state with the other gateways over UDP. */
 export interface PeerExchange {
-  /** Opens the socket and starts to send and receive. */
+  /** Opens the socket and starts to send and receive; rejects if the port is in use. */
   start(listener: PeerExchangeListener): Promise<void>;
   /** Adds the addresses (`host:port`) of all gateways that are registered in the store. */
   addRegisteredAddresses(addresses: readonly string[]): void;
@@ -277,8 +277,12 @@
   return {
     async start(startListener) {
       listener = startListener;
-      await new Promise<void>((resolve) => {
-        socket.bind(port, host, resolve);
+      await new Promise<void>((resolve, reject) => {
+        socket.once('error', reject);
+        socket.bind(port, host, () => {
+          socket.off('error', reject);
+          resolve();
+        });
       });
       stopSending = timers.subscribe(MESH_PERIOD_MS, () => {
         removeTimedOutPeers();
--- a/src/core/peers/position.test.ts
+++ b/src/core/peers/start.test.ts
@@ -33,7 +33,7 @@
   handleProgress: () => undefined,
 };
 
-describe('position of a gateway', () => {
+describe('exchange that starts', () => {
   // Guards against a restarted gateway that takes the whole limit of a cold target, because it has
   // not heard the others yet (FAILBACK on rodopi-wax-grown quiet-1).
   it('counts the registered gateways that have sent nothing yet', () => {
@@ -59,4 +59,14 @@
     expect([exchange.isHub(), exchange.isWatcher()]).toEqual([true, true]);
     exchange.stop();
   });
+
+  // Guards against a gateway that neither serves nor ends because its port is taken.
+  it('fails to start if another process has the port', async () => {
+    const { exchange } = createTestExchange(0);
+    const { exchange: second } = createTestExchange(0);
+    await exchange.start(LISTENER);
+    await expect(second.start(LISTENER)).toBeRejected();
+    exchange.stop();
+    second.stop();
+  });
 });
