--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -321,7 +321,8 @@
       if (result === CloseResult.NotListening && end !== GroupEnd.NotEnded) {
         headRegistry.markNotListening(group);
       } else headRegistry.recordCloseResult(group, end);
-      const context = { group: group.name, head: head.id, result, end };
+      const isAlive = end === GroupEnd.NotEnded;
+      const context = { group: group.name, head: head.id, result, isAlive, end };
       logger.info('tried to close a group whose head has no entry', context);
     });
   };
