--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -1,7 +1,7 @@
 import type { EngineGroup, Fleet, Target, TargetMonitor } from '../fleet/index.ts';
 import { GroupState, areAllMembersOperational } from '../fleet/index.ts';
 import type { Position } from '../placement/index.ts';
-import { computeOwnSlots } from '../placement/index.ts';
+import { computeBorrowableShare, computeOwnSlots } from '../placement/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
@@ -49,11 +49,6 @@
  * gateway then compares two targets picked at random.
  */
 const MAX_GATEWAYS_FOR_FULL_RANKING = 12;
-/**
- * Share of a target's slots up to which gateways use slots that are not their own. The rest makes up
- * for requests that they do not know of yet.
- */
-const BORROWABLE_SHARE = 0.6;
 /** Number of targets that are picked at random and compared by load. */
 const SAMPLED_TARGET_COUNT = 2;
 
@@ -186,9 +181,8 @@
     isAnyLoadAllowed: boolean,
   ): Target[] => {
     const own = rankTargets(listWithOwnSlot(targets, all, slots));
-    const borrowable = targets.filter(
-      (target) => monitor.countInFlight(target.id) < slots * BORROWABLE_SHARE,
-    );
+    const borrowableSlots = slots * computeBorrowableShare(all.length * slots, getPosition().count);
+    const borrowable = targets.filter(({ id }) => monitor.countInFlight(id) < borrowableSlots);
     const shuffled = shuffleTargets(borrowable);
     const sample = rankTargets(shuffled.slice(0, SAMPLED_TARGET_COUNT));
     return [...own, ...sample, ...shuffled, ...(isAnyLoadAllowed ? rankTargets(targets) : [])];
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -4,7 +4,7 @@
   computeRetryAfterMs,
   RefusalCause,
 } from './admission.ts';
-export { computeOwnSlots } from './own-places.ts';
+export { computeBorrowableShare, computeOwnSlots } from './own-places.ts';
 export type { Position } from './own-places.ts';
 export { createServiceTimes } from './service-times.ts';
 export type { ServiceTimes } from './service-times.ts';
--- a/src/core/placement/overload.test.ts
+++ b/src/core/placement/overload.test.ts
@@ -74,4 +74,22 @@
       });
     }
   }
+
+  // Guards against slots that stay unused at other gateways while callers are refused: 58 gateways
+  // with a few groups of 16 (cut-plan on drnosek-orders-grown trouble-1).
+  it('serves a model with fewer slots than gateways', async () => {
+    const few: PlayedModel = {
+      ...LARGE,
+      heads: 3,
+      requestsPerSecond: 19,
+      objectiveMs: 400,
+      firstEventMs: 200,
+    };
+    const calm = { ...OVERLOAD, models: [few, SMALL], burstFactor: 1, lossShare: 0 };
+    const results = await playLoad({ ...calm, gateways: 58 });
+    for (const [, { asked, inTime, refused }] of results) {
+      expect(inTime / asked > 0.95).toEqual(true);
+      expect(refused / asked < 0.01).toEqual(true);
+    }
+  });
 });
--- a/src/core/placement/own-places.ts
+++ b/src/core/placement/own-places.ts
@@ -28,3 +28,20 @@
   const overlapStart = Math.max(rangeStart, firstSlot);
   return Math.max(0, Math.min(rangeEnd, firstSlot + target.slots) - overlapStart);
 }
+
+/**
+ * Share of a target's slots up to which gateways use slots that are not their own, if they have many
+ * of their own. The rest makes up for requests that they do not know of yet.
+ */
+const MIN_BORROWABLE_SHARE = 0.6;
+/** Own slots from which a gateway seldom needs those of others. */
+const MANY_OWN_SLOTS = 4;
+
+/**
+ * Computes the share of a target's slots up to which a gateway uses slots that are not its own. The
+ * fewer slots each gateway has, the more of them stay unused at the others, so that more are shared.
+ */
+export function computeBorrowableShare(totalSlots: number, gateways: number): number {
+  const ownShare = Math.min(1, totalSlots / gateways / MANY_OWN_SLOTS);
+  return 1 - (1 - MIN_BORROWABLE_SHARE) * ownShare;
+}
