--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -1,4 +1,5 @@
-import { Client } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Client } from 'undici';
 import type { Target } from '../core/fleet/index.ts';
 import { OrderResult } from '../core/formation/types.ts';
 import type { EngineControl, EngineOrder } from '../core/formation/types.ts';
@@ -68,13 +69,26 @@
     body: object | undefined,
     timeoutMs: number,
   ): Promise<CallResult> => {
-    const client = new Client(`http://${target.address}`, { headersTimeout: 0, bodyTimeout: 0 });
+    let socket: Socket | undefined;
+    const connect = buildConnector({});
+    const client = new Client(`http://${target.address}`, {
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          const [, connected] = result;
+          socket = connected ?? undefined;
+          callback(...result);
+        }),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
     let wasConnected = false;
     client.on('connect', () => {
       wasConnected = true;
     });
     // An abort signal has no effect until the connection is established; destroy() always does.
     const cancelDeadline = timers.scheduleOnce(timeoutMs, () => {
+      // A partition may hold the call back; only a reset keeps it from being delivered when it ends.
+      socket?.resetAndDestroy();
       void client.destroy(new Error('no response in time'));
     });
     const cancelConnectTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => {
