Log which requests a target held when it crashed, and the shared parts of their prompts

The logs could not tell whether crashes follow requests, repeats or load: parts of a prompt were forwarded and known nowhere. They are parsed in the adapter now. A crash watch collects the requests lost with a target, tells a crash from single lost connections by opening one connection, and logs the requests whose answers had not begun. No decision uses this yet.

--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -3,6 +3,7 @@
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import type { DemandMeter } from '../placement/index.ts';
+import type { CrashWatch } from '../quarantine/index.ts';
 import type { TargetQuery } from './choose-target.ts';
 import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
@@ -53,6 +54,7 @@
   monitor: TargetMonitor;
   budget: RetryBudget;
   demandMeter: Pick<DemandMeter, 'recordRequest'>;
+  crashWatch: CrashWatch;
   /** Called for each retry, with its reason. */
   recordRetry(request: RoutedRequest, targetId: string, reason: string): void;
 }
@@ -97,6 +99,8 @@
   exchange: TargetExchange;
   handle: RequestHandle;
   head: ResponseHead | undefined;
+  /** Whether the target has begun to send the answer. */
+  hasBegun: boolean;
   parser: EventParser | undefined;
   parts: Buffer[];
   bufferedBytes: number;
@@ -284,6 +288,7 @@
       exchange: undefined as unknown as TargetExchange,
       handle: monitor.startRequest(target.id, { handleSilence: () => handleSilence(attempt) }),
       head: undefined,
+      hasBegun: false,
       parser: undefined,
       parts: [],
       bufferedBytes: 0,
@@ -370,12 +375,24 @@
     retry(reason, FailureReason.TargetFailed);
   }
 
+  /** Fails an attempt whose target closed the connection before the response was complete. */
+  function failLostAttempt(attempt: Attempt, problem: string): void {
+    if (attempt !== current) return;
+    dependencies.crashWatch.recordLostRequest(attempt.target, {
+      requestId: request.callerAttemptId ?? '',
+      partIds: request.sharedPartIds,
+      hasBegun: attempt.hasBegun,
+    });
+    failAttempt(attempt, problem);
+  }
+
   function handleData(attempt: Attempt, chunk: Buffer): void {
     if (attempt !== current) return;
     if (attempt.parser !== undefined) {
       forwardEvents(attempt, attempt.parser, chunk);
       return;
     }
+    attempt.hasBegun = true;
     attempt.handle.recordData();
     attempt.bufferedBytes += chunk.length;
     if (attempt.bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -393,7 +410,10 @@
       return;
     }
     // Events show that the target is alive; bytes that complete none do not.
-    if (events.some(({ id }) => id !== undefined)) attempt.handle.recordData();
+    if (events.some(({ id }) => id !== undefined)) {
+      attempt.hasBegun = true;
+      attempt.handle.recordData();
+    }
     for (const event of events) {
       const number = parseEventNumber(event.id);
       const last = parseEventNumber(lastEventId);
@@ -452,7 +472,7 @@
 
   function endStream(attempt: Attempt, parser: EventParser): void {
     if (parser.countPendingBytes() > 0) {
-      failAttempt(attempt, 'ended inside an event');
+      failLostAttempt(attempt, 'ended inside an event');
       return;
     }
     startBody(attempt);
@@ -482,7 +502,11 @@
       reportResult(Outcome.Rejected, HTTP_BAD_REQUEST, FailureReason.Unsendable);
       return;
     }
-    if (failure === SendFailure.NotSent) monitor.markSuspect(attempt.target.id, problem);
+    if (failure === SendFailure.Sent) {
+      failLostAttempt(attempt, problem);
+      return;
+    }
+    monitor.markSuspect(attempt.target.id, problem);
     failAttempt(attempt, problem);
   }
 
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -1,3 +1,4 @@
+import { createConnection as openSocket } from 'node:net';
 import type { Writable } from 'node:stream';
 import { buildConnector, Client, errors } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -39,6 +40,8 @@
 export interface TargetClient {
   /** Starts a send; the listener is called only after `send` has returned. */
   send(request: TargetRequest, listener: ExchangeListener): TargetExchange;
+  /** Resolves to whether a process accepts connections at an address; never rejects. */
+  probeListener(address: string): Promise<boolean>;
   close(): Promise<void>;
 }
 
@@ -211,6 +214,21 @@
         resume: () => active?.resume(),
       };
     },
+    probeListener(address) {
+      const { hostname, port } = new URL(`http://${address}`);
+      return new Promise((resolve) => {
+        const socket = openSocket(Number(port), hostname);
+        const end = (isListening: boolean): void => {
+          socket.destroy();
+          resolve(isListening);
+        };
+        const cancelTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => end(false));
+        socket.on('connect', () => end(true));
+        // A refused connection is an answer to the question, not a problem of its own.
+        socket.on('error', () => end(false));
+        socket.on('close', cancelTimeout);
+      });
+    },
     async close() {
       await Promise.all([...openClients].map((client) => client.destroy()));
     },
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -19,6 +19,8 @@
   /** Model that the request asks for. */
   model: string | undefined;
   promptTokens: number;
+  /** Ids of the parts of the prompt that other requests may hold too, in order. */
+  sharedPartIds: readonly string[];
   /** Id of the last event that the caller had received, if it resumes a stream itself. */
   lastEventId: string | undefined;
   /** Fields that are forwarded to the target unchanged. */
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -15,6 +15,7 @@
   formatPlaceKey,
   sumDemands,
 } from '../placement/index.ts';
+import { createCrashWatch } from '../quarantine/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -178,6 +179,11 @@
   };
   const requestLog = createRequestLog(logger, timers, metrics);
   const { recordRetry } = requestLog;
+  const crashWatch = createCrashWatch({
+    timers,
+    probeListener: client.probeListener,
+    handleCrash: requestLog.recordCrash,
+  });
   const handler = createRequestHandler({
     requestLog,
     getRoutingTable: storeView.getRoutingTable,
@@ -197,6 +203,7 @@
       lines: createWaitingLines(timers),
       serviceTimes,
       demandMeter,
+      crashWatch,
     },
   });
 
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -26,6 +26,8 @@
 export interface GatewayMetrics {
   countRequest(outcome: string, kind: string, reason: string): void;
   countRetry(kind: string, reason: string): void;
+  /** Counts a crash of a target that this gateway saw. */
+  countCrash(service: string): void;
   recordLatency(input: RoutedRequest, result: ForwardingResult): void;
   countStoreCall(call: StoreCallResult): void;
   countUnexpectedError(origin: ErrorOrigin): void;
@@ -74,6 +76,12 @@
     labelNames: ['kind', 'reason'],
     registers,
   });
+  const crashes = new Counter({
+    name: `${PREFIX}target_crashes_total`,
+    help: 'Crashes of targets under requests whose answers had not begun, by service.',
+    labelNames: ['service'],
+    registers,
+  });
   const firstByte = new Histogram({
     name: `${PREFIX}first_byte_seconds`,
     help: 'Time from the arrival of a request to the first byte of its answer.',
@@ -142,6 +150,7 @@
   return {
     countRequest: (outcome, kind, reason) => requests.inc({ outcome, kind, reason }),
     countRetry: (kind, reason) => retries.inc({ kind, reason: buildReasonLabel(reason) }),
+    countCrash: (service) => crashes.inc({ service }),
     recordLatency({ route }, { firstByteMs, longestGapMs }) {
       if (firstByteMs === undefined) return;
       firstByte.observe({ kind: route.kind }, firstByteMs / MS_PER_SECOND);
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -7,6 +7,7 @@
 import { Outcome } from '../forwarding/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import type { TargetCrash } from '../quarantine/index.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
 
 /**
@@ -24,8 +25,13 @@
   /** Records that the gateway sends a request again, to the given target. */
   recordRetry(input: RoutedRequest, targetId: string, reason: string): void;
   recordResult(input: RoutedRequest, result: ForwardingResult): void;
+  /** Records that a target crashed, with the requests whose responses had not begun. */
+  recordCrash(crash: TargetCrash): void;
 }
 
+/** Requests of one crash, and parts of one prompt, that a line names at most. */
+const MAX_LISTED_REQUESTS = 8;
+const MAX_LISTED_PARTS = 8;
 /** Maximum lines per second; further lines are only counted. */
 const MAX_LINES_PER_SECOND = 60;
 const MS_PER_SECOND = 1_000;
@@ -37,11 +43,16 @@
   return gapObjectiveMs !== undefined && result.longestGapMs > gapObjectiveMs;
 }
 
+/** Formats the deepest parts of a prompt; a caller chooses how many there are. */
+function formatParts(partIds: readonly string[]): string {
+  return partIds.slice(-MAX_LISTED_PARTS).join(',');
+}
+
 /** Creates the request log. */
 export function createRequestLog(
   logger: Logger,
   timers: Pick<TimerService, 'getMonotonicMs'>,
-  metrics: Pick<GatewayMetrics, 'countRequest' | 'countRetry' | 'recordLatency'>,
+  metrics: Pick<GatewayMetrics, 'countRequest' | 'countRetry' | 'countCrash' | 'recordLatency'>,
 ): RequestLog {
   let windowSecond = 0;
   let lineCount = 0;
@@ -91,6 +102,7 @@
         request: input.request.callerAttemptId ?? '',
         route: input.route.name,
         model: input.request.model ?? '',
+        parts: formatParts(input.request.sharedPartIds),
         outcome: result.outcome,
         reason: result.reason ?? '',
         status: result.status ?? 0,
@@ -102,5 +114,18 @@
         tookMs: Math.round(timers.getMonotonicMs() - input.arrivedMs),
       });
     },
+    recordCrash({ target, requests }) {
+      metrics.countCrash(target.service);
+      if (!reserveLine()) return;
+      const notBegun = requests.filter(({ hasBegun }) => !hasBegun);
+      const listed = notBegun.slice(0, MAX_LISTED_REQUESTS);
+      logger.warn('a target crashed', {
+        target: target.id,
+        begun: requests.length - notBegun.length,
+        notBegun: notBegun.length,
+        requests: listed.map(({ requestId }) => requestId).join(' '),
+        parts: listed.map(({ partIds }) => formatParts(partIds)).join(' '),
+      });
+    },
   };
 }
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -17,6 +17,8 @@
   TargetId = 'x-instance-id',
   RetryAfter = 'retry-after',
   Model = 'x-model',
+  /** Parts of the prompt in order, `id:tokens,id:tokens`; the last one is the request's own. */
+  PromptParts = 'x-prompt-prefix',
   /** `promptTokens,maxOutputTokens`. */
   TokenUsage = 'x-token-usage',
   /** Priority from 0 to 9; 0 is admitted first. */
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -82,6 +82,21 @@
   return scheme.toLowerCase() === KEY_SCHEME.toLowerCase() ? key : undefined;
 }
 
+/** Parts of a prompt that are told apart; of more, the last ones are kept. */
+const MAX_SHARED_PARTS = 64;
+const PART_PATTERN = /^([0-9a-f]{1,32}):\d+$/;
+
+/** Parses the ids of a prompt's parts, without the last one, which no other request shares. */
+function parseSharedParts(text: string | undefined): string[] {
+  if (text === undefined) return [];
+  return text
+    .toLowerCase()
+    .split(',')
+    .slice(0, -1)
+    .slice(-MAX_SHARED_PARTS)
+    .flatMap((part) => PART_PATTERN.exec(part.trim())?.[1] ?? []);
+}
+
 function parseRequest(method: string, path: string, rawHeaders: readonly string[]): CallerRequest {
   const [promptTokens] = (findField(rawHeaders, Header.TokenUsage) ?? '').split(',');
   return {
@@ -93,6 +108,7 @@
     key: parseKey(findField(rawHeaders, Header.Authorization)),
     model: findField(rawHeaders, Header.Model),
     promptTokens: parseNonNegativeNumber(promptTokens) ?? 0,
+    sharedPartIds: parseSharedParts(findField(rawHeaders, Header.PromptParts)),
     lastEventId: findField(rawHeaders, Header.LastEventId),
     forwardedHeaders: selectForwardedFields(
       rawHeaders,
