--- a/src/stand-ins/soak/callers.ts
+++ b/src/stand-ins/soak/callers.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from '../../core/timers/index.ts';
 import type { Observations, ObservedResponse, SentRequest } from './observations.ts';
 import { ResponseEnd, RequestClass } from './observations.ts';
+import { buildPromptParts } from './prompt-parts.ts';
 import type { ResponseBody } from './soak-targets.ts';
 
 /** Options of the callers. */
@@ -18,6 +19,8 @@
   /** Number of concurrent callers, each with its own connections. */
   count: number;
   attemptPrefix: string;
+  /** Share of the streams whose prompt has a part that crashes engines. */
+  deadlyShare: number;
 }
 
 /** Simulated callers, each of which sends one request at a time. */
@@ -126,6 +129,7 @@
         'x-deadline-ms': String(DEADLINE_MS),
         'x-model': pickRandom(models) ?? '',
         'x-token-usage': '100,100',
+        ...buildPromptParts(sent, options.deadlyShare, random),
       },
       body: 'two pallets',
     });
@@ -134,6 +138,12 @@
     return observed.end === ResponseEnd.Complete && response.headers.connection !== 'close';
   };
 
+  /** Draws no random number without deadly requests, so that seeds keep their requests. */
+  const isDeadly = (requestClass: RequestClass): boolean =>
+    requestClass === RequestClass.Stream &&
+    options.deadlyShare > 0 &&
+    random() < options.deadlyShare;
+
   const runCaller = async (): Promise<void> => {
     const clients = new Map<string, Client>();
     let addresses: string[] = [];
@@ -159,9 +169,11 @@
             connect: { timeout: 1_000 },
           });
         clients.set(address, client);
+        const requestClass = pickRandom(CLASSES) ?? RequestClass.Read;
         const sent: SentRequest = {
           attemptId: `${options.attemptPrefix}-${attempts++}`,
-          requestClass: pickRandom(CLASSES) ?? RequestClass.Read,
+          requestClass,
+          isDeadly: isDeadly(requestClass),
           gateway: address,
           sentMs: timers.getMonotonicMs(),
         };
--- a/src/stand-ins/soak/checks.test.ts
+++ b/src/stand-ins/soak/checks.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { findViolations, Rule, MAX_STOP_MS } from './checks.ts';
+import { findDeadlyPromptViolations, findViolations, Rule, MAX_STOP_MS } from './checks.ts';
 import type { Observations, ObservedResponse, TargetRun } from './observations.ts';
 import { ResponseEnd, createObservations, RequestClass } from './observations.ts';
 
@@ -12,7 +12,8 @@
   requestClass: RequestClass,
   sentMs = 0,
 ) {
-  observations.requests.set(attemptId, { attemptId, requestClass, gateway: GATEWAY, sentMs });
+  const request = { attemptId, requestClass, gateway: GATEWAY, sentMs, isDeadly: false };
+  observations.requests.set(attemptId, request);
 }
 
 function addResponse(
@@ -187,6 +188,23 @@
   },
 ];
 
+/** Observations of deadly requests after five crashes in the first 500 ms. */
+const DEADLY_CASES: { name: string; rules: Rule[]; arrivals: number[]; served: number }[] = [
+  {
+    name: 'finds more deadly requests at engines than the bound allows',
+    rules: [Rule.ContainedCrashes],
+    arrivals: [3_600, 3_700, 3_800, 3_900],
+    served: 20,
+  },
+  {
+    name: 'finds sound requests that are not served',
+    rules: [Rule.SoundPromptsServed],
+    arrivals: [],
+    served: 9,
+  },
+  { name: 'allows three late trials', rules: [], arrivals: [3_600, 3_700, 3_800], served: 20 },
+];
+
 describe('findViolations', () => {
   for (const { rule, name, fill } of VIOLATING) {
     // A check that never reports a violation would let every soak test pass.
@@ -206,6 +224,25 @@
   }
 
   it('has a violating case for each rule', () => {
-    expect(new Set(VIOLATING.map(({ rule }) => rule))).toEqual(new Set(Object.values(Rule)));
+    const violated = [
+      ...VIOLATING.map(({ rule }) => rule),
+      ...DEADLY_CASES.flatMap((one) => one.rules),
+    ];
+    expect(new Set(violated)).toEqual(new Set(Object.values(Rule)));
   });
 });
+
+describe('checks of deadly prompts', () => {
+  for (const { name, rules, arrivals, served } of DEADLY_CASES) {
+    it(name, () => {
+      const observations = createObservations();
+      observations.engineCrashesMs.push(100, 200, 300, 400, 500);
+      arrivals.forEach((atMs) => observations.deadlyArrivals.push({ attemptId: 'd', atMs }));
+      for (let index = 0; index < 20; index++) {
+        addRequest(observations, `s${index}`, RequestClass.Stream, 7_000);
+        if (index < served) addResponse(observations, `s${index}`);
+      }
+      expect(findDeadlyPromptViolations(observations).map(({ rule }) => rule)).toEqual(rules);
+    });
+  }
+});
--- a/src/stand-ins/soak/checks.ts
+++ b/src/stand-ins/soak/checks.ts
@@ -21,6 +21,10 @@
   GracefulStop = 'graceful-stop',
   /** Targets execute only requests that a caller sent. */
   OnlySentRequests = 'only-asked',
+  /** A part of prompts that crashes engines soon reaches no more of them. */
+  ContainedCrashes = 'contained-crashes',
+  /** Prompts that share other parts with the deadly ones are served meanwhile. */
+  SoundPromptsServed = 'sound-prompts-served',
 }
 
 /** One violation of a rule. */
@@ -34,6 +38,10 @@
 /** Time after SIGTERM within which a gateway must exit; the platform kills it after 8 s. */
 export const MAX_STOP_MS = 8_000;
 
+function getAttemptId({ attemptId }: ObservedResponse): string {
+  return attemptId;
+}
+
 function isSuccess({ status }: ObservedResponse): boolean {
   return status >= 200 && status < 300;
 }
@@ -162,6 +170,40 @@
   }));
 }
 
+/** Crashes by one part after which it may reach only `MAX_LATE_ARRIVALS` more engines. */
+const CRASHES_BEFORE_BOUND = 5;
+const MAX_LATE_ARRIVALS = 3;
+/** Time after the last allowed crash until the bound holds; `touch_ms` of the settings. */
+const TOUCH_MS = 3_000;
+const MIN_SERVED_SHARE = 0.5;
+const MIN_SAMPLE = 20;
+
+/** Checks the bounds on deadly prompts; they hold for gateways without faults of their own. */
+export function findDeadlyPromptViolations(observations: Observations): Violation[] {
+  const { engineCrashesMs, deadlyArrivals, requests, responses } = observations;
+  const lastAllowedMs = engineCrashesMs[Math.min(CRASHES_BEFORE_BOUND, engineCrashesMs.length) - 1];
+  if (lastAllowedMs === undefined) return [];
+  const violations: Violation[] = [];
+  const late = deadlyArrivals.filter(({ atMs }) => atMs > lastAllowedMs + TOUCH_MS);
+  if (engineCrashesMs.length >= CRASHES_BEFORE_BOUND && late.length > MAX_LATE_ARRIVALS) {
+    const detail = `${late.length} deadly requests reached engines later than ${TOUCH_MS} ms after crash ${CRASHES_BEFORE_BOUND} of ${engineCrashesMs.length}`;
+    violations.push({ rule: Rule.ContainedCrashes, detail });
+  }
+  const served = new Set(
+    responses.filter((one) => isSuccess(one) && one.end === ResponseEnd.Complete).map(getAttemptId),
+  );
+  const sound = [...requests.values()].filter(
+    ({ requestClass, isDeadly, sentMs }) =>
+      requestClass === RequestClass.Stream && !isDeadly && sentMs > lastAllowedMs + 2 * TOUCH_MS,
+  );
+  const servedCount = sound.filter(({ attemptId }) => served.has(attemptId)).length;
+  if (sound.length >= MIN_SAMPLE && servedCount < sound.length * MIN_SERVED_SHARE) {
+    const detail = `${servedCount} of ${sound.length} sound requests were served`;
+    violations.push({ rule: Rule.SoundPromptsServed, detail });
+  }
+  return violations;
+}
+
 /** Checks the observations of a run against all rules and returns the violations. */
 export function findViolations(observations: Observations): Violation[] {
   const checks = [
--- a/src/stand-ins/soak/observations.ts
+++ b/src/stand-ins/soak/observations.ts
@@ -20,6 +20,8 @@
   requestClass: RequestClass;
   gateway: string;
   sentMs: number;
+  /** Whether its prompt has a part that crashes engines. */
+  isDeadly: boolean;
 }
 
 /** The response that a caller received for one attempt. */
@@ -56,6 +58,12 @@
   formerGroup: string;
 }
 
+/** A request with a deadly part that reached an engine. */
+export interface DeadlyArrival {
+  attemptId: string;
+  atMs: number;
+}
+
 /** A planned stop of a gateway with SIGTERM. */
 export interface PlannedStop {
   gateway: string;
@@ -73,9 +81,20 @@
   runs: TargetRun[];
   conflictingJoins: ConflictingJoin[];
   plannedStops: PlannedStop[];
+  deadlyArrivals: DeadlyArrival[];
+  /** Times at which a request crashed its engine. */
+  engineCrashesMs: number[];
 }
 
 /** Creates empty observations. */
 export function createObservations(): Observations {
-  return { requests: new Map(), responses: [], runs: [], conflictingJoins: [], plannedStops: [] };
+  return {
+    requests: new Map(),
+    responses: [],
+    runs: [],
+    conflictingJoins: [],
+    plannedStops: [],
+    deadlyArrivals: [],
+    engineCrashesMs: [],
+  };
 }
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -8,7 +8,7 @@
 import { createStandInStore } from '../store/index.ts';
 import { startCallers } from './callers.ts';
 import type { Violation } from './checks.ts';
-import { findViolations } from './checks.ts';
+import { findDeadlyPromptViolations, findViolations } from './checks.ts';
 import { buildSoakConfiguration, createSoakEnvironment } from './soak-environment.ts';
 import { injectFaults } from './inject-faults.ts';
 import type { SoakGateway } from './gateways.ts';
@@ -22,6 +22,10 @@
   durationMs: number;
   gateways: number;
   callers: number;
+  /** Share of the streams whose prompt has a part that crashes engines. */
+  deadlyShare?: number;
+  /** Whether the run injects no faults besides. */
+  isFaultFree?: boolean;
   timers: TimerService;
   /** Folder with the built programs. */
   buildFolder: string;
@@ -33,6 +37,8 @@
   requests: number;
   /** Requests whose callers received a complete, successful response of a target. */
   answered: number;
+  /** Engines that crashed on a deadly request. */
+  engineCrashes: number;
   faults: string[];
   /** Folder with the settings and logs of the gateways. */
   workFolder: string;
@@ -48,7 +54,7 @@
   const { seed, durationMs, timers } = options;
   const generator = xoroshiro128plus(seed);
   const random = (): number => uniformFloat64(generator);
-  const faults = planFaults(durationMs, random);
+  const faults = options.isFaultFree === true ? [] : planFaults(durationMs, random);
   const observations = createObservations();
   const store = await createStandInStore();
   mkdirSync(OUTPUT_FOLDER, { recursive: true });
@@ -90,6 +96,7 @@
       host: environment.host,
       count: options.callers,
       attemptPrefix: `s${seed}`,
+      deadlyShare: options.deadlyShare ?? 0,
     });
     const injected = injectFaults({
       faults,
@@ -112,7 +119,11 @@
     ({ status, end }) => status < 300 && end === ResponseEnd.Complete,
   );
   return {
-    violations: findViolations(observations),
+    violations: [
+      ...findViolations(observations),
+      ...(faults.length === 0 ? findDeadlyPromptViolations(observations) : []),
+    ],
+    engineCrashes: observations.engineCrashesMs.length,
     requests: observations.requests.size,
     answered: answered.length,
     faults: faults.map(({ kind, atMs, forMs }) => {
--- a/src/stand-ins/soak/soak-engines.ts
+++ b/src/stand-ins/soak/soak-engines.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { DEADLY_PART } from './prompt-parts.ts';
 import type { ResponseBody, TargetEnvironment, SoakTarget } from './soak-targets.ts';
 import {
   buildLifecycle,
@@ -56,8 +57,16 @@
   listOpenModels(): string[];
 }
 
-/** Creates an empty fleet of engines. */
-export function createEngineFleet(environment: TargetEnvironment, service: string): EngineFleet {
+function hasDeadlyPart(incoming: IncomingMessage): boolean {
+  return String(incoming.headers['x-prompt-prefix'] ?? '').startsWith(`${DEADLY_PART}:`);
+}
+
+/** Creates an empty fleet of engines; `handleDeadlyRequest` has to crash the engine that it names. */
+export function createEngineFleet(
+  environment: TargetEnvironment,
+  service: string,
+  handleDeadlyRequest: (id: string) => void,
+): EngineFleet {
   const { timers, observations, store } = environment;
   const engines = new Map<string, EngineState>();
   /** Members that have reached the state `ready`, by group and epoch. */
@@ -203,6 +212,9 @@
           return;
         }
         const attemptId = getAttemptId(incoming);
+        const isDeadly = hasDeadlyPart(incoming);
+        if (isDeadly)
+          observations.deadlyArrivals.push({ attemptId, atMs: timers.getMonotonicMs() });
         const afterEvent = Number(incoming.headers['last-event-id'] ?? 0);
         const atMs = timers.getMonotonicMs();
         const isGroupComplete = wasComplete(group);
@@ -219,6 +231,12 @@
           'X-Response-Signature': 'signed',
           'X-Attempt-Id': attemptId,
         });
+        if (isDeadly) {
+          await timers.waitFor(EVENT_PERIOD_MS);
+          observations.engineCrashesMs.push(timers.getMonotonicMs());
+          handleDeadlyRequest(id);
+          return;
+        }
         await writeEvents(group, attemptId, afterEvent, response).finally(endRun);
       };
 
--- a/src/stand-ins/soak/soak-environment.ts
+++ b/src/stand-ins/soak/soak-environment.ts
@@ -102,15 +102,25 @@
 ): Promise<SoakEnvironment> {
   const { store, zones } = options;
   const targetEnvironment: TargetEnvironment = { host: HOST, ...options };
-  const engineFleet = createEngineFleet(targetEnvironment, ENGINE_SERVICE);
   const starters = new Map<SoakTarget, () => Promise<SoakTarget>>();
+  const start = async (starter: () => Promise<SoakTarget>): Promise<void> => {
+    starters.set(await starter(), starter);
+  };
+  const replaceTarget = async (target: SoakTarget): Promise<void> => {
+    const starter = starters.get(target);
+    starters.delete(target);
+    if (starter !== undefined) await start(starter);
+  };
+  /** Crashes an engine, whose process is back after the entry has expired. */
+  const crashEngine = (id: string): void => {
+    const target = [...starters.keys()].find((one) => one.id === id);
+    void target?.crash().then(() => replaceTarget(target));
+  };
+  const engineFleet = createEngineFleet(targetEnvironment, ENGINE_SERVICE, crashEngine);
   let configurationIndex = 0;
   let engineCount = 0;
   let plainCount = 0;
 
-  const start = async (starter: () => Promise<SoakTarget>): Promise<void> => {
-    starters.set(await starter(), starter);
-  };
   const startEngine = (zone: string) => (): Promise<SoakTarget> =>
     engineFleet.startEngine(`engine-${engineCount++}`, zone, `${zone}-d0`);
   const startPlain = (service: string, zone: string, version: number) => (): Promise<SoakTarget> =>
@@ -132,11 +142,7 @@
     host: ROUTE_HOST,
     hasOpenGroups: () => engineFleet.listOpenModels().length === 2,
     listTargets: () => [...starters.keys()],
-    async replaceTarget(target) {
-      const starter = starters.get(target);
-      starters.delete(target);
-      if (starter !== undefined) await start(starter);
-    },
+    replaceTarget,
     changeConfiguration() {
       if (configurationIndex + 1 >= VERSION_COUNT) return;
       configurationIndex++;
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -9,6 +9,22 @@
   { seed: 201, cause: 'the proxy delivered later bytes before delayed ones, which TCP never does' },
 ];
 
+// Guards against requests with one deadly part in their prompts that crash engine after engine
+// (BUDGET on the day deploy/days/tainted.toml).
+const DEADLY_SHARES = [{ deadlyShare: 0.1 }, { deadlyShare: 0.5 }];
+
+describe('deadly prompts at real processes', () => {
+  for (const { deadlyShare } of DEADLY_SHARES) {
+    it(`contains a part that crashes engines, in ${deadlyShare * 100} of 100 streams`, async () => {
+      const timers = createTimerService();
+      const size = { durationMs: 12_000, gateways: 4, callers: 20, buildFolder: 'dist' };
+      const result = await runSoak({ ...size, seed: 7, deadlyShare, isFaultFree: true, timers });
+      expect(result.violations).toEqual([]);
+      expect(result.engineCrashes > 0).toEqual(true);
+    });
+  }
+});
+
 describe('soak of real processes', () => {
   for (const { seed, cause } of SEEDS) {
     it(`breaks no rule under the faults of seed ${seed} (${cause})`, async () => {
