Quarantine the parts of prompts that crash engines

Cause: what a failure teaches was tied to the target only, at the one gateway that had sent the request. Nothing was learned about requests, so that each new one with the same part, and each repeat, took a further engine and its group along.

Change: core/quarantine. A gateway reports each crash of a target with the requests whose answers had not begun; all gateways exchange these reports in their packets, with the parts that answers have begun with. A part that was at two crashes (three, if answers had begun with it before) and in no answer since is refused on all gateways, for the customers whose requests crashed engines, or for all with two of them. Parts that always come together are refused together only. Requests that wait with such a part are ended. Trials follow 30 s after the last crash, three times as long with each further one, by one gateway at a time. A crash is told from a lost connection by a probe, and engines that crash together count once unless the part is at each.

--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -27,6 +27,7 @@
   [FailureReason.Stopping]: 'the gateway was stopping; the request was not executed',
   [FailureReason.TargetFailed]: 'its target failed, and the request must not be retried',
   [FailureReason.Unsendable]: 'the request cannot be written as HTTP, so no target got it',
+  [FailureReason.Quarantined]: 'its prompt holds parts that have crashed targets',
   [FailureReason.TooLarge]: 'its body is larger than the configuration allows',
 };
 
--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { RequestKind } from '../serving/index.ts';
+import type { PromptGuard } from '../quarantine/index.ts';
 import type { ReceivedSend, ForwardingHarness } from './fixtures/forwarding-harness.ts';
 import {
   RESPONSE_HEAD,
@@ -10,7 +11,7 @@
 } from './fixtures/forwarding-harness.ts';
 import { MAX_EVENT_BYTES } from './event-parser.ts';
 import { SendFailure } from './target-client.ts';
-import { Outcome } from './types.ts';
+import { FailureReason, Outcome } from './types.ts';
 
 function getSend(harness: ForwardingHarness, index: number): ReceivedSend {
   const send = harness.sends[index];
@@ -262,3 +263,71 @@
     expect(harness.caller.isEnded).toEqual(false);
   });
 });
+
+/** Starts forwarding a stream whose prompt a test puts into quarantine. */
+function startWithQuarantine(isQuarantined: boolean) {
+  const state = { isQuarantined, lost: [] as boolean[], begun: 0, ended: 0, refuse: () => {} };
+  const guard: PromptGuard = {
+    admit: () => !state.isQuarantined,
+    getRetryAfterMs: () => 30_000,
+    recordBegun: () => {
+      state.begun++;
+    },
+    recordLost: (_target, hasBegun) => state.lost.push(hasBegun),
+    end: () => {
+      state.ended++;
+    },
+  };
+  const harness = startTestForwarding({
+    kind: RequestKind.Streaming,
+    sharedPartIds: ['a1'],
+    quarantine: {
+      startRequest: (_request, refuseWaiting) => {
+        state.refuse = refuseWaiting;
+        return guard;
+      },
+    },
+  });
+  return { harness, state };
+}
+
+describe('forwarding of prompts that crash targets', () => {
+  it('refuses a quarantined prompt at once, without a send', () => {
+    const { harness, state } = startWithQuarantine(true);
+    expect(harness.sends.length).toEqual(0);
+    expect(harness.caller.status).toEqual(503);
+    expect(harness.getResult()?.reason).toEqual(FailureReason.Quarantined);
+    expect(state.ended).toEqual(1);
+  });
+
+  // Guards against a request that crashes a second target after the first one, and against reporting
+  // that it has not run.
+  it('does not retry a request whose prompt was quarantined after it crashed its target', () => {
+    const { harness, state } = startWithQuarantine(false);
+    const { listener } = acceptSend(harness, 0);
+    state.isQuarantined = true;
+    listener.handleError(SendFailure.Sent, 'other side closed');
+    expect(harness.sends.length).toEqual(1);
+    expect(harness.caller.status).toEqual(502);
+    expect(state).toLooseEqual({ ...state, lost: [false], ended: 1 });
+  });
+
+  it('cancels a request that waits at a target when its prompt is quarantined', () => {
+    const { harness, state } = startWithQuarantine(false);
+    const send = acceptSend(harness, 0);
+    state.refuse();
+    expect(send.isCancelled).toEqual(true);
+    expect(harness.caller.status).toEqual(502);
+  });
+
+  // Guards against parts that are suspected although answers begin with them.
+  it('records that an answer has begun, and a loss after it', () => {
+    const { harness, state } = startWithQuarantine(false);
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(STREAM_HEAD);
+    listener.handleData(buildEvent(1));
+    listener.handleError(SendFailure.Sent, 'other side closed');
+    expect(state.begun > 0).toEqual(true);
+    expect(state.lost).toEqual([true]);
+  });
+});
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -3,7 +3,7 @@
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import type { DemandMeter } from '../placement/index.ts';
-import type { CrashWatch } from '../quarantine/index.ts';
+import type { Quarantine } from '../quarantine/index.ts';
 import type { TargetQuery } from './choose-target.ts';
 import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
@@ -54,7 +54,7 @@
   monitor: TargetMonitor;
   budget: RetryBudget;
   demandMeter: Pick<DemandMeter, 'recordRequest'>;
-  crashWatch: CrashWatch;
+  quarantine: Pick<Quarantine, 'startRequest'>;
   /** Called for each retry, with its reason. */
   recordRetry(request: RoutedRequest, targetId: string, reason: string): void;
 }
@@ -142,6 +142,15 @@
   const { request, route, service } = input;
   const { timers, client, monitor, chooser, budget, wire, lines, serviceTimes } = dependencies;
   const placement = createRequestPlacement(input, dependencies);
+  const guard = dependencies.quarantine.startRequest(
+    {
+      requestId: request.callerAttemptId ?? '',
+      service: service.name,
+      customer: input.customer,
+      sharedPartIds: request.sharedPartIds,
+    },
+    refuseQuarantined,
+  );
   const isStreaming = route.kind === RequestKind.Streaming;
   const isRetryable = route.kind === RequestKind.Idempotent || (isStreaming && route.isResumable);
 
@@ -177,6 +186,7 @@
     isDone = true;
     cancelWait?.();
     cancelDeadline?.();
+    guard.end();
     finish({
       outcome,
       reason,
@@ -205,7 +215,10 @@
       return;
     }
     if (!mayHaveRun) {
-      const retryAfterMs = placement.getRetryAfterMs(reason);
+      const retryAfterMs =
+        reason === FailureReason.Quarantined
+          ? guard.getRetryAfterMs()
+          : placement.getRetryAfterMs(reason);
       sendGatewayResponse(HTTP_UNAVAILABLE, retryAfterMs);
       reportResult(Outcome.NotRun, HTTP_UNAVAILABLE, reason);
       return;
@@ -216,6 +229,13 @@
     reportResult(isLate ? Outcome.TimedOut : Outcome.Unknown, status, reason);
   }
 
+  /** Ends the request because its prompt has been quarantined; it may be at a target. */
+  function refuseQuarantined(): void {
+    if (isDone) return;
+    mayHaveRun ||= current?.wasSent === true;
+    endWithoutResponse(FailureReason.Quarantined);
+  }
+
   /**
    * Tries again to find another target for a request that a target has begun. It cannot be refused as
    * not run, so it waits longer than one that can.
@@ -255,6 +275,10 @@
 
   /** Sends the request if a target can take it; returns whether the wait for a target is over. */
   function tryStartAttempt(query: TargetQuery): boolean {
+    if (!guard.admit()) {
+      endWithoutResponse(FailureReason.Quarantined);
+      return true;
+    }
     const target = chooser.chooseTarget(query);
     if (target === undefined) return false;
     if (targetIds.length > 0) {
@@ -378,21 +402,22 @@
   /** Fails an attempt whose target closed the connection before the response was complete. */
   function failLostAttempt(attempt: Attempt, problem: string): void {
     if (attempt !== current) return;
-    dependencies.crashWatch.recordLostRequest(attempt.target, {
-      requestId: request.callerAttemptId ?? '',
-      partIds: request.sharedPartIds,
-      hasBegun: attempt.hasBegun,
-    });
+    guard.recordLost(attempt.target, attempt.hasBegun);
     failAttempt(attempt, problem);
   }
 
+  function recordBegun(attempt: Attempt): void {
+    attempt.hasBegun = true;
+    guard.recordBegun();
+  }
+
   function handleData(attempt: Attempt, chunk: Buffer): void {
     if (attempt !== current) return;
     if (attempt.parser !== undefined) {
       forwardEvents(attempt, attempt.parser, chunk);
       return;
     }
-    attempt.hasBegun = true;
+    recordBegun(attempt);
     attempt.handle.recordData();
     attempt.bufferedBytes += chunk.length;
     if (attempt.bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -411,7 +436,7 @@
     }
     // Events show that the target is alive; bytes that complete none do not.
     if (events.some(({ id }) => id !== undefined)) {
-      attempt.hasBegun = true;
+      recordBegun(attempt);
       attempt.handle.recordData();
     }
     for (const event of events) {
--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -192,3 +192,21 @@
     expect(result.outcome).toEqual(SendFailure.Unsendable);
   });
 });
+
+describe('probe of a listener', () => {
+  // Guards against taking a target for crashed that only closed a connection, and the reverse.
+  it('tells a process that accepts connections from one that has ended', async () => {
+    const client = createTargetClient(WIRE, timers);
+    const server = createServer((socket) => socket.end());
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    expect(await client.probeListener(address)).toEqual(true);
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    expect(await client.probeListener(address)).toEqual(false);
+    await client.close();
+  });
+});
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -113,6 +113,8 @@
   TargetFailed = 'target-failed',
   /** The request cannot be written as HTTP to a target. */
   Unsendable = 'unsendable',
+  /** The prompt holds parts that have crashed targets. */
+  Quarantined = 'quarantined',
   /** The body of the request is larger than the configuration allows. */
   TooLarge = 'too-large',
 }
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -15,7 +15,8 @@
   formatPlaceKey,
   sumDemands,
 } from '../placement/index.ts';
-import { createCrashWatch } from '../quarantine/index.ts';
+import { createQuarantine } from '../quarantine/index.ts';
+import { selectByRendezvous } from '../rendezvous/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -179,10 +180,16 @@
   };
   const requestLog = createRequestLog(logger, timers, metrics);
   const { recordRetry } = requestLog;
-  const crashWatch = createCrashWatch({
+  const quarantine = createQuarantine({
     timers,
     probeListener: client.probeListener,
+    isTrialOwner(key) {
+      const peers = peerExchange.listPeers().map(({ status }) => status.vmName);
+      return selectByRendezvous(key, [vmName, ...peers], 1)[0] === vmName;
+    },
     handleCrash: requestLog.recordCrash,
+    handleChange: requestLog.recordQuarantine,
+    sendNow: peerExchange.sendNow,
   });
   const handler = createRequestHandler({
     requestLog,
@@ -203,7 +210,7 @@
       lines: createWaitingLines(timers),
       serviceTimes,
       demandMeter,
-      crashWatch,
+      quarantine,
     },
   });
 
@@ -257,6 +264,7 @@
       suspectIds: monitor.listSuspects(),
       demands: demandMeter.listDemands(),
     }),
+    getEvidence: quarantine.buildEvidence,
     getProgress: (recentMs) =>
       [...feeds.values()].flatMap((feed) => feed.getProgress(recentMs) ?? []),
     handleStatus(status) {
@@ -272,6 +280,7 @@
         formation.handleSuspect(id);
       }
     },
+    handleEvidence: quarantine.receiveEvidence,
     handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
   });
   leaderElection.start({
@@ -326,6 +335,7 @@
     gateways: countGateways(),
     inProgress: handler.countInProgress(),
     dutyTerm: leaderElection.getTerm(),
+    quarantinedSets: quarantine.countEntries(),
     configurationVersion: storeView.getRoutingTable()?.version ?? 0,
   });
 
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -20,6 +20,7 @@
   inProgress: number;
   dutyTerm: number;
   configurationVersion: number;
+  quarantinedSets: number;
 }
 
 /** Counters, histograms and gauges of one gateway. */
@@ -123,6 +124,10 @@
     'configuration_version',
     'Version of the configuration in force.',
   );
+  const quarantinedSets = createGauge(
+    'quarantined_sets',
+    'Sets of prompt parts whose requests are refused because they crash targets.',
+  );
   const residentMemory = createGauge('resident_memory_bytes', 'Resident memory of the process.');
   const eventLoopDelay = createGauge(
     'event_loop_delay_seconds',
@@ -142,6 +147,7 @@
     inProgress.set(values.inProgress);
     dutyTerm.set(values.dutyTerm);
     configurationVersion.set(values.configurationVersion);
+    quarantinedSets.set(values.quarantinedSets);
     residentMemory.set(process.memoryUsage.rss());
     eventLoopDelay.set(loopDelay.percentile(99) / NS_PER_SECOND);
     loopDelay.reset();
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -7,7 +7,8 @@
 import { Outcome } from '../forwarding/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { TimerService } from '../timers/index.ts';
-import type { TargetCrash } from '../quarantine/index.ts';
+import type { QuarantineEntry, TargetCrash } from '../quarantine/index.ts';
+import { QuarantineChange } from '../quarantine/index.ts';
 import type { GatewayMetrics } from './gateway-metrics.ts';
 
 /**
@@ -27,11 +28,19 @@
   recordResult(input: RoutedRequest, result: ForwardingResult): void;
   /** Records that a target crashed, with the requests whose responses had not begun. */
   recordCrash(crash: TargetCrash): void;
+  /** Records that a set of prompt parts is quarantined, tried or released. */
+  recordQuarantine(change: QuarantineChange, entry: QuarantineEntry): void;
 }
 
 /** Requests of one crash, and parts of one prompt, that a line names at most. */
 const MAX_LISTED_REQUESTS = 8;
 const MAX_LISTED_PARTS = 8;
+const QUARANTINE_MESSAGES: Readonly<Record<QuarantineChange, string>> = {
+  [QuarantineChange.Added]: 'quarantined parts of prompts',
+  [QuarantineChange.Learned]: 'another gateway quarantined parts of prompts',
+  [QuarantineChange.Tried]: 'a request tries quarantined parts again',
+  [QuarantineChange.Cleared]: 'an answer cleared a part of prompts',
+};
 /** Maximum lines per second; further lines are only counted. */
 const MAX_LINES_PER_SECOND = 60;
 const MS_PER_SECOND = 1_000;
@@ -124,7 +133,16 @@
         begun: requests.length - notBegun.length,
         notBegun: notBegun.length,
         requests: listed.map(({ requestId }) => requestId).join(' '),
-        parts: listed.map(({ partIds }) => formatParts(partIds)).join(' '),
+        parts: listed.map(({ sharedPartIds }) => formatParts(sharedPartIds)).join(' '),
+      });
+    },
+    recordQuarantine(change, { parts, customers, crashes, lastCrashMs }) {
+      if (!reserveLine()) return;
+      logger.warn(QUARANTINE_MESSAGES[change], {
+        parts: formatParts(parts),
+        customers: [...customers].join(' '),
+        crashes,
+        sinceMs: Math.round(timers.getMonotonicMs() - lastCrashMs),
       });
     },
   };
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -3,6 +3,7 @@
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
 import type { Logger } from '../logs/index.ts';
+import type { PromptEvidence } from '../quarantine/index.ts';
 import type { Position } from '../placement/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { parseAddress } from './address.ts';
@@ -29,6 +30,7 @@
 export interface PeerExchangeListener {
   getStatus(): PeerStatus;
   getLoadReport(): PeerLoadReport;
+  getEvidence(): PromptEvidence;
   /** Progress of the store copies, with the changes of the last `recentMs`. */
   getProgress(recentMs: number): FeedProgress[];
   /** Called for each gateway whose status was received, directly or through a hub. */
@@ -37,6 +39,8 @@
   handleLoadReport(loadReport: PeerLoadReport): void;
   /** Called at once with the suspects of a received packet. */
   handleSuspects(targetIds: readonly string[]): void;
+  /** Called with the evidence of a packet; returns whether it contains news. */
+  handleEvidence(evidence: PromptEvidence): boolean;
   handleProgress(progress: FeedProgress): void;
 }
 
@@ -163,6 +167,7 @@
     const sender = listener.getStatus();
     const loadReport = listener.getLoadReport();
     reported = loadReport;
+    const evidence = listener.getEvidence();
     const peers = table.listPeers().map(({ status }) => status);
     const toAddresses = (list: readonly PeerStatus[]): string[] =>
       list.map(({ peerAddress }) => peerAddress);
@@ -172,6 +177,7 @@
       sender,
       loadReport,
       digest,
+      evidence,
       progress: hasProgress ? progress : [],
     });
     const otherHubs = peers.filter((peer) => hubs.has(peer.vmName));
@@ -233,11 +239,12 @@
       else handlePeerStatus(relayedPeer.status, relayedPeer.ageMs);
     }
     packet.progress.forEach((progress) => listener?.handleProgress(progress));
-    if (suspectIds.length === 0) return;
-    listener?.handleSuspects(suspectIds);
-    // A hub relays new suspects from its zone immediately.
+    const hasNewEvidence = listener?.handleEvidence(packet.evidence) === true;
+    if (suspectIds.length > 0) listener?.handleSuspects(suspectIds);
+    // A hub relays news immediately.
     const hasNewSuspects = suspectIds.some((id) => !knownSuspectIds.has(id));
-    if (hasNewSuspects && !getTopology().isMesh && isHub(vmName)) sendNow();
+    const hasNews = hasNewSuspects || hasNewEvidence;
+    if (hasNews && !getTopology().isMesh && isHub(vmName)) sendNow();
   };
 
   const removeTimedOutPeers = (): void => {
--- a/src/core/peers/digests.test.ts
+++ b/src/core/peers/digests.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { DigestAggregator } from './digests.ts';
 import { createDigestAggregator } from './digests.ts';
@@ -51,7 +52,7 @@
     aggregator,
     receive(sender, loadReport, digest) {
       table.addPeer(sender, 0);
-      aggregator.addPacket({ sender, loadReport, digest, progress: [] });
+      aggregator.addPacket({ sender, loadReport, digest, evidence: NO_EVIDENCE, progress: [] });
     },
   };
 }
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
+import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { createPeerExchange } from './create-peer-exchange.ts';
 import { buildPeerStatus } from './fixtures/peer-status.ts';
@@ -25,6 +26,7 @@
     demands: [],
     isComplete: true,
   },
+  evidence: NO_EVIDENCE,
   progress: [],
 };
 
@@ -54,6 +56,7 @@
           sender,
           loadReport: { loads, suspectIds: [], demands: [] },
           digest,
+          evidence: NO_EVIDENCE,
           progress: [],
         };
         expect(decodePacket(encodePacket(packet)).digest?.peers.length).toEqual(1);
@@ -76,10 +79,12 @@
     await exchange.start({
       getStatus: () => buildPeerStatus('self'),
       getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
+      getEvidence: () => NO_EVIDENCE,
       getProgress: () => [],
       handleStatus: () => undefined,
       handleLoadReport: () => undefined,
       handleSuspects: () => undefined,
+      handleEvidence: () => false,
       handleProgress: () => undefined,
     });
     const sound = encodePacket(PACKET);
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -28,6 +28,20 @@
     demands: [],
     isComplete: true,
   },
+  evidence: {
+    crashes: [
+      {
+        targetKey: 'i-1@5',
+        suspects: [
+          { customer: 'c', parts: ['s/a', 's/b'] },
+          { customer: '', parts: ['s/b'] },
+        ],
+        ageMs: 30,
+      },
+    ],
+    begins: [{ part: 's/c', ageMs: 500 }],
+    notices: [{ parts: ['s/a'], customers: ['c', 'd'], crashes: 4, ageMs: 7_000 }],
+  },
   progress: [
     {
       kind: StoreKind.Targets,
@@ -54,6 +68,7 @@
     expect(decoded.sender).toEqual(PACKET.sender);
     expect(decoded.loadReport).toEqual(PACKET.loadReport);
     expect(decoded.digest).toEqual(PACKET.digest);
+    expect(decoded.evidence).toEqual(PACKET.evidence);
     expect(decoded.progress[0]?.sinceRevision).toEqual(12);
   });
 
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -14,6 +14,7 @@
 } from '../rpc/generated/clementinefork/v1/gateway_pb.ts';
 import { StoreKind } from '../store/index.ts';
 import { decodeChanges, encodeProgress } from './change-codec.ts';
+import { decodeEvidence, encodeEvidence } from './evidence-codec.ts';
 import { parseAddress } from './address.ts';
 import { toUint32 } from './uint32.ts';
 import type { PeerDigest, PeerPacket, PeerStatus, RelayedPeer } from './types.ts';
@@ -68,7 +69,8 @@
 }
 
 /** Encodes a packet as a datagram. */
-export function encodePacket({ sender, loadReport, digest, progress }: PeerPacket): Uint8Array {
+export function encodePacket(packet: PeerPacket): Uint8Array {
+  const { sender, loadReport, digest, evidence, progress } = packet;
   let changeBytes = 0;
   const encodedProgress = progress.map((one) => {
     const encoded = encodeProgress(one, MAX_CHANGES_BYTES - changeBytes);
@@ -91,6 +93,7 @@
           isComplete: digest.isComplete,
         },
       }),
+      ...encodeEvidence(evidence),
       progress: encodedProgress,
     }),
   );
@@ -157,6 +160,7 @@
       demands: decodeDemands(packet.demands),
     },
     digest: packet.digest && decodeDigest(packet.digest),
+    evidence: decodeEvidence(packet.evidence),
     progress: packet.progress.flatMap(decodeProgress),
   };
 }
--- a/src/core/peers/peer-table.test.ts
+++ b/src/core/peers/peer-table.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { createDigestAggregator } from './digests.ts';
 import { decodePacket, encodePacket } from './packets.ts';
@@ -27,7 +28,7 @@
     table.markLost({ status, ageMs: 0, isLost: true });
     const digest = aggregator.buildCompleteDigest({ loads: [], suspectIds: [], demands: [] });
     expect(digest.peers).toEqual([]);
-    const packet = { sender: buildPeerStatus('self'), digest, progress: [] };
+    const packet = { sender: buildPeerStatus('self'), digest, evidence: NO_EVIDENCE, progress: [] };
     const bytes = encodePacket({
       ...packet,
       loadReport: { loads: [], suspectIds: [], demands: [] },
--- a/src/core/peers/start.test.ts
+++ b/src/core/peers/start.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
+import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { PeerExchangeListener } from './create-peer-exchange.ts';
 import { createPeerExchange } from './create-peer-exchange.ts';
@@ -26,10 +27,12 @@
 const LISTENER: PeerExchangeListener = {
   getStatus: () => buildPeerStatus('self'),
   getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
+  getEvidence: () => NO_EVIDENCE,
   getProgress: () => [],
   handleStatus: () => undefined,
   handleLoadReport: () => undefined,
   handleSuspects: () => undefined,
+  handleEvidence: () => false,
   handleProgress: () => undefined,
 };
 
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -1,3 +1,4 @@
+import type { PromptEvidence } from '../quarantine/index.ts';
 import type { Demand } from '../placement/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
 import type { TargetLoad } from '../fleet/index.ts';
@@ -57,6 +58,8 @@
   sender: PeerStatus;
   loadReport: PeerLoadReport;
   digest: PeerDigest | undefined;
+  /** Crashes and parts of prompts that the sender knows of, also from others. */
+  evidence: PromptEvidence;
   progress: FeedProgress[];
 }
 
--- a/src/core/quarantine/crash-watch.test.ts
+++ b/src/core/quarantine/crash-watch.test.ts
@@ -6,9 +6,14 @@
 import type { LostRequest, TargetCrash } from './types.ts';
 
 const TARGET = { id: 'e1', address: 'e1:80' } as Target;
-const WAITING: LostRequest = { requestId: 'waiting', partIds: ['a1'], hasBegun: false };
-const BEGUN: LostRequest = { requestId: 'begun', partIds: ['a1'], hasBegun: true };
-const WITHOUT_PROMPT: LostRequest = { requestId: 'plain', partIds: [], hasBegun: false };
+const WAITING: LostRequest = {
+  requestId: 'waiting',
+  customer: undefined,
+  sharedPartIds: ['a1'],
+  hasBegun: false,
+};
+const BEGUN: LostRequest = { ...WAITING, requestId: 'begun', hasBegun: true };
+const WITHOUT_PROMPT: LostRequest = { ...WAITING, requestId: 'plain', sharedPartIds: [] };
 
 async function playLosses(requests: readonly LostRequest[], isListening: boolean) {
   const timers = createManualTimers();
--- a/src/core/quarantine/crash-watch.ts
+++ b/src/core/quarantine/crash-watch.ts
@@ -4,7 +4,7 @@
 
 /** Dependencies of the crash watch. */
 export interface CrashWatchOptions {
-  timers: Pick<TimerService, 'waitFor'>;
+  timers: Pick<TimerService, 'getMonotonicMs' | 'waitFor'>;
   /** Resolves to whether a process accepts connections at an address (`host:port`). */
   probeListener(address: string): Promise<boolean>;
   handleCrash(crash: TargetCrash): void;
@@ -21,8 +21,8 @@
 /** Further requests of one crash are not recorded. */
 const MAX_REQUESTS = 64;
 
-function isEvidence({ hasBegun, partIds }: LostRequest): boolean {
-  return !hasBegun && partIds.length > 0;
+function isEvidence({ hasBegun, sharedPartIds }: LostRequest): boolean {
+  return !hasBegun && sharedPartIds.length > 0;
 }
 
 /**
@@ -45,7 +45,7 @@
     recordLostRequest(target, request) {
       const known = pending.get(target.id);
       if (known === undefined) {
-        const crash = { target, requests: [request] };
+        const crash = { target, atMs: timers.getMonotonicMs(), requests: [request] };
         pending.set(target.id, crash);
         void confirmCrash(crash);
       } else if (known.requests.length < MAX_REQUESTS) known.requests.push(request);
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -1,3 +1,5 @@
-export { createCrashWatch } from './crash-watch.ts';
-export type { CrashWatch } from './crash-watch.ts';
-export type { LostRequest, TargetCrash } from './types.ts';
+export { createQuarantine, QuarantineChange } from './create-quarantine.ts';
+export type { PromptGuard, Quarantine } from './create-quarantine.ts';
+export type { QuarantineEntry } from './quarantine-list.ts';
+export { NO_EVIDENCE } from './types.ts';
+export type { PartKey, PromptEvidence, TargetCrash } from './types.ts';
--- a/src/platform/wire-format.test.ts
+++ b/src/platform/wire-format.test.ts
@@ -45,6 +45,29 @@
     });
   });
 
+  const prompts = [
+    { text: undefined, parts: [] },
+    { text: 'e4402b7d:250', parts: [] },
+    { text: '5C1e07a2:800, 91bd3f06:410,e4402b7d:250', parts: ['5c1e07a2', '91bd3f06'] },
+    { text: 'xyz:1,5c1e07a2,91bd3f06:410,e4402b7d:250', parts: ['91bd3f06'] },
+  ];
+  for (const { text, parts } of prompts) {
+    it(`decodes ${parts.length} shared parts of the prompt ${text ?? 'of a request without one'}`, () => {
+      const raw = text === undefined ? [] : ['X-Prompt-Prefix', text];
+      expect(platformWireFormat.parseRequest('POST', '/', raw).sharedPartIds).toEqual(parts);
+    });
+  }
+
+  // Guards against a caller that fills memory with the parts of one prompt.
+  it('keeps the last shared parts of a prompt with many', () => {
+    const text = Array.from({ length: 1_000 }, (_, index) => `${index}:1`).join(',');
+    const { sharedPartIds } = platformWireFormat.parseRequest('POST', '/', [
+      'X-Prompt-Prefix',
+      text,
+    ]);
+    expect([sharedPartIds.length, sharedPartIds.at(-1)]).toEqual([64, '998']);
+  });
+
   // Guards against passing an API key, a forged customer or a hop-by-hop header to a target.
   it("overrides the caller's values of its own fields", () => {
     const headers = buildHeaders('hule930');
