Fail a stream without framing that ends before its first event

A target may answer with neither a length nor chunks and end the answer with its connection. The end of its process before the first event then looked like a complete stream without events, and the caller got an empty success. Such an attempt fails now and counts as lost with its target. An end inside an event was recognised before; both have tests, the first failed before.

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -27,7 +27,7 @@
 
 function refuse({ listener }: ReceivedSend): void {
   listener.handleHead(REFUSAL_HEAD);
-  listener.handleEnd();
+  listener.handleEnd(true);
 }
 
 const buildEvent = (id: number): Buffer => Buffer.from(`id: ${id}\ndata: piece ${id}\n\n`);
@@ -38,7 +38,7 @@
     const { listener } = acceptSend(harness, 0);
     listener.handleHead(RESPONSE_HEAD);
     listener.handleData(Buffer.from('whole'));
-    listener.handleEnd();
+    listener.handleEnd(true);
     expect(harness.caller).toEqual({ status: 200, body: 'whole', isEnded: true, isAborted: false });
   });
 
@@ -65,7 +65,7 @@
     getSend(harness, 1).listener.handleError(SendFailure.NotSent, 'refused');
     const { listener } = acceptSend(harness, 2);
     listener.handleHead(RESPONSE_HEAD);
-    listener.handleEnd();
+    listener.handleEnd(true);
     expect(harness.caller.status).toEqual(200);
   });
 
@@ -98,7 +98,7 @@
       const { listener } = acceptSend(harness, 0);
       listener.handleHead(head);
       listener.handleData(Buffer.from('spoiled'));
-      listener.handleEnd();
+      listener.handleEnd(true);
       expect(harness.caller.status).toEqual(502);
       expect(harness.caller.body).toEqual('');
     });
@@ -161,7 +161,7 @@
     const { listener } = acceptSend(harness, 1);
     listener.handleHead(STREAM_HEAD);
     ids.forEach((id) => listener.handleData(buildEvent(id)));
-    listener.handleEnd();
+    listener.handleEnd(true);
   };
 
   it('resumes after the last event when the connection to the target breaks', () => {
@@ -178,7 +178,7 @@
     const harness = startStream();
     const { listener } = getSend(harness, 0);
     listener.handleData(buildEvent(2).subarray(0, 9));
-    listener.handleEnd();
+    listener.handleEnd(true);
     endSecondAttempt(harness, [2]);
     expect(harness.caller.body).toEqual(`${buildEvent(1).toString()}${buildEvent(2).toString()}`);
   });
@@ -248,7 +248,7 @@
     listener.handleData(buildEvent(1));
     await harness.timers.runForAsync(1_000, 10);
     listener.handleData(buildEvent(2));
-    listener.handleEnd();
+    listener.handleEnd(true);
     expect(harness.caller.isEnded).toEqual(true);
     expect(harness.caller.isAborted).toEqual(false);
   });
@@ -264,6 +264,27 @@
   });
 });
 
+describe('streams that end with their connection', () => {
+  const ends = [
+    { name: 'before the first event', parts: [], isFramed: false, sends: 2 },
+    { name: 'inside an event', parts: [buildEvent(1).subarray(0, 8)], isFramed: false, sends: 2 },
+    { name: 'after an event', parts: [buildEvent(1)], isFramed: false, sends: 1 },
+    { name: 'without an event, but with framing', parts: [], isFramed: true, sends: 1 },
+  ];
+  for (const { name, parts, isFramed, sends } of ends) {
+    // Guards against passing on the end of a crashed target as a complete stream (rule MIXED).
+    it(`makes ${sends} sends of one that ends ${name}`, () => {
+      const harness = startTestForwarding({ kind: RequestKind.Streaming });
+      const { listener } = acceptSend(harness, 0);
+      listener.handleHead(STREAM_HEAD);
+      parts.forEach((part) => listener.handleData(part));
+      listener.handleEnd(isFramed);
+      expect(harness.sends.length).toEqual(sends);
+      expect(harness.caller.isEnded).toEqual(sends === 1);
+    });
+  }
+});
+
 /** Starts forwarding a stream whose prompt a test puts into quarantine. */
 function startWithQuarantine(isQuarantined: boolean) {
   const state = { isQuarantined, lost: [] as boolean[], begun: 0, ended: 0, refuse: () => {} };
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -337,7 +337,7 @@
         handleSent: () => handleSent(attempt),
         handleHead: (head) => handleHead(attempt, head),
         handleData: (chunk) => handleData(attempt, chunk),
-        handleEnd: () => handleEnd(attempt),
+        handleEnd: (isFramed) => handleEnd(attempt, isFramed),
         handleError: (failure, problem) => handleError(attempt, failure, problem),
       },
     );
@@ -471,7 +471,7 @@
     sink.startBody(attempt.head.status, attempt.head.forwardedHeaders);
   }
 
-  function handleEnd(attempt: Attempt): void {
+  function handleEnd(attempt: Attempt, isFramed: boolean): void {
     if (attempt !== current || attempt.head === undefined) return;
     const { head } = attempt;
     if (head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status))) {
@@ -479,7 +479,7 @@
       return;
     }
     if (attempt.parser !== undefined) {
-      endStream(attempt, attempt.parser);
+      endStream(attempt, attempt.parser, isFramed);
       return;
     }
     const canRetry = isRetryable && possiblyRunAttempts < route.maxAttempts;
@@ -495,11 +495,16 @@
     reportResult(Outcome.Answered, head.status);
   }
 
-  function endStream(attempt: Attempt, parser: EventParser): void {
+  function endStream(attempt: Attempt, parser: EventParser, isFramed: boolean): void {
     if (parser.countPendingBytes() > 0) {
       failLostAttempt(attempt, 'ended inside an event');
       return;
     }
+    // Without framing, the end of a target's process looks like the end of its stream.
+    if (!isFramed && !attempt.hasBegun) {
+      failLostAttempt(attempt, 'ended before the first event');
+      return;
+    }
     startBody(attempt);
     current = undefined;
     attempt.handle.recordEnd(false);
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -12,8 +12,8 @@
   handleSent(): void;
   handleHead(head: ResponseHead): void;
   handleData(chunk: Buffer): void;
-  /** The response is complete. */
-  handleEnd(): void;
+  /** The response is complete; one without framing is over because its connection has ended. */
+  handleEnd(isFramed: boolean): void;
   handleError(failure: SendFailure, problem: string): void;
 }
 
@@ -155,7 +155,7 @@
         });
       };
       const complete = (): void => {
-        if (finish()) listener.handleEnd();
+        if (finish()) listener.handleEnd(state.isFramed);
       };
       cancelConnectTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => {
         if (!wasSent) fail('no connection in time');
