Keep the quarantine with the leader's lease, across a restart of all gateways

A fleet whose gateways were all restarted had forgotten which parts of prompts crash engines, and learned it again from further crashes. The leader now stores the quarantined sets with its lease, at no further call to the store, and the next leader tells the others.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -1,11 +1,10 @@
-import { z } from 'zod';
 import { createLeaderElection } from '../leader-election/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { Feed, FeedListener } from '../store-feed/index.ts';
 import { computeFeedTiming, startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
 import type { ModelDemand } from '../formation/index.ts';
-import { headLocationSchema, startFormation } from '../formation/index.ts';
+import { startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
 import type { Demand } from '../placement/index.ts';
 import {
@@ -15,7 +14,7 @@
   formatPlaceKey,
   sumDemands,
 } from '../placement/index.ts';
-import { createQuarantine } from '../quarantine/index.ts';
+import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
@@ -25,6 +24,7 @@
 import { planReload } from './plan-reload.ts';
 import { registerGateway } from './registration.ts';
 import { createRequestHandler } from './request-handler.ts';
+import { buildHandoverState, handoverStateSchema, toNotices } from './handover-state.ts';
 import { countGroups, countTargets } from './fleet-counts.ts';
 import type { GaugeValues } from './gateway-metrics.ts';
 import { createGatewayMetrics } from './gateway-metrics.ts';
@@ -95,7 +95,7 @@
     logger,
     isOtherLeaderKnown: () => peerExchange.listPeers().some(({ status }) => status.dutyTerm > 0),
     isCandidate: peerExchange.isHub,
-    handoverStateSchema: z.array(headLocationSchema),
+    handoverStateSchema,
   });
 
   errorReporter.subscribe((origin) => {
@@ -284,9 +284,16 @@
     handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
   });
   leaderElection.start({
-    getHandoverState: formation.listHeadLocations,
+    getHandoverState: () =>
+      buildHandoverState(
+        formation.listHeadLocations(),
+        quarantine.buildEvidence().notices,
+        timers.getWallMs(),
+      ),
     handleElected(_term, handoverState) {
-      formation.addHeadLocations(handoverState ?? []);
+      formation.addHeadLocations(handoverState?.heads ?? []);
+      const notices = handoverState && toNotices(handoverState, timers.getWallMs());
+      quarantine.receiveEvidence({ ...NO_EVIDENCE, notices: notices ?? [] });
       peerExchange.sendNow();
     },
     handleLost: peerExchange.sendNow,
