--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -1,5 +1,5 @@
 import { randomInt } from 'node:crypto';
-import { command, number, option, optional } from 'cmd-ts';
+import { command, flag, number, option, optional } from 'cmd-ts';
 import { ExitStatus, runAndReportErrors, runProgram } from '../../core/process/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import { runSoak } from '../../stand-ins/soak/run-soak.ts';
@@ -41,6 +41,16 @@
         defaultValue: () => 30,
         description: 'number of callers, each with its own connections',
       }),
+      deadlyShare: option({
+        type: number,
+        long: 'deadly-share',
+        defaultValue: () => 0,
+        description: 'share of the streams whose prompt crashes engines, from 0 to 1',
+      }),
+      isFaultFree: flag({
+        long: 'fault-free',
+        description: 'inject no faults, and check the bounds on deadly prompts',
+      }),
     },
     handler: ({ seed: givenSeed, count, ...size }) =>
       runAndReportErrors(async () => {
@@ -49,10 +59,10 @@
         const timers = createTimerService();
         for (let seed = firstSeed; seed < firstSeed + count; seed++) {
           const result = await runSoak({ ...size, seed, timers, buildFolder: BUILD_FOLDER });
-          const { violations, requests, answered, workFolder } = result;
+          const { violations, requests, answered, engineCrashes, workFolder } = result;
           const outcome = violations.length === 0 ? 'no rule violated' : 'RULES VIOLATED';
           process.stdout.write(
-            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${workFolder}\n`,
+            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${workFolder}\n`,
           );
           if (violations.length === 0) continue;
           process.exitCode = ExitStatus.Failure;
