--- a/src/core/quarantine/create-quarantine.ts
+++ b/src/core/quarantine/create-quarantine.ts
@@ -6,41 +6,20 @@
 import type { QuarantineEntry } from './quarantine-list.ts';
 import { createQuarantineList, getTrialMs } from './quarantine-list.ts';
 import { selectCulprits } from './select-culprits.ts';
+import { createTrials } from './trials.ts';
 import { trimEvidence } from './trim-evidence.ts';
+import { createWatchedParts } from './watched-parts.ts';
 import type {
   CrashReport,
+  FollowedRequest,
   PartKey,
   PromptEvidence,
+  PromptGuard,
   PromptRequest,
   QuarantineNotice,
   TargetCrash,
 } from './types.ts';
-import { NO_EVIDENCE } from './types.ts';
-
-/** Follows one request with a prompt. */
-export interface PromptGuard {
-  /** Whether the request may be sent to a target now; false if its prompt is in quarantine. */
-  admit(): boolean;
-  /** Returns when the caller of a request that was not admitted should return. */
-  getRetryAfterMs(): number;
-  /** Records that the answer has begun. */
-  recordBegun(): void;
-  /** Records that a target closed the connection before the response was complete. */
-  recordLost(target: Target, hasBegun: boolean): void;
-  /** Ends the guard; it must be called once the request is over. */
-  end(): void;
-}
-
-/** A change of what is in quarantine, for logs. */
-export enum QuarantineChange {
-  Added = 'added',
-  /** Another gateway has added it. */
-  Learned = 'learned',
-  /** A single request is sent to find out whether the parts still crash targets. */
-  Tried = 'tried',
-  /** An answer has begun with one of the parts. */
-  Cleared = 'cleared',
-}
+import { NO_EVIDENCE, QuarantineChange } from './types.ts';
 
 /** Dependencies of the quarantine. */
 export interface QuarantineOptions {
@@ -74,10 +53,6 @@
 const SETTLE_MS = 250;
 /** How long a crash is reported; every gateway gets a packet in this time, also through hubs. */
 const REPORT_MS = 3_000;
-/** How long answers that begin with the parts of a crash, or of a removed set, are reported. */
-const ANNOUNCE_MS = 10_000;
-/** Parts whose answers are reported; callers choose how many parts a crash involves. */
-const MAX_ANNOUNCED_PARTS = 1_024;
 /** Smallest step by which the time of an answer is moved on by another gateway's report. */
 const MIN_BEGIN_STEP_MS = 500;
 /** `Retry-After` while another request is tried. */
@@ -91,55 +66,35 @@
   end: () => undefined,
 };
 
-/** State of a followed request. */
-interface FollowedRequest {
-  customer: string;
-  parts: readonly PartKey[];
-  hasBegun: boolean;
-  /** Whether a target was lost under it. */
-  wasLost: boolean;
-  refuse(): void;
-}
-
 function formatTargetKey({ id, startedWallMs }: Target): string {
   return `${id}@${startedWallMs}`;
 }
 
 /** Creates an empty quarantine. */
 export function createQuarantine(options: QuarantineOptions): Quarantine {
-  const { timers, isTrialOwner, handleChange } = options;
+  const { timers, handleChange } = options;
   const getMonotonicMs = (): number => timers.getMonotonicMs();
   const history = createPartHistory();
   const ledger = createCrashLedger(getMonotonicMs);
   const list = createQuarantineList(getMonotonicMs);
   const followed = new Set<FollowedRequest>();
-  /** The request with which a set is tried, by the key of the set. */
-  const trials = new Map<string, FollowedRequest>();
-  /** Until when the answers that began with a part are reported. */
-  const announcedUntilMs = new Map<PartKey, number>();
+  const watched = createWatchedParts(getMonotonicMs);
+  const trials = createTrials({
+    getMonotonicMs,
+    isTrialOwner: options.isTrialOwner,
+    handleTrial: (entry) => handleChange(QuarantineChange.Tried, entry),
+  });
   let cancelSettle: Unsubscribe | undefined;
 
-  const formatKey = (parts: readonly PartKey[]): string => parts.join(' ');
-
-  const announceParts = (parts: readonly PartKey[]): void => {
-    const untilMs = getMonotonicMs() + ANNOUNCE_MS;
-    for (const part of parts) {
-      const isKnown = announcedUntilMs.has(part);
-      if (isKnown || announcedUntilMs.size < MAX_ANNOUNCED_PARTS) {
-        announcedUntilMs.set(part, untilMs);
-      }
-    }
-  };
-
   /** Refuses the requests that wait or have not begun, so that they crash no more targets. */
   const refuseFollowed = (): void => {
     const refused = [...followed].filter(
       (request) =>
-        !request.hasBegun && list.findEntries(request.customer, request.parts).length > 0,
+        !request.hasBegun &&
+        !trials.isTrial(request) &&
+        list.findEntries(request.customer, request.parts).length > 0,
     );
-    refused
-      .filter((request) => ![...trials.values()].includes(request))
-      .forEach((request) => request.refuse());
+    refused.forEach((request) => request.refuse());
   };
 
   const explainCrashes = (): void => {
@@ -159,7 +114,7 @@
 
   const addReport = (report: CrashReport): boolean => {
     if (!ledger.addReport(report)) return false;
-    announceParts(report.suspects.flatMap(({ parts }) => parts));
+    watched.add(report.suspects.flatMap(({ parts }) => parts));
     ledger.listIncidents().forEach((incident) => list.countCrash(incident));
     scheduleExplanation();
     return true;
@@ -168,10 +123,10 @@
   const recordBegun = (part: PartKey, atMs: number): void => {
     history.recordBegun(part, atMs);
     // An answer may decide between two parts that both may have caused a crash.
-    if (announcedUntilMs.has(part)) scheduleExplanation();
+    if (watched.has(part)) scheduleExplanation();
     for (const entry of list.clearPart(part, atMs)) {
-      announceParts(entry.parts);
-      trials.delete(formatKey(entry.parts));
+      watched.add(entry.parts);
+      trials.clear(entry);
       handleChange(QuarantineChange.Cleared, entry);
     }
   };
@@ -198,29 +153,17 @@
     },
   });
 
-  /** Whether a request may be the trial of a set, which it then is until it ends. */
-  const takeTrial = (entry: QuarantineEntry, request: FollowedRequest): boolean => {
-    const key = formatKey(entry.parts);
-    if (request.wasLost || getMonotonicMs() < getTrialMs(entry)) return false;
-    const running = trials.get(key);
-    if (running !== undefined) return running === request;
-    if (!isTrialOwner(key)) return false;
-    trials.set(key, request);
-    handleChange(QuarantineChange.Tried, entry);
-    return true;
-  };
-
   const receiveNotice = (notice: QuarantineNotice): boolean => {
     const lastCrashMs = getMonotonicMs() - notice.ageMs;
     const isCleared = (part: PartKey): boolean =>
       (history.getBegunMs(part) ?? -Infinity) > lastCrashMs;
     const parts = notice.parts.filter((part) => !isCleared(part));
     // The other gateway has missed that answers began with them.
-    announceParts(notice.parts.filter(isCleared));
-    if (parts.length === 0 || !list.addNotice({ ...notice, parts })) return false;
-    announceParts(parts);
-    const [entry] = list.listEntries().filter((one) => formatKey(one.parts) === formatKey(parts));
-    if (entry !== undefined) handleChange(QuarantineChange.Learned, entry);
+    watched.add(notice.parts.filter(isCleared));
+    const added = parts.length > 0 ? list.addNotice({ ...notice, parts }) : undefined;
+    if (added === undefined) return false;
+    watched.add(parts);
+    handleChange(QuarantineChange.Learned, added);
     return true;
   };
 
@@ -238,7 +181,7 @@
       const findEntries = (): QuarantineEntry[] =>
         list.findEntries(request.customer, request.parts);
       return {
-        admit: () => findEntries().every((entry) => takeTrial(entry, request)),
+        admit: () => findEntries().every((entry) => trials.take(entry, request)),
         getRetryAfterMs() {
           const trialMs = Math.max(...findEntries().map(getTrialMs));
           return Math.max(TRIAL_RETRY_AFTER_MS, trialMs - getMonotonicMs());
@@ -255,18 +198,16 @@
         },
         end() {
           followed.delete(request);
-          for (const [key, trial] of trials) if (trial === request) trials.delete(key);
+          trials.end(request);
         },
       };
     },
     buildEvidence() {
       const now = getMonotonicMs();
-      for (const [part, untilMs] of announcedUntilMs) {
-        if (untilMs < now) announcedUntilMs.delete(part);
-      }
+      const watchedParts = watched.list();
       const entries = list.listEntries();
-      if (entries.length === 0 && announcedUntilMs.size === 0) return NO_EVIDENCE;
-      const parts = new Set([...announcedUntilMs.keys(), ...entries.flatMap((one) => one.parts)]);
+      if (entries.length === 0 && watchedParts.length === 0) return NO_EVIDENCE;
+      const parts = new Set([...watchedParts, ...entries.flatMap((one) => one.parts)]);
       return trimEvidence({
         crashes: ledger
           .listIncidents()
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -1,5 +1,11 @@
-export { createQuarantine, QuarantineChange } from './create-quarantine.ts';
-export type { PromptGuard, Quarantine } from './create-quarantine.ts';
+export { createQuarantine } from './create-quarantine.ts';
+export type { Quarantine } from './create-quarantine.ts';
 export type { QuarantineEntry } from './quarantine-list.ts';
-export { NO_EVIDENCE } from './types.ts';
-export type { PartKey, PromptEvidence, QuarantineNotice, TargetCrash } from './types.ts';
+export { NO_EVIDENCE, QuarantineChange } from './types.ts';
+export type {
+  PartKey,
+  PromptEvidence,
+  PromptGuard,
+  QuarantineNotice,
+  TargetCrash,
+} from './types.ts';
--- a/src/core/quarantine/quarantine-list.ts
+++ b/src/core/quarantine/quarantine-list.ts
@@ -16,8 +16,8 @@
 export interface QuarantineList {
   /** Adds a culprit; returns its entry. */
   addCulprit(culprit: Culprit): QuarantineEntry;
-  /** Adds or updates what another gateway tells; returns whether a set is new. */
-  addNotice(notice: QuarantineNotice): boolean;
+  /** Adds or updates what another gateway tells; returns the entry if it is new. */
+  addNotice(notice: QuarantineNotice): QuarantineEntry | undefined;
   /** Counts a crash for each set that explains it; returns whether one does. */
   countCrash(incident: CrashIncident): boolean;
   /** Narrows down or removes the sets with a part that has turned out sound; returns them. */
@@ -67,9 +67,13 @@
     }
   };
 
-  /** Finds the entry that holds for requests with these parts, or creates one in place of narrower ones. */
+  /** Finds an entry that holds for every request with these parts. */
+  const findCovering = (parts: readonly PartKey[]): StoredEntry | undefined =>
+    [...entries.values()].find((entry) => hasAllParts(parts, entry.parts));
+
+  /** Finds the entry that covers the parts, or creates one in place of those that it covers. */
   const getEntry = (parts: readonly PartKey[], lastCrashMs: number): StoredEntry => {
-    const known = [...entries.values()].find((entry) => hasAllParts(parts, entry.parts));
+    const known = findCovering(parts);
     if (known !== undefined) return known;
     const created: StoredEntry = {
       parts: [...parts].sort(),
@@ -96,12 +100,12 @@
     },
     addNotice({ parts, customers, crashes, ageMs }) {
       const lastCrashMs = getMonotonicMs() - ageMs;
-      const countBefore = entries.size;
+      const isNew = findCovering(parts) === undefined;
       const entry = getEntry(parts, lastCrashMs);
       addCustomers(entry, customers);
       entry.crashes = Math.max(entry.crashes, crashes);
       if (lastCrashMs > entry.lastCrashMs + SAME_CRASH_MS) entry.lastCrashMs = lastCrashMs;
-      return entries.size > countBefore;
+      return isNew ? entry : undefined;
     },
     countCrash({ targetKey, atMs, suspects }) {
       let isExplained = false;
--- a/src/core/quarantine/quarantine.test.ts
+++ b/src/core/quarantine/quarantine.test.ts
@@ -1,9 +1,9 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { QuarantineChange } from './create-quarantine.ts';
 import type { CrashFleet, CrashFleetOptions } from './fixtures/crash-fleet.ts';
 import { createCrashFleet } from './fixtures/crash-fleet.ts';
 import { MAX_REMEMBERED_PARTS } from './part-history.ts';
+import { QuarantineChange } from './types.ts';
 
 const STEP_MS = 20;
 const MS_PER_SECOND = 1_000;
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -69,6 +69,42 @@
 /** Evidence of a gateway that has seen no crash lately. */
 export const NO_EVIDENCE: PromptEvidence = { crashes: [], begins: [], notices: [] };
 
+/** Follows one request with a prompt. */
+export interface PromptGuard {
+  /** Whether the request may be sent to a target now; false if its prompt is in quarantine. */
+  admit(): boolean;
+  /** Returns when the caller of a request that was not admitted should return. */
+  getRetryAfterMs(): number;
+  /** Records that the answer has begun. */
+  recordBegun(): void;
+  /** Records that a target closed the connection before the response was complete. */
+  recordLost(target: Target, hasBegun: boolean): void;
+  /** Ends the guard; it must be called once the request is over. */
+  end(): void;
+}
+
+/** A change of what is in quarantine, for logs. */
+export enum QuarantineChange {
+  Added = 'added',
+  /** Another gateway has added it. */
+  Learned = 'learned',
+  /** A single request is sent to find out whether the parts still crash targets. */
+  Tried = 'tried',
+  /** An answer has begun with one of the parts. */
+  Cleared = 'cleared',
+}
+
+/** State of a request that the quarantine follows until it ends. */
+export interface FollowedRequest {
+  customer: string;
+  parts: readonly PartKey[];
+  hasBegun: boolean;
+  /** Whether a target was lost under it. */
+  wasLost: boolean;
+  /** Ends the request without an answer of a target. */
+  refuse(): void;
+}
+
 /** Returns whether a prompt has all of the wanted parts. */
 export function hasAllParts(parts: readonly PartKey[], wanted: readonly PartKey[]): boolean {
   return wanted.every((part) => parts.includes(part));
