Log the request limits that targets state, with what the gateway sent them

The logs could not tell whether a limit is ignored, learned too late, or exceeded by retries. The adapter decodes Server-Limit; nothing else uses it yet. A value that is not a decimal number is told apart from none.

--- /dev/null
+++ b/src/core/advisories/types.ts
@@ -0,0 +1,24 @@
+/** What a target says of itself in the header of a response. */
+export interface TargetAdvice {
+  /**
+   * Requests per second that the target takes from all gateways together; undefined if it states
+   * none, and the limit that it stated before is then over.
+   */
+  requestsPerSecond: number | undefined;
+  /** Whether it states a limit that is not a number; the limit that it stated before then holds. */
+  isLimitUnreadable: boolean;
+}
+
+/** Advice of a response without any statement. */
+export const NO_ADVICE: TargetAdvice = { requestsPerSecond: undefined, isLimitUnreadable: false };
+
+/** A target's limit, with the requests that this gateway sent it lately. */
+export interface LimitReport {
+  targetId: string;
+  /** Undefined if the limit is over. */
+  requestsPerSecond: number | undefined;
+  /** Requests that were sent within `SEND_WINDOW_MS`. */
+  sent: number;
+  /** Those of `sent` that had been sent to another target before. */
+  resent: number;
+}
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -1,3 +1,4 @@
+import type { Advisories } from '../advisories/index.ts';
 import type { Target, TargetMonitor, RequestHandle } from '../fleet/index.ts';
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
@@ -55,6 +56,7 @@
   budget: RetryBudget;
   demandMeter: Pick<DemandMeter, 'recordRequest'>;
   quarantine: Pick<Quarantine, 'startRequest'>;
+  advisories: Pick<Advisories, 'recordSend' | 'recordAdvice'>;
   /** Called for each retry, with its reason. */
   recordRetry(request: RoutedRequest, targetId: string, reason: string): void;
 }
@@ -141,6 +143,7 @@
 ): ForwardedRequest {
   const { request, route, service } = input;
   const { timers, client, monitor, chooser, budget, wire, lines, serviceTimes } = dependencies;
+  const { advisories } = dependencies;
   const placement = createRequestPlacement(input, dependencies);
   const guard = dependencies.quarantine.startRequest(
     {
@@ -346,6 +349,7 @@
   function handleSent(attempt: Attempt): void {
     attempt.wasSent = true;
     possiblyRunAttempts++;
+    advisories.recordSend(attempt.target.id, targetIds.length > 0);
     targetIds.push(attempt.target.id);
     if (route.kind === RequestKind.Idempotent) startAttemptTimeout(attempt);
   }
@@ -381,6 +385,7 @@
     attempt.head = head;
     const isForOtherAttempt =
       head.callerAttemptId !== undefined && head.callerAttemptId !== request.callerAttemptId;
+    if (!isForOtherAttempt) advisories.recordAdvice(attempt.target, head.advice);
     const isInvalidSuccess = isSuccess(head.status) && (!head.isSigned || head.isEncoded);
     if (isForOtherAttempt || isInvalidSuccess) {
       failAttempt(attempt, 'spoiled');
--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { NO_ADVICE } from '../advisories/index.ts';
 import type { Target } from '../fleet/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { createTargetClient, SendFailure } from './target-client.ts';
@@ -20,6 +21,7 @@
   callerAttemptId: undefined,
   faultyTargetId: undefined,
   isEncoded: false,
+  advice: NO_ADVICE,
   forwardedHeaders: [],
 };
 
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -1,3 +1,4 @@
+import type { TargetAdvice } from '../advisories/index.ts';
 import type { Target } from '../fleet/index.ts';
 
 /** Header fields as a flat list: name, value, name, value. */
@@ -56,6 +57,8 @@
   faultyTargetId: string | undefined;
   /** Whether the body has a content encoding, so that it is not as the target created it. */
   isEncoded: boolean;
+  /** What the target says of itself. */
+  advice: TargetAdvice;
   /** Fields that are forwarded to the caller. */
   forwardedHeaders: HeaderList;
 }
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -1,3 +1,4 @@
+import { createAdvisories } from '../advisories/index.ts';
 import { createLeaderElection } from '../leader-election/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { Feed, FeedListener } from '../store-feed/index.ts';
@@ -191,6 +192,7 @@
     handleChange: requestLog.recordQuarantine,
     sendNow: peerExchange.sendNow,
   });
+  const advisories = createAdvisories({ timers, handleLimit: requestLog.recordLimit });
   const handler = createRequestHandler({
     requestLog,
     getRoutingTable: storeView.getRoutingTable,
@@ -211,6 +213,7 @@
       serviceTimes,
       demandMeter,
       quarantine,
+      advisories,
     },
   });
 
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -1,3 +1,4 @@
+import type { LimitReport } from '../advisories/index.ts';
 import type {
   CallerRequest,
   FailureReason,
@@ -28,6 +29,8 @@
   recordResult(input: RoutedRequest, result: ForwardingResult): void;
   /** Records that a target crashed, with the requests whose responses had not begun. */
   recordCrash(crash: TargetCrash): void;
+  /** Records the limit of requests that a target states, or that it states none any more. */
+  recordLimit(report: LimitReport): void;
   /** Records that a set of prompt parts is quarantined, tried or released. */
   recordQuarantine(change: QuarantineChange, entry: QuarantineEntry): void;
 }
@@ -136,6 +139,19 @@
         parts: listed.map(({ sharedPartIds }) => formatParts(sharedPartIds)).join(' '),
       });
     },
+    recordLimit({ targetId, requestsPerSecond, sent, resent }) {
+      if (!reserveLine()) return;
+      const counts = { sent, resent };
+      if (requestsPerSecond === undefined) {
+        logger.info('a target has no request limit any more', { target: targetId, ...counts });
+        return;
+      }
+      logger.warn('a target limits its requests', {
+        target: targetId,
+        perSecond: requestsPerSecond,
+        ...counts,
+      });
+    },
     recordQuarantine(change, { parts, customers, crashes, lastCrashMs }) {
       if (!reserveLine()) return;
       logger.warn(QUARANTINE_MESSAGES[change], {
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -26,6 +26,8 @@
   /** Id of the engine that caused its group to refuse the request. */
   FaultyTarget = 'at-server',
   Authorization = 'authorization',
+  /** Requests per second that the target takes from all gateways together. */
+  RequestLimit = 'server-limit',
 }
 
 /** Scheme of the `Authorization` header that carries a customer's API key. */
--- a/src/platform/wire-format.test.ts
+++ b/src/platform/wire-format.test.ts
@@ -102,4 +102,25 @@
       expect(platformWireFormat.parseResponseHead(status, raw).isNotRun).toEqual(isNotRun);
     });
   }
+
+  // Guards against a target that turns its limit off, or requests to it, by what it writes.
+  const limits = [
+    { stated: [], requestsPerSecond: undefined, isLimitUnreadable: false },
+    { stated: ['1.6'], requestsPerSecond: 1.6, isLimitUnreadable: false },
+    { stated: ['0'], requestsPerSecond: 0, isLimitUnreadable: false },
+    { stated: [' 2 '], requestsPerSecond: 2, isLimitUnreadable: false },
+    { stated: ['3', '1.5'], requestsPerSecond: 1.5, isLimitUnreadable: false },
+    { stated: ['x', '4'], requestsPerSecond: 4, isLimitUnreadable: false },
+    { stated: ['-1'], requestsPerSecond: undefined, isLimitUnreadable: true },
+    { stated: ['1e308'], requestsPerSecond: undefined, isLimitUnreadable: true },
+    { stated: ['9'.repeat(400)], requestsPerSecond: undefined, isLimitUnreadable: true },
+    { stated: ['NaN'], requestsPerSecond: undefined, isLimitUnreadable: true },
+    { stated: [''], requestsPerSecond: undefined, isLimitUnreadable: true },
+  ];
+  for (const { stated, ...expected } of limits) {
+    it(`decodes the request limits "${stated.join('", "').slice(0, 20)}"`, () => {
+      const raw = stated.flatMap((text) => ['Server-Limit', text]);
+      expect(platformWireFormat.parseResponseHead(200, raw).advice).toEqual(expected);
+    });
+  }
 });
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -1,3 +1,4 @@
+import type { TargetAdvice } from '../core/advisories/index.ts';
 import type {
   ResponseHead,
   CallerRequest,
@@ -73,7 +74,8 @@
 
 function parseNonNegativeNumber(text: string | undefined): number | undefined {
   if (text === undefined || !/^\d+(\.\d+)?$/.test(text.trim())) return undefined;
-  return Number(text);
+  const value = Number(text);
+  return Number.isFinite(value) ? value : undefined;
 }
 
 function parseKey(authorization: string | undefined): string | undefined {
@@ -134,6 +136,22 @@
   return headers;
 }
 
+function listFields(rawHeaders: readonly string[], wanted: string): string[] {
+  return rawHeaders.filter(
+    (_value, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === wanted,
+  );
+}
+
+/** Decodes what a target says of itself; of several limits, the lowest one holds. */
+function parseAdvice(rawHeaders: readonly string[]): TargetAdvice {
+  const limits = listFields(rawHeaders, Header.RequestLimit);
+  const readable = limits.map(parseNonNegativeNumber).filter((limit) => limit !== undefined);
+  return {
+    requestsPerSecond: readable.length > 0 ? Math.min(...readable) : undefined,
+    isLimitUnreadable: limits.length > 0 && readable.length === 0,
+  };
+}
+
 function parseResponseHead(status: number, rawHeaders: readonly string[]): ResponseHead {
   return {
     status,
@@ -142,6 +160,7 @@
     callerAttemptId: findField(rawHeaders, Header.AttemptId),
     faultyTargetId: findField(rawHeaders, Header.FaultyTarget),
     isEncoded: findField(rawHeaders, 'content-encoding') !== undefined,
+    advice: parseAdvice(rawHeaders),
     forwardedHeaders: selectForwardedFields(rawHeaders, () => true),
   };
 }
