Send no new requests to a target that says that it is leaving

The fleet marks the process start that said so, whatever its entry says, and the gateways tell each other. The choice of a target, the planner and the completeness of groups follow, since they read the same field.

--- a/src/core/advisories/advisories.test.ts
+++ b/src/core/advisories/advisories.test.ts
@@ -1,29 +1,12 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import fc from 'fast-check';
-import type { Target } from '../fleet/index.ts';
 import { createFleet } from '../fleet/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { findNextTurnMs } from './find-turn.ts';
+import { buildTarget } from './fixtures/build-target.ts';
 import { createTestAdvisories } from './fixtures/test-advisories.ts';
-import { NO_ADVICE } from './index.ts';
-
-function buildTarget(id: string, startedWallMs = 5): Target {
-  return {
-    id,
-    service: 's',
-    address: `${id}:80`,
-    availabilityZone: 'a',
-    isLeaving: false,
-    coldRemainingMs: 0,
-    receivedMs: 0,
-    startedWallMs,
-    fabricDomain: '',
-    stagedModels: [],
-    currentModel: undefined,
-    group: undefined,
-  };
-}
+import { NO_ADVICE, NO_NOTICES } from './index.ts';
 
 const TARGET = buildTarget('i-1');
 const LIMITED = { ...NO_ADVICE, requestsPerSecond: 2 };
@@ -111,7 +94,7 @@
   it('does not hold for its next start', () => {
     const advisories = createTestAdvisories(createManualTimers());
     advisories.recordAdvice(TARGET, LIMITED, 0);
-    expect(advisories.findLimit(buildTarget('i-1', 6))).toEqual(undefined);
+    expect(advisories.findLimit(buildTarget('i-1', { startedWallMs: 6 }))).toEqual(undefined);
   });
 
   // Guards against gateways that never learn that a target takes requests again.
@@ -165,13 +148,16 @@
     timers.runFor(100);
     const names = Array.from({ length: 10_000 }, (_, index) => `i-${index}@5`);
     const statement = { requestsPerSecond: 1, statedMs: timers.getMonotonicMs() };
-    advisories.receiveNotices(names.map((targetKey) => ({ targetKey, ...statement })));
+    advisories.receiveNotices({
+      ...NO_NOTICES,
+      limits: names.map((targetKey) => ({ targetKey, ...statement })),
+    });
     expect(advisories.countLimits()).toEqual(4_096);
     const heard = new Set<string>();
     for (let packet = 0; packet < 200; packet++) {
-      const notices = advisories.takeNotices();
-      expect(notices.length).toBeLessThanOrEqual(64);
-      notices.forEach(({ targetKey }) => heard.add(targetKey));
+      const { limits } = advisories.takeNotices();
+      expect(limits.length).toBeLessThanOrEqual(64);
+      limits.forEach(({ targetKey }) => heard.add(targetKey));
     }
     expect(heard.size).toEqual(4_096);
   });
--- a/src/core/advisories/create-advisories.ts
+++ b/src/core/advisories/create-advisories.ts
@@ -1,8 +1,9 @@
 import type { Fleet, Target } from '../fleet/index.ts';
-import { computeTargetHash, formatTargetKey } from '../fleet/index.ts';
+import { computeTargetHash, formatTargetKey, parseTargetId } from '../fleet/index.ts';
 import type { Position } from '../placement/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import {
+  MAX_NOTICES,
   MIN_REQUESTS_PER_SECOND,
   SEND_WINDOW_MS,
   SWEEP_PERIOD_MS,
@@ -11,19 +12,21 @@
 import { findNextTurnMs } from './find-turn.ts';
 import { createLimitBook } from './limit-book.ts';
 import { createSendCounter } from './send-counter.ts';
-import type { LimitNotice, LimitReport, TargetAdvice } from './types.ts';
+import type { AdvisoryNotices, LimitNotice, LimitReport, TargetAdvice } from './types.ts';
 
 /** Dependencies of the advisories. */
 export interface AdvisoriesOptions {
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>;
-  fleet: Pick<Fleet, 'listAllTargets'>;
+  fleet: Pick<Fleet, 'listAllTargets' | 'markLeaving' | 'listMarkedLeaving'>;
   /** Returns the time that all gateways agree on. */
   getFleetMs(): number;
   /** Returns the position of this gateway among all; they share the limits of targets. */
   getPosition(): Position;
   /** Called when a limit is stated first or ends, and at intervals while it holds. */
   handleLimit(report: LimitReport): void;
-  /** Sends the limits to the other gateways without waiting for the next packet. */
+  /** Called when a target says first, to this gateway or to another, that it is shutting down. */
+  handleLeaving(targetId: string): void;
+  /** Sends the notices to the other gateways without waiting for the next packet. */
   sendNow(): void;
 }
 
@@ -38,10 +41,10 @@
   hasTurn(target: Target): boolean;
   /** Takes a turn for one request to a target; false if a limited target has none left. */
   takeTurn(target: Target): boolean;
-  /** Takes the limits that the next packet tells the other gateways. */
-  takeNotices(): LimitNotice[];
-  /** Adds what another gateway tells; returns whether a limit is new or over. */
-  receiveNotices(notices: readonly LimitNotice[]): boolean;
+  /** Takes what the next packet tells the other gateways. */
+  takeNotices(): AdvisoryNotices;
+  /** Adds what another gateway tells; returns whether a limit or a leaving target is news. */
+  receiveNotices(notices: AdvisoryNotices): boolean;
   /** Counts the targets that have a limit. */
   countLimits(): number;
   stop(): void;
@@ -55,6 +58,8 @@
   /** Monotonic time of the last report of each limit. */
   const reportedMs = new Map<string, number>();
   let keptKeys = new Set<string>();
+  /** Start of the leaving targets in the next packet. */
+  let leavingCursor = 0;
 
   /** Forgets targets that had no entry in two sweeps; an entry may lapse while the store is away. */
   const removeGoneTargets = (): void => {
@@ -73,7 +78,7 @@
     const requestsPerSecond = book.findEntry(targetKey)?.requestsPerSecond;
     if (requestsPerSecond === undefined) reportedMs.delete(targetKey);
     else reportedMs.set(targetKey, now);
-    const [targetId = ''] = targetKey.split('@');
+    const targetId = parseTargetId(targetKey);
     handleLimit({ targetId, requestsPerSecond, ...counter.countRecent(targetId) });
   };
 
@@ -89,6 +94,27 @@
     return isNews;
   };
 
+  /** Records that a target is shutting down; returns whether that is news. */
+  const addLeaving = (targetKey: string): boolean => {
+    const isNews = fleet.markLeaving(targetKey);
+    if (isNews) options.handleLeaving(parseTargetId(targetKey));
+    return isNews;
+  };
+
+  const addLimit = (target: Target, advice: TargetAdvice, sentMs: number): boolean => {
+    const { requestsPerSecond, isLimitUnreadable } = advice;
+    if (isLimitUnreadable) return false;
+    const now = getFleetMs();
+    // A response without a limit may have been overtaken by a later one with a limit, so that it
+    // ends only the limits that were known when its request was sent.
+    const statedMs =
+      requestsPerSecond === undefined ? now - (timers.getMonotonicMs() - sentMs) : now;
+    const targetKey = formatTargetKey(target);
+    if (addNotice({ targetKey, requestsPerSecond, statedMs })) return true;
+    if (requestsPerSecond !== undefined) report(targetKey, false);
+    return false;
+  };
+
   /** Finds the turn that this gateway may use for a request now, as a fleet time. */
   const findTurnMs = (targetKey: string, targetId: string): number | undefined => {
     const entry = book.findEntry(targetKey);
@@ -106,18 +132,23 @@
     return turnMs === undefined || turnMs <= getFleetMs();
   };
 
+  /** Takes the targets that say that they leave; each call moves on to other ones. */
+  const takeLeavingKeys = (): string[] => {
+    const keys = fleet.listMarkedLeaving();
+    const count = Math.min(keys.length, MAX_NOTICES);
+    leavingCursor += count;
+    return Array.from(
+      { length: count },
+      (_, index) => keys[(leavingCursor + index) % keys.length]!,
+    );
+  };
+
   return {
     recordSend: counter.recordSend,
-    recordAdvice(target, { requestsPerSecond, isLimitUnreadable }, sentMs) {
-      if (isLimitUnreadable) return;
-      const targetKey = formatTargetKey(target);
-      const now = getFleetMs();
-      // A response without a limit may have been overtaken by a later one with a limit, so that it
-      // ends only the limits that were known when its request was sent.
-      const statedMs =
-        requestsPerSecond === undefined ? now - (timers.getMonotonicMs() - sentMs) : now;
-      if (addNotice({ targetKey, requestsPerSecond, statedMs })) options.sendNow();
-      else if (requestsPerSecond !== undefined) report(targetKey, false);
+    recordAdvice(target, advice, sentMs) {
+      const isLimitNews = addLimit(target, advice, sentMs);
+      const isLeavingNews = advice.isLeaving && addLeaving(formatTargetKey(target));
+      if (isLimitNews || isLeavingNews) options.sendNow();
     },
     findLimit: (target) => book.findEntry(formatTargetKey(target))?.requestsPerSecond,
     hasTurn,
@@ -130,8 +161,12 @@
       entry.lastTurnMs = turnMs;
       return true;
     },
-    takeNotices: book.takeNotices,
-    receiveNotices: (notices) => notices.filter(addNotice).length > 0,
+    takeNotices: () => ({ limits: book.takeNotices(), leavingKeys: takeLeavingKeys() }),
+    receiveNotices({ limits, leavingKeys }) {
+      const newLimits = limits.filter(addNotice);
+      const newLeavingKeys = leavingKeys.filter(addLeaving);
+      return newLimits.length + newLeavingKeys.length > 0;
+    },
     countLimits: book.countLimits,
     stop() {
       stopSweep();
--- a/src/core/advisories/types.ts
+++ b/src/core/advisories/types.ts
@@ -7,10 +7,16 @@
   requestsPerSecond: number | undefined;
   /** Whether it states a limit that is not a number; the limit that it stated before then holds. */
   isLimitUnreadable: boolean;
+  /** Whether it is shutting down, so that it must get no new requests. */
+  isLeaving: boolean;
 }
 
 /** Advice of a response without any statement. */
-export const NO_ADVICE: TargetAdvice = { requestsPerSecond: undefined, isLimitUnreadable: false };
+export const NO_ADVICE: TargetAdvice = {
+  requestsPerSecond: undefined,
+  isLimitUnreadable: false,
+  isLeaving: false,
+};
 
 /** What gateways tell each other about a target's limit. */
 export interface LimitNotice {
@@ -22,6 +28,16 @@
   statedMs: number;
 }
 
+/** What gateways tell each other about what targets say. */
+export interface AdvisoryNotices {
+  limits: readonly LimitNotice[];
+  /** Process starts of targets that are shutting down. */
+  leavingKeys: readonly string[];
+}
+
+/** Notices of a gateway that no target has told anything. */
+export const NO_NOTICES: AdvisoryNotices = { limits: [], leavingKeys: [] };
+
 /** A target's limit, with the requests that this gateway sent it lately. */
 export interface LimitReport {
   targetId: string;
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -1,5 +1,6 @@
 import type { EngineGroup, Target } from './types.ts';
 import { buildGroups } from './groups.ts';
+import { formatTargetKey } from './target-key.ts';
 
 /** In-memory copy of the target entries in the store, and the groups that they form. */
 export interface Fleet {
@@ -13,13 +14,27 @@
   listTargets(service: string): readonly Target[];
   /** Returns the targets of all services. */
   listAllTargets(): Iterable<Target>;
+  /**
+   * Marks one process start of a target as shutting down, as it says itself, whatever its entry says;
+   * returns whether that is news.
+   */
+  markLeaving(targetKey: string): boolean;
+  /** Lists the marked process starts whose entry does not say that they are shutting down. */
+  listMarkedLeaving(): string[];
   /** Returns the groups that the entries of a service's targets name, in all states. */
   listServiceGroups(service: string): readonly EngineGroup[];
 }
 
+/** Process starts that are remembered as shutting down; the oldest are forgotten first. */
+const MAX_MARKED_LEAVING = 4_096;
+
 /** Creates an empty fleet. */
 export function createFleet(): Fleet {
   const targets = new Map<string, Target>();
+  /** Process starts of targets that say that they are shutting down. */
+  const markedKeys = new Set<string>();
+  /** Ids of the targets whose entry does not say so. */
+  const markedIds = new Set<string>();
   /** Incremented with each change; the groups are rebuilt when it has changed. */
   let revision = 0;
   let groupsRevision = -1;
@@ -33,19 +48,40 @@
     return groups;
   };
 
+  const setTarget = (target: Target): void => {
+    const isMarked = !target.isLeaving && markedKeys.has(formatTargetKey(target));
+    targets.set(target.id, isMarked ? { ...target, isLeaving: true } : target);
+    if (isMarked) markedIds.add(target.id);
+    else markedIds.delete(target.id);
+    revision++;
+  };
+
   return {
     resetTargets(list) {
       targets.clear();
-      list.forEach((target) => targets.set(target.id, target));
-      revision++;
-    },
-    setTarget(target) {
-      targets.set(target.id, target);
+      markedIds.clear();
+      list.forEach(setTarget);
       revision++;
     },
+    setTarget,
     removeTarget(id) {
+      markedIds.delete(id);
       if (targets.delete(id)) revision++;
     },
+    markLeaving(targetKey) {
+      if (markedKeys.has(targetKey)) return false;
+      markedKeys.add(targetKey);
+      const [oldest] = markedKeys;
+      if (markedKeys.size > MAX_MARKED_LEAVING && oldest !== undefined) markedKeys.delete(oldest);
+      const target = [...targets.values()].find((one) => formatTargetKey(one) === targetKey);
+      if (target !== undefined) setTarget(target);
+      return true;
+    },
+    listMarkedLeaving: () =>
+      [...markedIds].flatMap((id) => {
+        const target = targets.get(id);
+        return target === undefined ? [] : formatTargetKey(target);
+      }),
     findTarget: (id) => targets.get(id),
     listTargets: (service) => [...targets.values()].filter((target) => target.service === service),
     listAllTargets: () => targets.values(),
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -8,6 +8,6 @@
 } from './groups.ts';
 export { GroupState } from './types.ts';
 export type { EngineGroup, GroupMembership, Target } from './types.ts';
-export { computeTargetHash, formatTargetKey } from './target-key.ts';
+export { computeTargetHash, formatTargetKey, parseTargetId } from './target-key.ts';
 export { createTargetMonitor } from './target-monitor.ts';
 export type { TargetLoad, TargetMonitor, RequestHandle } from './target-monitor.ts';
--- a/src/core/fleet/target-key.ts
+++ b/src/core/fleet/target-key.ts
@@ -8,6 +8,11 @@
   return `${id}@${startedWallMs}`;
 }
 
+/** Returns the id of the target in a key of `formatTargetKey`. */
+export function parseTargetId(targetKey: string): string {
+  return targetKey.slice(0, targetKey.lastIndexOf('@'));
+}
+
 /**
  * Returns a hash of the target id that distributes targets evenly over gateway positions: a
  * polynomial hash with the usual factor 31, modulo the largest prime below 2^16.
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -163,6 +163,7 @@
     getFleetMs: peerExchange.getFleetMs,
     getPosition,
     handleLimit: requestLog.recordLimit,
+    handleLeaving: (target) => logger.info('a target says that it is leaving', { target }),
     sendNow: peerExchange.sendNow,
   });
   const chooser = createTargetChooser({
@@ -276,7 +277,7 @@
       demands: demandMeter.listDemands(),
     }),
     getEvidence: quarantine.buildEvidence,
-    takeLimits: advisories.takeNotices,
+    takeAdvisories: advisories.takeNotices,
     getProgress: (recentMs) =>
       [...feeds.values()].flatMap((feed) => feed.getProgress(recentMs) ?? []),
     handleStatus(status) {
@@ -293,7 +294,7 @@
       }
     },
     handleEvidence: quarantine.receiveEvidence,
-    handleLimits: advisories.receiveNotices,
+    handleAdvisories: advisories.receiveNotices,
     handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
   });
   leaderElection.start({
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -1,5 +1,5 @@
 import { createSocket } from 'node:dgram';
-import type { LimitNotice } from '../advisories/index.ts';
+import type { AdvisoryNotices } from '../advisories/index.ts';
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
@@ -34,8 +34,8 @@
   getStatus(): PeerStatus;
   getLoadReport(): PeerLoadReport;
   getEvidence(): PromptEvidence;
-  /** Takes the limits of targets that the next packet tells. */
-  takeLimits(): readonly LimitNotice[];
+  /** Takes what targets say for the next packet. */
+  takeAdvisories(): AdvisoryNotices;
   /** Progress of the store copies, with the changes of the last `recentMs`. */
   getProgress(recentMs: number): FeedProgress[];
   /** Called for each gateway whose status was received, directly or through a hub. */
@@ -46,8 +46,8 @@
   handleSuspects(targetIds: readonly string[]): void;
   /** Called with the evidence of a packet; returns whether it contains news. */
   handleEvidence(evidence: PromptEvidence): boolean;
-  /** Called with the limits of a packet; returns whether they contain news. */
-  handleLimits(limits: readonly LimitNotice[]): boolean;
+  /** Called with what targets say, as of a packet; returns whether it contains news. */
+  handleAdvisories(advisories: AdvisoryNotices): boolean;
   handleProgress(progress: FeedProgress): void;
 }
 
@@ -176,7 +176,7 @@
     const loadReport = listener.getLoadReport();
     reported = loadReport;
     const evidence = listener.getEvidence();
-    const limits = listener.takeLimits();
+    const advisories = listener.takeAdvisories();
     const fleetMs = fleetClock.getFleetMs();
     const peers = table.listPeers().map(({ status }) => status);
     const toAddresses = (list: readonly PeerStatus[]): string[] =>
@@ -188,7 +188,7 @@
       loadReport,
       digest,
       evidence,
-      limits,
+      advisories,
       fleetMs,
       progress: hasProgress ? progress : [],
     });
@@ -256,8 +256,8 @@
     if (suspectIds.length > 0) listener?.handleSuspects(suspectIds);
     // A hub relays news immediately.
     const hasNewSuspects = suspectIds.some((id) => !knownSuspectIds.has(id));
-    const hasNewLimits = listener?.handleLimits(packet.limits) === true;
-    const hasNews = hasNewSuspects || hasNewEvidence || hasNewLimits;
+    const hasNewAdvisories = listener?.handleAdvisories(packet.advisories) === true;
+    const hasNews = hasNewSuspects || hasNewEvidence || hasNewAdvisories;
     if (hasNews && !getTopology().isMesh && isHub(vmName)) sendNow();
   };
 
--- a/src/core/peers/digests.test.ts
+++ b/src/core/peers/digests.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { NO_NOTICES } from '../advisories/index.ts';
 import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { DigestAggregator } from './digests.ts';
@@ -57,7 +58,7 @@
         loadReport,
         digest,
         evidence: NO_EVIDENCE,
-        limits: [],
+        advisories: NO_NOTICES,
         fleetMs: 0,
         progress: [],
       });
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
+import { NO_NOTICES } from '../advisories/index.ts';
 import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { createPeerExchange } from './create-peer-exchange.ts';
@@ -27,7 +28,7 @@
     isComplete: true,
   },
   evidence: NO_EVIDENCE,
-  limits: [],
+  advisories: NO_NOTICES,
   fleetMs: 0,
   progress: [],
 };
@@ -59,7 +60,7 @@
           loadReport: { loads, suspectIds: [], demands: [] },
           digest,
           evidence: NO_EVIDENCE,
-          limits: [],
+          advisories: NO_NOTICES,
           fleetMs: 0,
           progress: [],
         };
@@ -84,13 +85,13 @@
       getStatus: () => buildPeerStatus('self'),
       getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
       getEvidence: () => NO_EVIDENCE,
-      takeLimits: () => [],
+      takeAdvisories: () => NO_NOTICES,
       getProgress: () => [],
       handleStatus: () => undefined,
       handleLoadReport: () => undefined,
       handleSuspects: () => undefined,
       handleEvidence: () => false,
-      handleLimits: () => false,
+      handleAdvisories: () => false,
       handleProgress: () => undefined,
     });
     const sound = encodePacket(PACKET);
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -42,10 +42,13 @@
     begins: [{ part: 's/c', ageMs: 500 }],
     notices: [{ parts: ['s/a'], customers: ['c', 'd'], crashes: 4, ageMs: 7_000 }],
   },
-  limits: [
-    { targetKey: 'i-1@5', requestsPerSecond: 1.6, statedMs: 12_000 },
-    { targetKey: 'i-2@0', requestsPerSecond: undefined, statedMs: 0 },
-  ],
+  advisories: {
+    limits: [
+      { targetKey: 'i-1@5', requestsPerSecond: 1.6, statedMs: 12_000 },
+      { targetKey: 'i-2@0', requestsPerSecond: undefined, statedMs: 0 },
+    ],
+    leavingKeys: ['i-3@7'],
+  },
   fleetMs: 12_345,
   progress: [
     {
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -71,7 +71,7 @@
 
 /** Encodes a packet as a datagram. */
 export function encodePacket(packet: PeerPacket): Uint8Array {
-  const { sender, loadReport, digest, evidence, limits, fleetMs, progress } = packet;
+  const { sender, loadReport, digest, evidence, advisories, fleetMs, progress } = packet;
   let changeBytes = 0;
   const encodedProgress = progress.map((one) => {
     const encoded = encodeProgress(one, MAX_CHANGES_BYTES - changeBytes);
@@ -96,7 +96,8 @@
       }),
       ...encodeEvidence(evidence),
       fleetMs: toUint53(fleetMs),
-      limits: limits.map(encodeLimit),
+      limits: advisories.limits.map(encodeLimit),
+      leavingTargetKeys: [...advisories.leavingKeys],
       progress: encodedProgress,
     }),
   );
@@ -164,7 +165,10 @@
     },
     digest: packet.digest && decodeDigest(packet.digest),
     evidence: decodeEvidence(packet.evidence),
-    limits: packet.limits.map(decodeLimit),
+    advisories: {
+      limits: packet.limits.map(decodeLimit),
+      leavingKeys: packet.leavingTargetKeys,
+    },
     fleetMs: Number(packet.fleetMs),
     progress: packet.progress.flatMap(decodeProgress),
   };
--- a/src/core/peers/peer-table.test.ts
+++ b/src/core/peers/peer-table.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { NO_NOTICES } from '../advisories/index.ts';
 import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { createDigestAggregator } from './digests.ts';
@@ -32,7 +33,7 @@
       sender: buildPeerStatus('self'),
       digest,
       evidence: NO_EVIDENCE,
-      limits: [],
+      advisories: NO_NOTICES,
       fleetMs: 0,
       progress: [],
     };
--- a/src/core/peers/start.test.ts
+++ b/src/core/peers/start.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
+import { NO_NOTICES } from '../advisories/index.ts';
 import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { PeerExchangeListener } from './create-peer-exchange.ts';
@@ -28,13 +29,13 @@
   getStatus: () => buildPeerStatus('self'),
   getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
   getEvidence: () => NO_EVIDENCE,
-  takeLimits: () => [],
+  takeAdvisories: () => NO_NOTICES,
   getProgress: () => [],
   handleStatus: () => undefined,
   handleLoadReport: () => undefined,
   handleSuspects: () => undefined,
   handleEvidence: () => false,
-  handleLimits: () => false,
+  handleAdvisories: () => false,
   handleProgress: () => undefined,
 };
 
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -1,4 +1,4 @@
-import type { LimitNotice } from '../advisories/index.ts';
+import type { AdvisoryNotices } from '../advisories/index.ts';
 import type { PromptEvidence } from '../quarantine/index.ts';
 import type { Demand } from '../placement/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
@@ -61,8 +61,8 @@
   digest: PeerDigest | undefined;
   /** Crashes and parts of prompts that the sender knows of, also from others. */
   evidence: PromptEvidence;
-  /** Limits of targets that the sender knows of, also from others. */
-  limits: readonly LimitNotice[];
+  /** What the sender knows that targets say, also from others. */
+  advisories: AdvisoryNotices;
   /** Time of the sender's fleet clock. */
   fleetMs: number;
   progress: FeedProgress[];
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -28,6 +28,8 @@
   Authorization = 'authorization',
   /** Requests per second that the target takes from all gateways together. */
   RequestLimit = 'server-limit',
+  /** `1` if the target is shutting down; its entry in the store may not say so yet. */
+  Leaving = 'server-leaving',
 }
 
 /** Scheme of the `Authorization` header that carries a customer's API key. */
--- a/src/platform/wire-format.test.ts
+++ b/src/platform/wire-format.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { NO_ADVICE } from '../core/advisories/index.ts';
 import type { Target } from '../core/fleet/index.ts';
 import { platformWireFormat } from './wire-format.ts';
 
@@ -120,7 +121,27 @@
   for (const { stated, ...expected } of limits) {
     it(`decodes the request limits "${stated.join('", "').slice(0, 20)}"`, () => {
       const raw = stated.flatMap((text) => ['Server-Limit', text]);
-      expect(platformWireFormat.parseResponseHead(200, raw).advice).toEqual(expected);
+      expect(platformWireFormat.parseResponseHead(200, raw).advice).toEqual({
+        ...NO_ADVICE,
+        ...expected,
+      });
+    });
+  }
+
+  // Guards against a target that counts as leaving because of a word that does not say so.
+  const leaving = [
+    { stated: ['1'], isLeaving: true },
+    { stated: [' 1 '], isLeaving: true },
+    { stated: ['0', '1'], isLeaving: true },
+    { stated: ['0'], isLeaving: false },
+    { stated: ['11'], isLeaving: false },
+    { stated: [], isLeaving: false },
+  ];
+  for (const { stated, isLeaving } of leaving) {
+    it(`decodes that a target is ${isLeaving ? '' : 'not '}leaving from "${stated.join('", "')}"`, () => {
+      const raw = stated.flatMap((text) => ['Server-Leaving', text]);
+      const { advice } = platformWireFormat.parseResponseHead(503, raw);
+      expect(advice).toEqual({ ...NO_ADVICE, isLeaving });
     });
   }
 });
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -149,6 +149,7 @@
   return {
     requestsPerSecond: readable.length > 0 ? Math.min(...readable) : undefined,
     isLimitUnreadable: limits.length > 0 && readable.length === 0,
+    isLeaving: listFields(rawHeaders, Header.Leaving).some((text) => text.trim() === '1'),
   };
 }
 
