--- a/src/core/advisories/consts.ts
+++ b/src/core/advisories/consts.ts
@@ -10,6 +10,10 @@
  * its limit is over.
  */
 export const MIN_REQUESTS_PER_SECOND = 0.25;
+/** Longest time for which a target is asked nothing; a longer one is taken for a mistake. */
+export const MAX_PAUSE_MS = 600_000;
+/** Pauses that a gateway remembers. */
+export const MAX_PAUSES = 4_096;
 /** Limits in one packet; those that changed last come first, the rest takes turns. */
 export const MAX_NOTICES = 64;
 /** Limits that a gateway remembers. */
--- a/src/core/advisories/create-advisories.ts
+++ b/src/core/advisories/create-advisories.ts
@@ -11,6 +11,7 @@
 } from './consts.ts';
 import { findNextTurnMs } from './find-turn.ts';
 import { createLimitBook } from './limit-book.ts';
+import { createPauses } from './pauses.ts';
 import { createSendCounter } from './send-counter.ts';
 import type { AdvisoryNotices, LimitNotice, LimitReport, TargetAdvice } from './types.ts';
 
@@ -24,6 +25,8 @@
   getPosition(): Position;
   /** Called when a limit is stated first or ends, and at intervals while it holds. */
   handleLimit(report: LimitReport): void;
+  /** Called when a target wants no requests from this gateway for a time. */
+  handlePause(targetId: string, pauseMs: number): void;
   /** Called when a target says first, to this gateway or to another, that it is shutting down. */
   handleLeaving(targetId: string): void;
   /** Sends the notices to the other gateways without waiting for the next packet. */
@@ -37,7 +40,9 @@
   recordAdvice(target: Target, advice: TargetAdvice, sentMs: number): void;
   /** Returns the requests per second that a target takes; undefined without a limit. */
   findLimit(target: Target): number | undefined;
-  /** Whether this gateway may send a target a request now, as far as its limit allows. */
+  /** Returns how long a target still wants no requests from this gateway, in ms; 0 if it takes some. */
+  getPauseMs(target: Target): number;
+  /** Whether this gateway may send a target a request now, as far as the target has limited them. */
   hasTurn(target: Target): boolean;
   /** Takes a turn for one request to a target; false if a limited target has none left. */
   takeTurn(target: Target): boolean;
@@ -55,6 +60,7 @@
   const { timers, fleet, getFleetMs, handleLimit } = options;
   const counter = createSendCounter(timers);
   const book = createLimitBook(getFleetMs);
+  const pauses = createPauses(timers);
   /** Monotonic time of the last report of each limit. */
   const reportedMs = new Map<string, number>();
   let keptKeys = new Set<string>();
@@ -127,7 +133,10 @@
     });
   };
 
+  const getPauseMs = (target: Target): number => pauses.getRemainingMs(formatTargetKey(target));
+
   const hasTurn = (target: Target): boolean => {
+    if (getPauseMs(target) > 0) return false;
     const turnMs = findTurnMs(formatTargetKey(target), target.id);
     return turnMs === undefined || turnMs <= getFleetMs();
   };
@@ -148,17 +157,21 @@
     recordAdvice(target, advice, sentMs) {
       const isLimitNews = addLimit(target, advice, sentMs);
       const isLeavingNews = advice.isLeaving && addLeaving(formatTargetKey(target));
+      const { pauseMs } = advice;
+      if (pauseMs !== undefined && pauses.add(formatTargetKey(target), pauseMs)) {
+        options.handlePause(target.id, pauseMs);
+      }
       if (isLimitNews || isLeavingNews) options.sendNow();
     },
     findLimit: (target) => book.findEntry(formatTargetKey(target))?.requestsPerSecond,
+    getPauseMs,
     hasTurn,
     takeTurn(target) {
+      if (!hasTurn(target)) return false;
       const targetKey = formatTargetKey(target);
       const entry = book.findEntry(targetKey);
       const turnMs = findTurnMs(targetKey, target.id);
-      if (entry === undefined || turnMs === undefined) return true;
-      if (turnMs > getFleetMs()) return false;
-      entry.lastTurnMs = turnMs;
+      if (entry !== undefined && turnMs !== undefined) entry.lastTurnMs = turnMs;
       return true;
     },
     takeNotices: () => ({ limits: book.takeNotices(), leavingKeys: takeLeavingKeys() }),
--- a/src/core/advisories/types.ts
+++ b/src/core/advisories/types.ts
@@ -9,6 +9,8 @@
   isLimitUnreadable: boolean;
   /** Whether it is shutting down, so that it must get no new requests. */
   isLeaving: boolean;
+  /** How long it wants no more requests from this gateway; undefined if it says nothing of it. */
+  pauseMs: number | undefined;
 }
 
 /** Advice of a response without any statement. */
@@ -16,6 +18,7 @@
   requestsPerSecond: undefined,
   isLimitUnreadable: false,
   isLeaving: false,
+  pauseMs: undefined,
 };
 
 /** What gateways tell each other about a target's limit. */
--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -11,7 +11,7 @@
   timers: Pick<TimerService, 'getMonotonicMs'>;
   fleet: Fleet;
   monitor: TargetMonitor;
-  advisories: Pick<Advisories, 'findLimit' | 'hasTurn' | 'takeTurn'>;
+  advisories: Pick<Advisories, 'findLimit' | 'getPauseMs' | 'hasTurn' | 'takeTurn'>;
   /** Whether operators have evacuated an availability zone. */
   isZoneEvacuated(availabilityZone: string): boolean;
   /** Returns the position of this gateway among all; they share the limits of cold targets. */
@@ -34,8 +34,10 @@
   targetCount: number;
   /** Requests at once; a target with a limit counts as the slots that its requests fill. */
   slots: number;
-  /** Whether each of the targets limits its requests. */
+  /** Whether each of the targets limits its requests, or wants none for a time. */
   areAllLimited: boolean;
+  /** Time until the first target takes requests again, in ms; 0 if one does now. */
+  pauseMs: number;
 }
 
 /** Chooses targets for requests. */
@@ -218,14 +220,18 @@
     computeCapacity(query, durationMs) {
       const targets = selectTrusted(listUsable(query), query);
       const slots = query.service.engine?.slots ?? Infinity;
-      const limits = targets.map(advisories.findLimit);
+      const pauseMs = Math.min(...targets.map(advisories.getPauseMs));
+      const active = targets.filter((target) => advisories.getPauseMs(target) <= pauseMs);
+      const limits = active.map(advisories.findLimit);
       return {
         targetCount: targets.length,
+        pauseMs: targets.length === 0 ? 0 : pauseMs,
         slots: limits.reduce<number>((sum, limit) => {
           const filled = limit === undefined ? slots : (limit * durationMs) / MS_PER_SECOND;
           return sum + Math.min(slots, filled);
         }, 0),
-        areAllLimited: limits.length > 0 && limits.every((limit) => limit !== undefined),
+        areAllLimited:
+          limits.length > 0 && (pauseMs > 0 || limits.every((limit) => limit !== undefined)),
       };
     },
     chooseTarget(query) {
--- a/src/core/forwarding/request-placement.ts
+++ b/src/core/forwarding/request-placement.ts
@@ -61,13 +61,17 @@
   const getSlackEndMs = (): number =>
     arrivedMs + route.latencyObjectiveMs - serviceTimes.getFirstEventMs(key);
 
+  /** Query that also finds the targets that the request has tried. */
+  const anyTarget: TargetQuery = { service, model: request.model, triedIds: new Set() };
+
   const computeCapacity = (query: TargetQuery): TargetCapacity =>
     chooser.computeCapacity(query, serviceTimes.getDurationMs(key));
 
-  const getExpectedWaitMs = (totalSlots: number, giveUpMs: number): number =>
+  const getExpectedWaitMs = ({ slots, pauseMs }: TargetCapacity, giveUpMs: number): number =>
+    pauseMs +
     computeExpectedWaitMs({
       ahead: lines.countAhead(key, { priority: route.priority, giveUpMs }),
-      totalSlots,
+      totalSlots: slots,
       durationMs: serviceTimes.getDurationMs(key),
       gateways: options.countGateways(),
     });
@@ -87,23 +91,28 @@
     planWait(query) {
       const now = timers.getMonotonicMs();
       const minEndMs = arrivedMs + route.latencyObjectiveMs * MIN_WAIT_SHARE;
-      const { targetCount, slots, areAllLimited } = computeCapacity(query);
+      if (now + computeCapacity(anyTarget).pauseMs > Math.max(getSlackEndMs(), minEndMs)) {
+        return { reason: FailureReason.TargetsLimited, giveUpMs: undefined };
+      }
+      const capacity = computeCapacity(query);
+      const { targetCount, areAllLimited } = capacity;
       if (targetCount === 0 || (service.engine === undefined && !areAllLimited)) {
         return { reason: FailureReason.NoTarget, giveUpMs: now < minEndMs ? minEndMs : undefined };
       }
       const giveUpMs = Math.max(getSlackEndMs(), minEndMs);
-      const expectedWaitMs = getExpectedWaitMs(slots, giveUpMs);
+      const expectedWaitMs = getExpectedWaitMs(capacity, giveUpMs);
       const reason = areAllLimited ? FailureReason.TargetsLimited : FailureReason.TargetsFull;
       return { reason, giveUpMs: now + expectedWaitMs > giveUpMs ? undefined : giveUpMs };
     },
     getRetryAfterMs(reason) {
-      const { slots } = computeCapacity({ service, model: request.model, triedIds: new Set() });
-      return computeRetryAfterMs({
+      const capacity = computeCapacity(anyTarget);
+      const retryAfterMs = computeRetryAfterMs({
         cause: REFUSAL_CAUSES.get(reason) ?? RefusalCause.Full,
         durationMs: serviceTimes.getDurationMs(key),
-        expectedWaitMs: getExpectedWaitMs(slots, getSlackEndMs()),
+        expectedWaitMs: getExpectedWaitMs(capacity, getSlackEndMs()),
         random: options.random(),
       });
+      return Math.max(capacity.pauseMs, retryAfterMs);
     },
   };
 }
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -102,7 +102,7 @@
   NoTarget = 'no-target',
   /** All targets hold as many requests as they can process in time. */
   TargetsFull = 'targets-full',
-  /** All targets limit their requests, and none takes one more in time. */
+  /** All targets limit their requests or want none for a time, and none takes one more in time. */
   TargetsLimited = 'targets-limited',
   /** A target refused the request, which may not be sent to another one. */
   RefusedByTarget = 'all-busy',
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -163,6 +163,7 @@
     getFleetMs: peerExchange.getFleetMs,
     getPosition,
     handleLimit: requestLog.recordLimit,
+    handlePause: requestLog.recordPause,
     handleLeaving: (target) => logger.info('a target says that it is leaving', { target }),
     sendNow: peerExchange.sendNow,
   });
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -31,6 +31,8 @@
   recordCrash(crash: TargetCrash): void;
   /** Records the limit of requests that a target states, or that it states none any more. */
   recordLimit(report: LimitReport): void;
+  /** Records that a target wants no requests from this gateway for a time. */
+  recordPause(targetId: string, pauseMs: number): void;
   /** Records that a set of prompt parts is quarantined, tried or released. */
   recordQuarantine(change: QuarantineChange, entry: QuarantineEntry): void;
 }
@@ -152,6 +154,10 @@
         ...counts,
       });
     },
+    recordPause(targetId, pauseMs) {
+      if (!reserveLine()) return;
+      logger.info('a target wants no requests for a time', { target: targetId, pauseMs });
+    },
     recordQuarantine(change, { parts, customers, crashes, lastCrashMs }) {
       if (!reserveLine()) return;
       logger.warn(QUARANTINE_MESSAGES[change], {
--- a/src/platform/wire-format.test.ts
+++ b/src/platform/wire-format.test.ts
@@ -144,4 +144,22 @@
       expect(advice).toEqual({ ...NO_ADVICE, isLeaving });
     });
   }
+
+  // Guards against a pause that a target does not ask for, and against one that is overlooked.
+  const pauses = [
+    { status: 503, stated: ['1.5'], pauseMs: 1_500 },
+    { status: 429, stated: ['2'], pauseMs: 2_000 },
+    { status: 503, stated: ['1', '3'], pauseMs: 3_000 },
+    { status: 200, stated: ['1.5'], pauseMs: undefined },
+    { status: 503, stated: ['Wed, 21 Oct 2026 07:28:00 GMT'], pauseMs: undefined },
+    { status: 503, stated: ['-1'], pauseMs: undefined },
+    { status: 503, stated: [], pauseMs: undefined },
+  ];
+  for (const { status, stated, pauseMs } of pauses) {
+    it(`decodes a pause from status ${status} with "${stated.join('", "')}"`, () => {
+      const raw = stated.flatMap((text) => ['Retry-After', text]);
+      const { advice } = platformWireFormat.parseResponseHead(status, raw);
+      expect(advice).toEqual({ ...NO_ADVICE, pauseMs });
+    });
+  }
 });
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -142,13 +142,26 @@
   );
 }
 
+/** Statuses whose `Retry-After` tells when the target wants to be asked again. */
+const PAUSE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
+/** Decodes for how long a target wants no requests; of several times, the longest one holds. */
+function parsePauseMs(status: number, rawHeaders: readonly string[]): number | undefined {
+  if (!PAUSE_STATUSES.has(status)) return undefined;
+  const seconds = listFields(rawHeaders, Header.RetryAfter)
+    .map(parseNonNegativeNumber)
+    .filter((one) => one !== undefined);
+  return seconds.length > 0 ? Math.max(...seconds) * MS_PER_SECOND : undefined;
+}
+
 /** Decodes what a target says of itself; of several limits, the lowest one holds. */
-function parseAdvice(rawHeaders: readonly string[]): TargetAdvice {
+function parseAdvice(status: number, rawHeaders: readonly string[]): TargetAdvice {
   const limits = listFields(rawHeaders, Header.RequestLimit);
   const readable = limits.map(parseNonNegativeNumber).filter((limit) => limit !== undefined);
   return {
     requestsPerSecond: readable.length > 0 ? Math.min(...readable) : undefined,
     isLimitUnreadable: limits.length > 0 && readable.length === 0,
+    pauseMs: parsePauseMs(status, rawHeaders),
     isLeaving: listFields(rawHeaders, Header.Leaving).some((text) => text.trim() === '1'),
   };
 }
@@ -161,7 +174,7 @@
     callerAttemptId: findField(rawHeaders, Header.AttemptId),
     faultyTargetId: findField(rawHeaders, Header.FaultyTarget),
     isEncoded: findField(rawHeaders, 'content-encoding') !== undefined,
-    advice: parseAdvice(rawHeaders),
+    advice: parseAdvice(status, rawHeaders),
     forwardedHeaders: selectForwardedFields(rawHeaders, () => true),
   };
 }
