Log when the store comes back from an older copy

The logs showed only 410 and a lost lease, as when the store drops its history. The stand-in of the store can be restored.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -20,7 +20,7 @@
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
-import { createInstrumentedStore, StoreKind } from '../store/index.ts';
+import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
 import { startCallerServer } from './caller-server.ts';
 import { planReload } from './plan-reload.ts';
 import { registerGateway } from './registration.ts';
@@ -75,7 +75,8 @@
     storeView.getRoutingTable()?.configuration.services ?? [];
   const feeds = new Map<StoreKind, Feed>();
   const metrics = createGatewayMetrics();
-  const store = createInstrumentedStore(dependencies.store, metrics.countStoreCall);
+  const eras = createEraTracker(logger);
+  const store = createInstrumentedStore(dependencies.store, metrics.countStoreCall, eras.observe);
 
   const monitor = createTargetMonitor({ timers });
   const peerExchange = createPeerExchange({
--- a/src/core/store/instrumented-store.ts
+++ b/src/core/store/instrumented-store.ts
@@ -8,10 +8,14 @@
   result: string;
 }
 
-/** Wraps a client so that `recordCall` is called with the result of each call. */
+/**
+ * Wraps a client so that `recordCall` is called with the result of each call, and `observeEra` with
+ * the era of each answer before its caller gets it.
+ */
 export function createInstrumentedStore(
   store: StoreClient,
   recordCall: (call: StoreCallResult) => void,
+  observeEra: (era: number | undefined) => void,
 ): StoreClient {
   const awaitAndRecord = async <Value>(
     operation: string,
@@ -20,6 +24,7 @@
   ): Promise<StoreResult<Value>> => {
     const result = await call;
     recordCall({ operation, kind, result: result.kind });
+    observeEra(result.era);
     return result;
   };
   return {
--- a/src/core/store/types.ts
+++ b/src/core/store/types.ts
@@ -52,8 +52,12 @@
 }
 
 /** Result of a call: a value, or the kind of failure and a description. */
-export type StoreResult<Value> =
-  { kind: 'ok'; value: Value } | { kind: StoreFailure; problem: string };
+export type StoreResult<Value> = (
+  { kind: 'ok'; value: Value } | { kind: StoreFailure; problem: string }
+) & {
+  /** Era of the store that answered; undefined without an answer, or if it names none. */
+  era?: number | undefined;
+};
 
 /** How current a listing must be. */
 export enum Consistency {
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -26,6 +26,8 @@
   /** Id of the engine that caused its group to refuse the request. */
   FaultyTarget = 'at-server',
   Authorization = 'authorization',
+  /** Increases when the store comes back from an older copy. */
+  StoreEra = 'store-era',
   /** Requests per second that the target takes from all gateways together. */
   RequestLimit = 'server-limit',
   /** `1` if the target is shutting down; its entry in the store may not say so yet. */
--- a/src/platform/store-client.test.ts
+++ b/src/platform/store-client.test.ts
@@ -48,6 +48,28 @@
       expect(result.kind).toEqual(StoreFailure.HistoryGone);
     }));
 
+  // Guards against revisions that are compared across a restoration.
+  it('tells the era of each answer', () =>
+    runWithStore(async (store, client) => {
+      store.takeCopy();
+      store.putObject('evacuations', 'a', {});
+      const list = await client.listObjects(StoreKind.Evacuations, Consistency.Current);
+      if (list.kind !== 'ok') throw new Error(list.problem);
+      store.restoreCopy();
+      const results = [
+        list,
+        await client.watchObjects(StoreKind.Evacuations, list.value.revision, 500),
+        await client.fetchObject(StoreKind.Evacuations, 'a'),
+        await client.createObject(StoreKind.Evacuations, 'a', {}),
+      ];
+      expect(results.map(({ kind, era }) => [kind, era])).toEqual([
+        ['ok', 1],
+        [StoreFailure.HistoryGone, 2],
+        [StoreFailure.NotFound, 2],
+        ['ok', 2],
+      ]);
+    }));
+
   it('accepts one of two concurrent conditional writes', () =>
     runWithStore(async (_store, client) => {
       const created = await client.createObject(StoreKind.Duties, 'groups', { holder: 'a' });
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -4,6 +4,7 @@
 import { Consistency, StoreFailure, StoreKind } from '../core/store/index.ts';
 import type { StoreClient, StoreObject, StoreResult } from '../core/store/index.ts';
 import type { TimerService } from '../core/timers/index.ts';
+import { Header } from './headers.ts';
 import type { SocketAddress } from './settings.ts';
 
 /** Names of the kinds in the platform's API, which calls targets servers. */
@@ -133,7 +134,8 @@
       });
       const text = await response.body.text();
       idleClients.push({ client, sinceMs: timers.getMonotonicMs() });
-      return parseResponse(call, response.statusCode, text, schema);
+      const result = parseResponse(call, response.statusCode, text, schema);
+      return { ...result, era: parseEra(response.headers[Header.StoreEra]) };
     } catch (error) {
       // After a lost response, the connection delivers nothing further.
       void client.destroy();
@@ -163,15 +165,21 @@
     async listObjects(kind, consistency) {
       const objects: StoreObject[] = [];
       let revision = Infinity;
+      let era: number | undefined;
       for (;;) {
         const page = await listPage(kind, objects.at(-1)?.name, consistency);
         if (page.kind !== 'ok') return page;
+        if (objects.length > 0 && page.era !== era) {
+          const problem = 'the store came back from an older copy between two pages';
+          return { kind: StoreFailure.NotDone, problem, era: page.era };
+        }
+        ({ era } = page);
         objects.push(...page.value.items.map(toStoreObject));
         // A watch from the lowest revision returns the changes that the other pages may lack.
         revision = Math.min(revision, page.value.as_of);
         if (!page.value.more || page.value.items.length === 0) break;
       }
-      return { kind: 'ok', value: { objects, revision } };
+      return { kind: 'ok', value: { objects, revision }, era };
     },
     async watchObjects(kind, sinceRevision, waitMs) {
       const path = `${formatPath(kind)}?watch=${sinceRevision}&wait_ms=${Math.round(waitMs)}`;
@@ -182,29 +190,29 @@
         object: toStoreObject(object),
         isDeleted: deleted,
       }));
-      return { kind: 'ok', value: { events, revision: result.value.as_of } };
+      return { ...result, value: { events, revision: result.value.as_of } };
     },
     async fetchObject(kind, name) {
       const result = await sendCall({ method: 'GET', path: formatPath(kind, name) }, objectSchema);
-      return result.kind === 'ok' ? { kind: 'ok', value: toStoreObject(result.value) } : result;
+      return result.kind === 'ok' ? { ...result, value: toStoreObject(result.value) } : result;
     },
     async createObject(kind, name, spec) {
       const body = { metadata: { name }, spec };
       const result = await sendCall({ method: 'POST', path: formatPath(kind), body }, objectSchema);
-      return result.kind === 'ok' ? { kind: 'ok', value: toStoreObject(result.value) } : result;
+      return result.kind === 'ok' ? { ...result, value: toStoreObject(result.value) } : result;
     },
     async replaceObject(kind, name, revision, spec) {
       const body = { metadata: { name, revision }, spec };
       const call: StoreCall = { method: 'PUT', path: formatPath(kind, name), body };
       const result = await sendCall(call, objectSchema);
-      return result.kind === 'ok' ? { kind: 'ok', value: toStoreObject(result.value) } : result;
+      return result.kind === 'ok' ? { ...result, value: toStoreObject(result.value) } : result;
     },
     async deleteObject(kind, name) {
       const result = await sendCall(
         { method: 'DELETE', path: formatPath(kind, name) },
         z.unknown(),
       );
-      return result.kind === 'ok' ? { kind: 'ok', value: undefined } : result;
+      return result.kind === 'ok' ? { ...result, value: undefined } : result;
     },
     async close() {
       await Promise.all(idleClients.splice(0).map(({ client }) => client.destroy()));
@@ -212,6 +220,12 @@
   };
 }
 
+/** Decodes the store's era; undefined unless it is a whole number. */
+function parseEra(value: string | string[] | undefined): number | undefined {
+  if (typeof value !== 'string' || !/^\d{1,15}$/.test(value.trim())) return undefined;
+  return Number(value);
+}
+
 function parseResponse<Schema extends z.ZodType>(
   call: StoreCall,
   status: number,
--- a/src/stand-ins/store/create-stand-in-store.ts
+++ b/src/stand-ins/store/create-stand-in-store.ts
@@ -46,6 +46,8 @@
   let revision = 1;
   let historyStart = 1;
   let fault = StoreFault.None;
+  let era = 1;
+  let copy = { objects: new Map(objects), events, revision };
 
   const getObjectsOfKind = (kind: string): Map<string, WireObject> => {
     const existing = objects.get(kind) ?? new Map<string, WireObject>();
@@ -71,9 +73,13 @@
     events.push({ kind, revision, object, deleted: true });
   };
 
+  const copyObjects = (source: Map<string, Map<string, WireObject>>) =>
+    new Map([...source].map(([kind, kept]) => [kind, new Map(kept)]));
+
   const app = fastify();
 
   app.addHook('onRequest', async (request: FastifyRequest, reply: FastifyReply) => {
+    void reply.header('store-era', String(era));
     if (fault === StoreFault.Unavailable) return reply.code(HTTP_UNAVAILABLE).send();
     if (fault === StoreFault.TooMany) return reply.code(HTTP_TOO_MANY_REQUESTS).send();
     if (fault === StoreFault.Silent) reply.hijack();
@@ -86,13 +92,15 @@
   });
 
   const watch = async (kind: string, since: number, waitMs: number, reply: FastifyReply) => {
-    if (since < historyStart) return reply.code(HTTP_GONE).send();
+    const isGone = (): boolean => since < historyStart || since > revision;
+    if (isGone()) return reply.code(HTTP_GONE).send();
     const endMs = timers.getMonotonicMs() + waitMs;
     const listNew = (): StoreEvent[] =>
       events.filter((event) => event.kind === kind && event.revision > since);
     while (listNew().length === 0 && timers.getMonotonicMs() < endMs) {
       await timers.waitFor(WATCH_PERIOD_MS);
-      if (since < historyStart) return reply.code(HTTP_GONE).send();
+      void reply.header('store-era', String(era));
+      if (isGone()) return reply.code(HTTP_GONE).send();
     }
     const found = listNew().map(({ object, deleted }) => ({ object, deleted }));
     return reply.send({ events: found, as_of: revision });
@@ -153,6 +161,16 @@
       revision++;
       historyStart = revision;
     },
+    takeCopy() {
+      copy = { objects: copyObjects(objects), events: [...events], revision };
+    },
+    restoreCopy() {
+      era++;
+      objects.clear();
+      copyObjects(copy.objects).forEach((kept, kind) => objects.set(kind, kept));
+      events = [...copy.events];
+      ({ revision } = copy);
+    },
     putObject(kind, name, spec) {
       write(kind, name, spec);
     },
--- a/src/stand-ins/store/types.ts
+++ b/src/stand-ins/store/types.ts
@@ -24,6 +24,10 @@
   setFault(fault: StoreFault): void;
   /** Discards all events, so that a watch from an earlier revision gets 410. */
   dropHistory(): void;
+  /** Keeps a copy of all objects, to which `restoreCopy` goes back. */
+  takeCopy(): void;
+  /** Loses what was written since the copy; revisions are given out again, in a new era. */
+  restoreCopy(): void;
   /** Writes an object, as another client of the store would. */
   putObject(kind: string, name: string, spec: unknown): void;
   removeObject(kind: string, name: string): void;
