Tell revisions of the store apart by its era in feeds

After the store comes back from an older copy, revisions are given out again. A watch that goes on from a revision that the store has passed again returns no 410 and misses what was given out in between, so that a copy stays wrong for good. A gateway that has not noticed confirms the copies of the others by its bare revision, or has its changes dropped as old.

A copy now belongs to an era. A later one, seen in any answer of the store, makes all feeds list again; answers and progress of another era are not used. A later era in a packet only makes a gateway ask the store, so that a wrong figure cannot make it drop the store's answers.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -122,6 +122,7 @@
       errorReporter,
       listener,
       timing: computeFeedTiming(boundMs),
+      eras,
       // The other kinds fit into one page.
       isListedStale: kind === StoreKind.Targets,
       getPauseMs,
--- a/src/core/peers/change-codec.ts
+++ b/src/core/peers/change-codec.ts
@@ -4,7 +4,7 @@
 import { StoreChangesSchema } from '../rpc/generated/clementinefork/v1/gateway_pb.ts';
 import type { FeedChange, FeedProgress } from '../store-feed/index.ts';
 import type { StoreObject } from '../store/index.ts';
-import { toUint32 } from './uint32.ts';
+import { toUint32, toUint53 } from './uint32.ts';
 
 /**
  * Entries of targets compress to about a tenth at any level; the lowest one takes the least processor
@@ -62,6 +62,7 @@
   const isTooLarge = compressed.length > maxBytes;
   return {
     kind: progress.kind,
+    era: toUint53(progress.era),
     revision: BigInt(progress.revision),
     changedRevision: BigInt(progress.changedRevision),
     ageMs: toUint32(progress.ageMs),
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -53,6 +53,7 @@
   progress: [
     {
       kind: StoreKind.Targets,
+      era: 4,
       revision: 20,
       changedRevision: 18,
       ageMs: 40,
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -140,6 +140,7 @@
   return [
     {
       kind: progress.kind as StoreKind,
+      era: Number(progress.era),
       revision: Number(progress.revision),
       changedRevision: Number(progress.changedRevision),
       ageMs: progress.ageMs,
--- a/src/core/store-feed/bounds.test.ts
+++ b/src/core/store-feed/bounds.test.ts
@@ -3,7 +3,7 @@
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
 import type { ObjectChange, StoreChanges, StoreList, StoreResult } from '../store/index.ts';
-import { Consistency, StoreFailure, StoreKind } from '../store/index.ts';
+import { Consistency, createEraTracker, StoreFailure, StoreKind } from '../store/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { startFeed } from './create-feed.ts';
 import { computeFeedTiming } from './timing.ts';
@@ -49,6 +49,7 @@
       logger: createLogger('test'),
       errorReporter: createErrorReporter(() => undefined),
       timing: computeFeedTiming(boundMs),
+      eras: createEraTracker(createLogger('test')),
       isListedStale: false,
       getPauseMs: () => 0,
       isWatcher: () => name === 'watcher',
@@ -138,6 +139,7 @@
       logger: createLogger('test'),
       errorReporter: createErrorReporter(() => undefined),
       timing: computeFeedTiming(2_000),
+      eras: createEraTracker(createLogger('test')),
       isListedStale: true,
       getPauseMs: () => 0,
       isWatcher: () => true,
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -1,7 +1,13 @@
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
-import type { ObjectChange, StoreClient, StoreKind, StoreList } from '../store/index.ts';
+import type {
+  EraTracker,
+  ObjectChange,
+  StoreClient,
+  StoreKind,
+  StoreList,
+} from '../store/index.ts';
 import { Consistency, StoreFailure } from '../store/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import { createChangeLog } from './change-log.ts';
@@ -17,6 +23,8 @@
   errorReporter: ErrorReporter;
   listener: FeedListener;
   timing: FeedTiming;
+  /** Has observed the era of an answer before the feed gets it. */
+  eras: Pick<EraTracker, 'getEra' | 'subscribe'>;
   /**
    * Whether the kind is listed from a replica that may lag, which costs the store less. The list is
    * used only after a watch has brought it up to date.
@@ -50,23 +58,32 @@
  * the store; a little longer than the longest packet period.
  */
 const GAP_GRACE_MS = 300;
+/** Reported for an answer that was under way when the store came back. */
+const OUTDATED_PROBLEM = 'the answer is from before the restoration of the store';
 /** Period at which a follower checks whether others still confirm its copy. */
 const FOLLOW_POLL_MS = 100;
 
 /** Starts a feed: it lists a kind, then watches it, and lists again if the history is gone. */
 export function startFeed(options: FeedOptions): Feed {
   const { kind, store, timers, logger, errorReporter, listener } = options;
-  const { isListedStale, getPauseMs, isWatcher } = options;
+  const { isListedStale, getPauseMs, isWatcher, eras } = options;
   const { waitMs, followLimitMs } = options.timing;
   const abortController = new AbortController();
   const changeLog = createChangeLog(timers);
   let confirmedMs: number | undefined;
   let revision: number | undefined;
+  /** Era in which the copy was listed; undefined before the first listing. */
+  let copyEra: number | undefined;
+  /** Whether another process has told of an era that this one has not seen. */
+  let hasLaterEraElsewhere = false;
   let failures = 0;
   let firstFailureMs = 0;
   /** Revision of changes that others have read and this process has missed, and since when. */
   let gap: { revision: number; sinceMs: number } | undefined;
 
+  /** Whether an answer is from before the last restoration of the store that was seen. */
+  const isOutdated = (era: number | undefined): boolean => era !== undefined && era < eras.getEra();
+
   /** An object that the listener cannot process must not keep it from the later ones. */
   const callListener = (call: () => void): void => {
     try {
@@ -113,6 +130,9 @@
   const applyList = (list: StoreList, confirmedAtMs: number): void => {
     recordAnswer();
     confirmCopy(confirmedAtMs);
+    const era = eras.getEra();
+    if (copyEra !== undefined && copyEra !== era) listener.handleRestoration?.();
+    copyEra = era;
     ({ revision } = list);
     changeLog.reset(list.revision);
     callListener(() => listener.handleList(list.objects));
@@ -122,21 +142,22 @@
     const sentMs = timers.getMonotonicMs();
     const result = await store.listObjects(kind, Consistency.Current);
     if (abortController.signal.aborted) return;
-    if (result.kind === 'ok') applyList(result.value, sentMs);
+    if (isOutdated(result.era)) await waitAfterFailure(OUTDATED_PROBLEM);
+    else if (result.kind === 'ok') applyList(result.value, sentMs);
     else await waitAfterFailure(result.problem);
   };
 
   /** Lists the kind as it was some seconds ago, then applies the changes since; false if it failed. */
   const readStaleList = async (): Promise<boolean> => {
     const stale = await store.listObjects(kind, Consistency.Stale);
-    if (stale.kind !== 'ok') return false;
+    if (stale.kind !== 'ok' || isOutdated(stale.era)) return false;
     const objects = new Map(stale.value.objects.map((object) => [object.name, object]));
     let since = stale.value.revision;
     for (;;) {
       const sentMs = timers.getMonotonicMs();
       const result = await store.watchObjects(kind, since, SHORT_WATCH_MS);
       if (abortController.signal.aborted) return true;
-      if (result.kind !== 'ok') return false;
+      if (result.kind !== 'ok' || result.era !== stale.era) return false;
       for (const { object, isDeleted } of result.value.events) {
         if (isDeleted) objects.delete(object.name);
         else objects.set(object.name, object);
@@ -157,9 +178,16 @@
   const readChanges = async (since: number): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
     gap = undefined;
-    const callWaitMs = failures > 0 ? SHORT_WATCH_MS : waitMs;
+    const isShort = failures > 0 || hasLaterEraElsewhere;
+    hasLaterEraElsewhere = false;
+    const callWaitMs = isShort ? SHORT_WATCH_MS : waitMs;
     const result = await store.watchObjects(kind, since, callWaitMs);
-    if (abortController.signal.aborted) return;
+    // After a restoration, the revisions of the copy and of the answer mean different things.
+    if (abortController.signal.aborted || revision === undefined) return;
+    if (isOutdated(result.era)) {
+      await waitAfterFailure(OUTDATED_PROBLEM);
+      return;
+    }
     if (result.kind === StoreFailure.HistoryGone) {
       logger.info('the history is gone; the kind is listed again', { kind, since });
       revision = undefined;
@@ -191,6 +219,7 @@
   const isFollowing = (): boolean =>
     !isWatcher() &&
     !hasLastingGap() &&
+    !hasLaterEraElsewhere &&
     confirmedMs !== undefined &&
     timers.getMonotonicMs() - confirmedMs < followLimitMs;
 
@@ -213,6 +242,12 @@
     }
   };
 
+  // What this copy stands for may be lost; a list tells what the store has now.
+  eras.subscribe(() => {
+    revision = undefined;
+    gap = undefined;
+  });
+
   void run();
 
   return {
@@ -221,10 +256,20 @@
       if (revision === undefined || confirmedMs === undefined) return undefined;
       const ageMs = timers.getMonotonicMs() - confirmedMs;
       const changedRevision = changeLog.getChangedRevision();
-      return { kind, revision, changedRevision, ageMs, ...changeLog.listRecent(recentMs) };
+      return {
+        kind,
+        era: copyEra ?? 0,
+        revision,
+        changedRevision,
+        ageMs,
+        ...changeLog.listRecent(recentMs),
+      };
     },
     applyProgress(progress: FeedProgress) {
-      if (revision === undefined || progress.revision < revision) return;
+      if (revision === undefined) return;
+      // Only an answer of the store itself proves a later era.
+      hasLaterEraElsewhere ||= progress.era > eras.getEra();
+      if (progress.era !== copyEra || progress.revision < revision) return;
       const knownRevision = revision;
       if (progress.changedRevision > knownRevision) {
         if (progress.sinceRevision > knownRevision) {
--- a/src/core/store-feed/feed.test.ts
+++ b/src/core/store-feed/feed.test.ts
@@ -3,7 +3,7 @@
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
 import type { StoreChanges, StoreList, StoreObject, StoreResult } from '../store/index.ts';
-import { StoreFailure, StoreKind } from '../store/index.ts';
+import { createEraTracker, StoreFailure, StoreKind } from '../store/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { startFeed } from './create-feed.ts';
 import { computeFeedTiming } from './timing.ts';
@@ -42,6 +42,7 @@
     logger: createLogger('test'),
     errorReporter: createErrorReporter(() => undefined),
     timing: computeFeedTiming(BOUND_MS),
+    eras: createEraTracker(createLogger('test')),
     isListedStale: false,
     isWatcher: () => true,
     getPauseMs: () => 0,
--- a/src/core/store-feed/types.ts
+++ b/src/core/store-feed/types.ts
@@ -8,6 +8,8 @@
   handleDelete(object: StoreObject): void;
   /** Called when the store responds again after an outage, before later changes are reported. */
   handleOutageEnd?(): void;
+  /** Called before the first listing since the store came back from an older copy. */
+  handleRestoration?(): void;
 }
 
 /** A change, with the store revision of the read that returned it. */
@@ -21,6 +23,8 @@
  */
 export interface FeedProgress {
   kind: StoreKind;
+  /** Era of the store to which the revisions belong; 0 if it names none. */
+  era: number;
   /** Store revision that the copy corresponds to. */
   revision: number;
   /** Store revision of the last read that returned changes of the kind. */
