Never give a leader's term out twice after the store is restored

After the store comes back from an older copy, the next leader counted on from the term in the restored lease, and the gateway that the lease names took it at once, beside the leader of the moment.

Terms of a later era begin above those of the one before, and no gateway goes below a term that it has seen. With a new era the leader gives up its lease and may take it back at once; the others wait until it is over. Whether a leader had a predecessor is asked of the election, no longer told from term 1.

restoration.test.ts: on the election before, four of its six cases fail: a term with two holders, two leaders at once, no leader, and the same term after the lease itself was lost.

--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -25,6 +25,8 @@
   getTerm(): number;
   /** Whether the local copy of the target entries is recent enough to act on. */
   isTargetCopyFresh(): boolean;
+  /** Whether another leader may have acted before the current term. */
+  hasPredecessor(): boolean;
   /**
    * Whether the initial formation is over: this is not the first start of the system, or some
    * gateway has received a request.
@@ -464,7 +466,7 @@
       .listServices()
       .forEach(({ name }) => headRegistry.update(fleet.listServiceGroups(name)));
     if (term === 0 || !options.isTargetCopyFresh()) return;
-    if (term > 1 && now - termSinceMs < TAKEOVER_DELAY_MS) return;
+    if (options.hasPredecessor() && now - termSinceMs < TAKEOVER_DELAY_MS) return;
     for (const service of options.listServices()) {
       if (service.engine !== undefined) planService(service, service.engine);
     }
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -93,6 +93,7 @@
     vmName,
     incarnation,
     store,
+    eras,
     timers,
     logger,
     isOtherLeaderKnown: () => peerExchange.listPeers().some(({ status }) => status.dutyTerm > 0),
@@ -236,6 +237,7 @@
     control: dependencies.control,
     listServices,
     getTerm: leaderElection.getTerm,
+    hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
     isInitialFormationOver: () =>
--- a/src/core/leader-election/create-leader-election.ts
+++ b/src/core/leader-election/create-leader-election.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { Logger } from '../logs/index.ts';
-import type { StoreClient, StoreObject } from '../store/index.ts';
+import type { EraTracker, StoreClient, StoreObject } from '../store/index.ts';
 import { StoreFailure, StoreKind } from '../store/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 
@@ -12,6 +12,8 @@
   /** Number that differs between the starts of the process on one VM. */
   incarnation: number;
   store: StoreClient;
+  /** Has observed the era of an answer before the election gets it. */
+  eras: Pick<EraTracker, 'getEra' | 'subscribe'>;
   timers: TimerService;
   logger: Logger;
   /** Whether another gateway has recently announced that it is the leader. */
@@ -40,6 +42,11 @@
   start(listener: LeadershipListener<HandoverState>): void;
   /** Returns the term in which this process may act as the leader now; 0 if it may not. */
   getTerm(): number;
+  /**
+   * Whether another leader may have acted before the term that this process holds, whose orders may
+   * still be under way.
+   */
+  hasPredecessor(): boolean;
   /** Releases the lease, so that another gateway can acquire it at once. */
   release(): Promise<void>;
   /** Stops competing for the lease and renewing it; a lease that is held then expires. */
@@ -59,6 +66,11 @@
 });
 type LeaseRecord = z.infer<typeof leaseRecordSchema>;
 
+/**
+ * Terms of one era of the store. A later era begins with a higher one, since the terms that were lost
+ * with the last one must not be given out again.
+ */
+const TERMS_PER_ERA = 100;
 /** Interval between renewals. */
 const RENEW_PERIOD_MS = 800;
 /**
@@ -83,8 +95,8 @@
 export function createLeaderElection<HandoverState>(
   options: LeaderElectionOptions<HandoverState>,
 ): LeaderElection<HandoverState> {
-  const { name, vmName, incarnation, store, timers, logger, isOtherLeaderKnown, isCandidate } =
-    options;
+  const { name, vmName, incarnation, store, eras, timers, logger } = options;
+  const { isOtherLeaderKnown, isCandidate } = options;
   let listener: LeadershipListener<HandoverState> | undefined;
   /** Lease record that this process wrote last; undefined if it is not the leader. */
   let heldLease: LeaseRecord | undefined;
@@ -96,6 +108,12 @@
   let isStopped = false;
   /** Until when this process does not compete, after it has released the lease. */
   let competesFromMs = 0;
+  /** Until when this process may take the lease back that the store has lost. */
+  let retakesUntilMs = 0;
+  let hasPredecessor = true;
+  let wasRestored = false;
+  /** Highest term that this process has seen. */
+  let highestTerm = 0;
   let cancelNext: Unsubscribe | undefined;
 
   /** Records that this process holds the lease, after an acquisition or a renewal. */
@@ -108,6 +126,7 @@
     const isNew = heldLease?.term !== record.term;
     heldLease = record;
     revision = object.revision;
+    highestTerm = Math.max(highestTerm, record.term);
     leaseEndMs = sentMs + LEASE_MS;
     clockOffsetMs = timers.getWallMs() - timers.getMonotonicMs();
     if (!isNew) return;
@@ -145,21 +164,33 @@
     else if (result.kind !== StoreFailure.NotDone) markLost(result.problem);
   };
 
-  const acquireLease = async (object: StoreObject, record: LeaseRecord): Promise<void> => {
+  const takeNextTerm = (): number => {
+    highestTerm = Math.max(highestTerm, eras.getEra() * TERMS_PER_ERA) + 1;
+    return highestTerm;
+  };
+
+  const acquireLease = async (object: StoreObject, { notes }: LeaseRecord): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
-    const { notes } = record;
-    const next = { holder: vmName, incarnation, term: record.term + 1, renewals: 0, notes };
+    const era = eras.getEra();
+    const next = { holder: vmName, incarnation, term: takeNextTerm(), renewals: 0, notes };
     const result = await store.replaceObject(StoreKind.Duties, name, object.revision, next);
-    if (result.kind === 'ok') recordLease(next, result.value, sentMs, notes);
-    else logger.info('failed to acquire the duty', { duty: name, problem: result.problem });
+    // In another era, the revision that was expected is that of another lease.
+    if (era !== eras.getEra()) return;
+    if (result.kind === 'ok') {
+      hasPredecessor = true;
+      recordLease(next, result.value, sentMs, notes);
+    } else logger.info('failed to acquire the duty', { duty: name, problem: result.problem });
   };
 
   const createLease = async (): Promise<void> => {
     const sentMs = timers.getMonotonicMs();
     const notes = listener?.getHandoverState();
-    const first = { holder: vmName, incarnation, term: 1, renewals: 0, notes };
+    const era = eras.getEra();
+    const first = { holder: vmName, incarnation, term: takeNextTerm(), renewals: 0, notes };
     const result = await store.createObject(StoreKind.Duties, name, first);
-    if (result.kind === 'ok') recordLease(first, result.value, sentMs);
+    if (result.kind !== 'ok' || era !== eras.getEra()) return;
+    hasPredecessor = wasRestored;
+    recordLease(first, result.value, sentMs);
   };
 
   const checkLease = async (): Promise<void> => {
@@ -168,7 +199,8 @@
       return;
     }
     const result = await store.fetchObject(StoreKind.Duties, name);
-    if (isStopped) return;
+    // The answer may have told of a new era, in which this process may have to wait.
+    if (isStopped || timers.getMonotonicMs() < competesFromMs) return;
     if (result.kind === StoreFailure.NotFound) await createLease();
     if (result.kind !== 'ok') return;
     const object = result.value;
@@ -181,6 +213,7 @@
       renewals: 0,
       notes: undefined,
     };
+    highestTerm = Math.max(highestTerm, record.term);
     const now = timers.getMonotonicMs();
     if (observed?.revision !== object.revision)
       observed = { revision: object.revision, sinceMs: now };
@@ -188,7 +221,22 @@
     // response was lost; either way no other process acts as the leader.
     const wasHeldByOwnVm = record.holder === vmName;
     const isExpired = now - observed.sinceMs >= LEASE_MS;
-    if (record.holder === '' || wasHeldByOwnVm || isExpired) await acquireLease(object, record);
+    const mayAcquire = record.holder === '' || wasHeldByOwnVm || isExpired || now < retakesUntilMs;
+    if (mayAcquire) await acquireLease(object, record);
+  };
+
+  /**
+   * Gives up a lease that the store may have lost. The leader may take it back at once; the others wait
+   * until the lease is over that it may still hold without knowing of the restoration.
+   */
+  const handleRestoration = (): void => {
+    const now = timers.getMonotonicMs();
+    wasRestored = true;
+    const wasLeader = heldLease !== undefined && now < leaseEndMs;
+    if (wasLeader) retakesUntilMs = leaseEndMs;
+    else competesFromMs = Math.max(competesFromMs, now + LEASE_MS);
+    markLost('the store came back from an older copy');
+    observed = undefined;
   };
 
   const step = async (): Promise<void> => {
@@ -218,12 +266,14 @@
   return {
     start(started) {
       listener = started;
+      eras.subscribe(handleRestoration);
       scheduleStep(0);
     },
     getTerm() {
       if (heldLease === undefined || wasSuspended()) return 0;
       return timers.getMonotonicMs() < leaseEndMs - LEASE_SAFETY_MARGIN_MS ? heldLease.term : 0;
     },
+    hasPredecessor: () => hasPredecessor,
     async release() {
       const record = heldLease;
       if (record === undefined) return;
