--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -48,7 +48,16 @@
     return groups;
   };
 
+  const addMarkedKey = (targetKey: string): void => {
+    markedKeys.add(targetKey);
+    const [oldest] = markedKeys;
+    if (markedKeys.size > MAX_MARKED_LEAVING && oldest !== undefined) markedKeys.delete(oldest);
+  };
+
   const setTarget = (target: Target): void => {
+    // A process start that leaves never returns, although an older entry may come back that does not
+    // say so. Entries without a start time do not tell process starts apart.
+    if (target.isLeaving && target.startedWallMs > 0) addMarkedKey(formatTargetKey(target));
     const isMarked = !target.isLeaving && markedKeys.has(formatTargetKey(target));
     targets.set(target.id, isMarked ? { ...target, isLeaving: true } : target);
     if (isMarked) markedIds.add(target.id);
@@ -70,9 +79,7 @@
     },
     markLeaving(targetKey) {
       if (markedKeys.has(targetKey)) return false;
-      markedKeys.add(targetKey);
-      const [oldest] = markedKeys;
-      if (markedKeys.size > MAX_MARKED_LEAVING && oldest !== undefined) markedKeys.delete(oldest);
+      addMarkedKey(targetKey);
       const target = [...targets.values()].find((one) => formatTargetKey(one) === targetKey);
       if (target !== undefined) setTarget(target);
       return true;
