Keep targets that the store has lost until they write again

Targets that are younger than the copy that the store came back from were dropped with the first list. The time without the store may be too short to count as an outage, so that the grace period for lapsed entries did not begin.

store-view.test.ts: the new case fails on the view before.

--- a/src/core/gateway/store-view.test.ts
+++ b/src/core/gateway/store-view.test.ts
@@ -46,6 +46,18 @@
     expect(storeView.fleet.listTargets('s').map(({ id }) => id)).toEqual(['a']);
   });
 
+  // Guards against dropping targets that are younger than the copy that the store came back from.
+  it('keeps targets that the store has lost until the grace period ends', () => {
+    const { storeView, timers } = createTestStoreView();
+    const { targetListener } = storeView;
+    targetListener.handleList([createObject('a'), createObject('b')]);
+    targetListener.handleRestoration?.();
+    targetListener.handleList([createObject('a')]);
+    expect(storeView.fleet.listTargets('s').length).toEqual(2);
+    timers.runFor(2_500);
+    expect(storeView.fleet.listTargets('s').map(({ id }) => id)).toEqual(['a']);
+  });
+
   it('removes a deleted target at once without an outage', () => {
     const { storeView } = createTestStoreView();
     storeView.targetListener.handleList([createObject('a')]);
--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -25,8 +25,9 @@
 }
 
 /**
- * Entries that expired during an outage of the store are written again about 2 s after it recovers
- * if the target is alive; until then, a missing entry does not mean that the target is gone.
+ * Entries that expired during an outage of the store, or that it has lost since its copy, are written
+ * again about 2 s after it recovers if the target is alive; until then, a missing entry does not mean
+ * that the target is gone.
  */
 const EXPIRED_ENTRY_GRACE_MS = 2_200;
 
@@ -74,6 +75,11 @@
     ids.forEach(removeTarget);
   };
 
+  const startGracePeriod = (): void => {
+    gracePeriodEndMs = timers.getMonotonicMs() + EXPIRED_ENTRY_GRACE_MS;
+    timers.scheduleOnce(EXPIRED_ENTRY_GRACE_MS, endGracePeriod);
+  };
+
   const applyConfiguration = (object: StoreObject): void => {
     const decoded = decodeConfiguration(object.spec);
     if ('problem' in decoded) {
@@ -146,10 +152,8 @@
       },
       handleObject: applyTarget,
       handleDelete: ({ name }) => removeTarget(name),
-      handleOutageEnd() {
-        gracePeriodEndMs = timers.getMonotonicMs() + EXPIRED_ENTRY_GRACE_MS;
-        timers.scheduleOnce(EXPIRED_ENTRY_GRACE_MS, endGracePeriod);
-      },
+      handleOutageEnd: startGracePeriod,
+      handleRestoration: startGracePeriod,
     },
   };
 }
