Form no groups on entries that are older than their engines

After a restoration of the store, entries show engines as free that have joined groups since its copy. The leader would order them to join others while the heads of their groups serve (rule TWO).

The case of store-view.test.ts is new behaviour and has no counterpart before.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -239,6 +239,7 @@
     getTerm: leaderElection.getTerm,
     hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
+      storeView.areTargetsCurrent() &&
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
     isInitialFormationOver: () =>
       !settings.isFirstStart || havePeersReceivedRequests || handler.hasReceivedRequests(),
--- a/src/core/gateway/store-view.test.ts
+++ b/src/core/gateway/store-view.test.ts
@@ -58,6 +58,20 @@
     expect(storeView.fleet.listTargets('s').map(({ id }) => id)).toEqual(['a']);
   });
 
+  // Guards against orders to engines that an older entry shows as free (rule TWO).
+  it('tells that entries are older than their targets after a restoration', () => {
+    const { storeView, timers } = createTestStoreView();
+    const { targetListener } = storeView;
+    targetListener.handleList([createObject('a')]);
+    targetListener.handleOutageEnd?.();
+    expect(storeView.areTargetsCurrent()).toEqual(true);
+    targetListener.handleRestoration?.();
+    targetListener.handleList([createObject('a')]);
+    expect(storeView.areTargetsCurrent()).toEqual(false);
+    timers.runFor(2_500);
+    expect(storeView.areTargetsCurrent()).toEqual(true);
+  });
+
   it('removes a deleted target at once without an outage', () => {
     const { storeView } = createTestStoreView();
     storeView.targetListener.handleList([createObject('a')]);
--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -15,6 +15,11 @@
   getRoutingTable(): RoutingTable | undefined;
   /** Whether the targets have been listed at least once. */
   hasListedTargets(): boolean;
+  /**
+   * Whether the entries of targets are their own latest ones. After a restoration of the store, they
+   * are as old as its copy until the targets have written again.
+   */
+  areTargetsCurrent(): boolean;
   /** Whether operators have taken the availability zone out of service. */
   isZoneEvacuated(availabilityZone: string): boolean;
   /** Calls the listener with each configuration that comes into force, and now if one is in force. */
@@ -57,6 +62,7 @@
   /** Targets whose entry is missing and that are kept until the grace period ends. */
   const expiredIds = new Set<string>();
   let gracePeriodEndMs = 0;
+  let targetsRestoredUntilMs = 0;
 
   const removeTarget = (id: string): void => {
     if (fleet.findTarget(id) === undefined) return;
@@ -116,6 +122,7 @@
     fleet,
     getRoutingTable: () => table,
     hasListedTargets: () => hasListedTargets,
+    areTargetsCurrent: () => timers.getMonotonicMs() >= targetsRestoredUntilMs,
     isZoneEvacuated: (availabilityZone) => evacuatedZones.has(availabilityZone),
     onConfiguration(listener) {
       handleConfiguration = listener;
@@ -153,7 +160,10 @@
       handleObject: applyTarget,
       handleDelete: ({ name }) => removeTarget(name),
       handleOutageEnd: startGracePeriod,
-      handleRestoration: startGracePeriod,
+      handleRestoration() {
+        startGracePeriod();
+        targetsRestoredUntilMs = gracePeriodEndMs;
+      },
     },
   };
 }
