Hold evacuations until operators write again what the store has lost

After a restoration, the list of the evacuated zones is that of the copy. A zone that was taken out since was back in use until its operator wrote again (rule EVAC), and one that was taken back was out. The zones of before now hold for 5 s, with the changes since; then the store is followed.

--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -4,6 +4,7 @@
 import type { LogContext } from '../logs/index.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { StoreObject } from '../store/index.ts';
+import { createEvacuatedZones } from './evacuated-zones.ts';
 import type { RoutingTable } from './routing-table.ts';
 import { buildRoutingTable } from './routing-table.ts';
 import type { GatewayDependencies } from './types.ts';
@@ -55,7 +56,7 @@
 ): StoreView {
   const { timers, logger, decodeConfiguration, decodeTarget } = dependencies;
   const fleet = createFleet();
-  const evacuatedZones = new Set<string>();
+  const evacuatedZones = createEvacuatedZones(timers, logger);
   let table: RoutingTable | undefined;
   let hasListedTargets = false;
   let handleConfiguration: (configuration: ServingConfiguration) => void = () => undefined;
@@ -123,7 +124,7 @@
     getRoutingTable: () => table,
     hasListedTargets: () => hasListedTargets,
     areTargetsCurrent: () => timers.getMonotonicMs() >= targetsRestoredUntilMs,
-    isZoneEvacuated: (availabilityZone) => evacuatedZones.has(availabilityZone),
+    isZoneEvacuated: evacuatedZones.isEvacuated,
     onConfiguration(listener) {
       handleConfiguration = listener;
       if (table !== undefined) listener(table.configuration);
@@ -134,20 +135,7 @@
       // A deletion changes nothing: the configuration stays in force until a later version arrives.
       handleDelete: () => undefined,
     },
-    evacuationListener: {
-      handleList(objects) {
-        evacuatedZones.clear();
-        objects.forEach(({ name }) => evacuatedZones.add(name));
-      },
-      handleObject({ name }) {
-        evacuatedZones.add(name);
-        logger.info('a zone is taken out', { zone: name });
-      },
-      handleDelete({ name }) {
-        evacuatedZones.delete(name);
-        logger.info('a zone is back', { zone: name });
-      },
-    },
+    evacuationListener: evacuatedZones.listener,
     targetListener: {
       handleList(objects) {
         const names = new Set(objects.map(({ name }) => name));
