Register a gateway again when the store has lost its registration

A gateway that had registered after the copy that the store came back from was in no list any more, so that new gateways took shares and roles as if it did not exist. It writes its registration again with each new era; the others are not listed then, since the list may name gateways that have left.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -23,7 +23,8 @@
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
 import { startCallerServer } from './caller-server.ts';
 import { planReload } from './plan-reload.ts';
-import { registerGateway } from './registration.ts';
+import type { RegistrationOptions } from './registration.ts';
+import { registerGateway, restoreRegistration } from './registration.ts';
 import { createRequestHandler } from './request-handler.ts';
 import { buildHandoverState, handoverStateSchema, toNotices } from './handover-state.ts';
 import { countGroups, countTargets } from './fleet-counts.ts';
@@ -320,21 +321,22 @@
   });
   const { isFirstStart } = settings;
   const registrationAbort = new AbortController();
-  void registerGateway(
-    {
-      vmName,
-      peerAddress,
-      store,
-      timers,
-      logger,
-      handleAddresses: (addresses) => {
-        hasListedGateways = true;
-        peerExchange.addRegisteredAddresses(addresses);
-      },
-      isFirstStart,
+  const registration: RegistrationOptions = {
+    vmName,
+    peerAddress,
+    store,
+    timers,
+    logger,
+    handleAddresses: (addresses) => {
+      hasListedGateways = true;
+      peerExchange.addRegisteredAddresses(addresses);
     },
-    registrationAbort.signal,
-  );
+    isFirstStart,
+  };
+  void registerGateway(registration, registrationAbort.signal);
+  eras.subscribe(() => {
+    void restoreRegistration(registration, registrationAbort.signal);
+  });
 
   const getDirectoryResponse = (): DirectoryResponse | undefined => {
     const own = getState() === PeerState.Ready ? [callersAddress] : [];
--- a/src/core/gateway/registration.ts
+++ b/src/core/gateway/registration.ts
@@ -3,7 +3,7 @@
 import { Consistency, StoreFailure, StoreKind } from '../store/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
-/** Options of `registerGateway`. */
+/** Options of the registration. */
 export interface RegistrationOptions {
   vmName: string;
   /** `host:port` that other gateways send their packets to. */
@@ -55,16 +55,31 @@
   return problem;
 }
 
-/** Registers this gateway and lists the others once; retries until both have succeeded. */
-export async function registerGateway(
-  options: RegistrationOptions,
+async function retryUntilDone(
+  { timers, logger }: RegistrationOptions,
   signal: AbortSignal,
+  attempt: () => Promise<string | undefined>,
 ): Promise<void> {
-  const { timers, logger } = options;
   while (!signal.aborted) {
-    const problem = await tryRegister(options);
+    const problem = await attempt();
     if (problem === undefined) return;
     logger.warn('failed to register the gateway; retrying', { problem });
     await timers.waitFor(REGISTER_RETRY_MS, signal);
   }
 }
+
+/** Registers this gateway and lists the others once; retries until both have succeeded. */
+export function registerGateway(options: RegistrationOptions, signal: AbortSignal): Promise<void> {
+  return retryUntilDone(options, signal, () => tryRegister(options));
+}
+
+/**
+ * Registers this gateway again after the store may have lost its registration. The others are not
+ * listed: they are known from their packets, and the list may name gateways that have left since.
+ */
+export function restoreRegistration(
+  options: RegistrationOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  return retryUntilDone(options, signal, () => writeAddress(options));
+}
