--- a/src/core/advisories/pauses.test.ts
+++ b/src/core/advisories/pauses.test.ts
@@ -5,6 +5,7 @@
   RESPONSE_HEAD,
   startTestForwarding,
 } from '../forwarding/fixtures/forwarding-harness.ts';
+import { FailureReason } from '../forwarding/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { buildTarget } from './fixtures/build-target.ts';
@@ -59,6 +60,18 @@
     expect(Number(getCallerHeaders()[1])).toBeGreaterThanOrEqual(3_000);
   });
 
+  // Guards against log lines that name a limit where no target has stated any.
+  it('is not named as the cause of a refusal that comes late', () => {
+    const harness = startTestForwarding({ kind: RequestKind.Idempotent, targetCount: 1 });
+    const { timers, sends, getResult } = harness;
+    sends[0]!.listener.handleSent();
+    timers.runFor(250);
+    sends[0]!.listener.handleHead(REFUSAL_HEAD);
+    sends[0]!.listener.handleEnd(true);
+    timers.runFor(1);
+    expect(getResult()?.reason).toEqual(FailureReason.NoTarget);
+  });
+
   it('leaves its request to another target', () => {
     const harness = startTestForwarding({ kind: RequestKind.Idempotent, targetCount: 2 });
     const { sends, caller } = harness;
--- a/src/core/forwarding/request-placement.ts
+++ b/src/core/forwarding/request-placement.ts
@@ -91,7 +91,8 @@
     planWait(query) {
       const now = timers.getMonotonicMs();
       const minEndMs = arrivedMs + route.latencyObjectiveMs * MIN_WAIT_SHARE;
-      if (now + computeCapacity(anyTarget).pauseMs > Math.max(getSlackEndMs(), minEndMs)) {
+      const { pauseMs } = computeCapacity(anyTarget);
+      if (pauseMs > 0 && now + pauseMs > Math.max(getSlackEndMs(), minEndMs)) {
         return { reason: FailureReason.TargetsLimited, giveUpMs: undefined };
       }
       const capacity = computeCapacity(query);
