--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -47,9 +47,19 @@
         defaultValue: () => 0,
         description: 'share of the streams whose prompt crashes engines, from 0 to 1',
       }),
+      limitedShare: option({
+        type: number,
+        long: 'limited-share',
+        defaultValue: () => 0,
+        description: 'share of the engines that limit their requests, from 0 to 1',
+      }),
+      isStoreRestored: flag({
+        long: 'restored-store',
+        description: 'let the store come back from an older copy, twice',
+      }),
       isFaultFree: flag({
         long: 'fault-free',
-        description: 'inject no faults, and check the bounds on deadly prompts',
+        description: 'inject no faults, and check the bounds on deadly prompts and request limits',
       }),
     },
     handler: ({ seed: givenSeed, count, ...size }) =>
--- a/src/stand-ins/soak/checks.test.ts
+++ b/src/stand-ins/soak/checks.test.ts
@@ -1,6 +1,12 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { findDeadlyPromptViolations, findViolations, Rule, MAX_STOP_MS } from './checks.ts';
+import {
+  findDeadlyPromptViolations,
+  findLimitViolations,
+  findViolations,
+  Rule,
+  MAX_STOP_MS,
+} from './checks.ts';
 import type { Observations, ObservedResponse, TargetRun } from './observations.ts';
 import { ResponseEnd, createObservations, RequestClass } from './observations.ts';
 
@@ -205,6 +211,12 @@
   { name: 'allows three late trials', rules: [], arrivals: [3_600, 3_700, 3_800], served: 20 },
 ];
 
+const LIMIT_CASES = [
+  { requestsPerSecond: 1, count: 11, everyMs: 350, expected: [] },
+  { requestsPerSecond: 1, count: 12, everyMs: 330, expected: [Rule.KeptLimits] },
+  { requestsPerSecond: 0, count: 6, everyMs: 100, expected: [Rule.KeptLimits] },
+];
+
 describe('findViolations', () => {
   for (const { rule, name, fill } of VIOLATING) {
     // A check that never reports a violation would let every soak test pass.
@@ -227,6 +239,7 @@
     const violated = [
       ...VIOLATING.map(({ rule }) => rule),
       ...DEADLY_CASES.flatMap((one) => one.rules),
+      ...LIMIT_CASES.flatMap((one) => one.expected),
     ];
     expect(new Set(violated)).toEqual(new Set(Object.values(Rule)));
   });
@@ -245,4 +258,16 @@
       expect(findDeadlyPromptViolations(observations).map(({ rule }) => rule)).toEqual(rules);
     });
   }
+
+  // Guards against a check of request limits that no observation can fail.
+  for (const { requestsPerSecond, count, everyMs, expected } of LIMIT_CASES) {
+    it(`judges ${count} requests, one in ${everyMs} ms, at a limit of ${requestsPerSecond}`, () => {
+      const observations = createObservations();
+      for (let index = 0; index < count; index++) {
+        const statedForMs = 3_500 + index * everyMs;
+        observations.limitedArrivals.push({ targetId: 't', requestsPerSecond, statedForMs });
+      }
+      expect(findLimitViolations(observations).map(({ rule }) => rule)).toEqual(expected);
+    });
+  }
 });
--- a/src/stand-ins/soak/checks.ts
+++ b/src/stand-ins/soak/checks.ts
@@ -1,4 +1,4 @@
-import type { Observations, ObservedResponse, TargetRun } from './observations.ts';
+import type { LimitedArrival, Observations, ObservedResponse, TargetRun } from './observations.ts';
 import { ResponseEnd, RequestClass } from './observations.ts';
 
 /** Rules that a soak test checks. */
@@ -23,6 +23,8 @@
   OnlySentRequests = 'only-asked',
   /** A part of prompts that crashes engines soon reaches no more of them. */
   ContainedCrashes = 'contained-crashes',
+  /** An engine gets no more requests than the limit that it states allows, by the slack of the rule. */
+  KeptLimits = 'kept-limits',
   /** Prompts that share other parts with the deadly ones are served meanwhile. */
   SoundPromptsServed = 'sound-prompts-served',
 }
@@ -175,6 +177,7 @@
 const MAX_LATE_ARRIVALS = 3;
 /** Time after the last allowed crash until the bound holds; `touch_ms` of the settings. */
 const TOUCH_MS = 3_000;
+const MS_PER_SECOND = 1_000;
 const MIN_SERVED_SHARE = 0.5;
 const MIN_SAMPLE = 20;
 
@@ -204,6 +207,28 @@
   return violations;
 }
 
+const LIMIT_WINDOW_MS = 4_000;
+const LIMIT_OVERAGE = 1.5;
+const LIMIT_SLACK = 5;
+
+/** Checks the limits that engines state; they hold for gateways without faults of their own. */
+export function findLimitViolations({ limitedArrivals }: Observations): Violation[] {
+  const byTarget = new Map<string, LimitedArrival[]>();
+  for (const arrival of limitedArrivals.filter(({ statedForMs }) => statedForMs > TOUCH_MS)) {
+    byTarget.set(arrival.targetId, [...(byTarget.get(arrival.targetId) ?? []), arrival]);
+  }
+  return [...byTarget].flatMap(([targetId, arrivals]): Violation[] => {
+    const perSecond = arrivals[0]?.requestsPerSecond ?? 0;
+    const allowed = (LIMIT_OVERAGE * perSecond * LIMIT_WINDOW_MS) / MS_PER_SECOND + LIMIT_SLACK;
+    const countFrom = (start: number): number =>
+      arrivals.filter(({ statedForMs: at }) => at >= start && at < start + LIMIT_WINDOW_MS).length;
+    const most = Math.max(...arrivals.map(({ statedForMs }) => countFrom(statedForMs)));
+    if (most <= allowed) return [];
+    const detail = `${targetId} with a limit of ${perSecond} a second got ${most} requests in 4 s`;
+    return [{ rule: Rule.KeptLimits, detail }];
+  });
+}
+
 /** Checks the observations of a run against all rules and returns the violations. */
 export function findViolations(observations: Observations): Violation[] {
   const checks = [
--- a/src/stand-ins/soak/observations.ts
+++ b/src/stand-ins/soak/observations.ts
@@ -64,6 +64,14 @@
   atMs: number;
 }
 
+/** A request that reached an engine which limits its requests. */
+export interface LimitedArrival {
+  targetId: string;
+  requestsPerSecond: number;
+  /** Time since the engine has first stated its limit in a response. */
+  statedForMs: number;
+}
+
 /** A planned stop of a gateway with SIGTERM. */
 export interface PlannedStop {
   gateway: string;
@@ -82,6 +90,7 @@
   conflictingJoins: ConflictingJoin[];
   plannedStops: PlannedStop[];
   deadlyArrivals: DeadlyArrival[];
+  limitedArrivals: LimitedArrival[];
   /** Times at which a request crashed its engine. */
   engineCrashesMs: number[];
 }
@@ -95,6 +104,7 @@
     conflictingJoins: [],
     plannedStops: [],
     deadlyArrivals: [],
+    limitedArrivals: [],
     engineCrashesMs: [],
   };
 }
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -5,10 +5,12 @@
 import type { TimerService } from '../../core/timers/index.ts';
 import { createProcessRunner } from '../../demo/processes.ts';
 import { waitUntil } from '../../demo/wait-until.ts';
+import type { StandInStore } from '../store/index.ts';
 import { createStandInStore } from '../store/index.ts';
 import { startCallers } from './callers.ts';
 import type { Violation } from './checks.ts';
-import { findDeadlyPromptViolations, findViolations } from './checks.ts';
+import { findDeadlyPromptViolations, findLimitViolations, findViolations } from './checks.ts';
+import type { SoakEnvironment } from './soak-environment.ts';
 import { buildSoakConfiguration, createSoakEnvironment } from './soak-environment.ts';
 import { injectFaults } from './inject-faults.ts';
 import type { SoakGateway } from './gateways.ts';
@@ -24,6 +26,10 @@
   callers: number;
   /** Share of the streams whose prompt has a part that crashes engines. */
   deadlyShare?: number;
+  /** Share of the engines that limit their requests. */
+  limitedShare?: number;
+  /** Whether the store comes back from an older copy, twice. */
+  isStoreRestored?: boolean;
   /** Whether the run injects no faults besides. */
   isFaultFree?: boolean;
   timers: TimerService;
@@ -39,6 +45,8 @@
   answered: number;
   /** Engines that crashed on a deadly request. */
   engineCrashes: number;
+  /** Requests that reached engines after these had stated a limit. */
+  limitedArrivals: number;
   faults: string[];
   /** Folder with the settings and logs of the gateways. */
   workFolder: string;
@@ -49,6 +57,30 @@
 const GROUPS_TIMEOUT_MS = 20_000;
 const MS_PER_SECOND = 1_000;
 
+/** Shares of a run at which the store comes back from the copy that was taken before. */
+const RESTORED_AT = [0.4, 0.7];
+const COPY_AGE_MS = 1_500;
+/** Time after a restoration at which engines and operators write again. */
+const REWRITE_MS = 800;
+
+interface RestorationOptions {
+  timers: TimerService;
+  store: StandInStore;
+  environment: SoakEnvironment;
+  durationMs: number;
+}
+
+/** Schedules the restorations of the store, and the writes that follow them. */
+function scheduleRestorations(options: RestorationOptions): void {
+  const { timers, store, environment, durationMs } = options;
+  for (const share of RESTORED_AT) {
+    const atMs = durationMs * share;
+    timers.scheduleOnce(atMs - COPY_AGE_MS, store.takeCopy);
+    timers.scheduleOnce(atMs, store.restoreCopy);
+    timers.scheduleOnce(atMs + REWRITE_MS, environment.rewriteStore);
+  }
+}
+
 /** Runs gateways under the faults of one seed and checks what callers and targets observed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, durationMs, timers } = options;
@@ -65,6 +97,7 @@
     store,
     observations,
     random,
+    limitedShare: options.limitedShare ?? 0,
     zones: ZONES,
   });
   let gateways: SoakGateway[] = [];
@@ -106,6 +139,9 @@
       gateways,
       observations,
     });
+    if (options.isStoreRestored === true) {
+      scheduleRestorations({ timers, store, environment, durationMs });
+    }
     await timers.waitFor(durationMs);
     await injected.finish();
     await callers.stop();
@@ -122,8 +158,10 @@
     violations: [
       ...findViolations(observations),
       ...(faults.length === 0 ? findDeadlyPromptViolations(observations) : []),
+      ...(faults.length === 0 ? findLimitViolations(observations) : []),
     ],
     engineCrashes: observations.engineCrashesMs.length,
+    limitedArrivals: observations.limitedArrivals.length,
     requests: observations.requests.size,
     answered: answered.length,
     faults: faults.map(({ kind, atMs, forMs }) => {
--- a/src/stand-ins/soak/soak-engines.ts
+++ b/src/stand-ins/soak/soak-engines.ts
@@ -30,6 +30,10 @@
   address: string;
   /** Requests in progress. */
   running: number;
+  /** Requests per second that it takes; undefined without a limit. */
+  requestsPerSecond: number | undefined;
+  /** When it stated its limit first; undefined before. */
+  limitStatedMs: number | undefined;
 }
 
 interface GroupOrder {
@@ -50,11 +54,17 @@
 const HTTP_OUTDATED = 412;
 const HTTP_UNAVAILABLE = 503;
 
+/** Range of the limits that engines state, in requests per second. */
+const MIN_LIMIT = 0.5;
+const LIMIT_SPREAD = 1.5;
+
 /** Simulated engines of one service, which join and leave groups on order. */
 export interface EngineFleet {
   startEngine(id: string, zone: string, domain: string): Promise<SoakTarget>;
   /** Returns the models that have an open group. */
   listOpenModels(): string[];
+  /** Has all engines write their entries again, as after a restoration of the store. */
+  publishAll(): void;
 }
 
 function hasDeadlyPart(incoming: IncomingMessage): boolean {
@@ -72,6 +82,13 @@
   /** Members that have reached the state `ready`, by group and epoch. */
   const readyMembers = new Map<string, Set<string>>();
 
+  const publishers = new Map<string, () => void>();
+
+  const drawLimit = (): number | undefined =>
+    environment.limitedShare > 0 && environment.random() < environment.limitedShare
+      ? MIN_LIMIT + environment.random() * LIMIT_SPREAD
+      : undefined;
+
   const formatKey = ({ name, epoch }: Membership): string => `${name}/${epoch}`;
   const findOpenHead = (group: Membership): EngineState | undefined => {
     const head = engines.get(group.members[0] ?? '');
@@ -86,6 +103,7 @@
   };
 
   return {
+    publishAll: () => publishers.forEach((publish) => publish()),
     listOpenModels() {
       const open = [...engines.values()].filter(({ group }) => group?.state === 'open');
       return [...new Set(open.flatMap(({ model }) => model ?? []))];
@@ -99,6 +117,8 @@
         state: 'ready',
         address: '',
         running: 0,
+        requestsPerSecond: drawLimit(),
+        limitStatedMs: undefined,
       };
 
       const buildReport = (): object => ({
@@ -199,14 +219,30 @@
         response.end();
       };
 
+      const recordLimitedArrival = (): void => {
+        const { requestsPerSecond, limitStatedMs } = engine;
+        if (requestsPerSecond === undefined || limitStatedMs === undefined) return;
+        const statedForMs = timers.getMonotonicMs() - limitStatedMs;
+        observations.limitedArrivals.push({ targetId: id, requestsPerSecond, statedForMs });
+      };
+
+      /** Builds the header of the limit, for all responses of the engine. */
+      const buildLimitHeader = (): Record<string, string> => {
+        if (engine.requestsPerSecond === undefined) return {};
+        engine.limitStatedMs ??= timers.getMonotonicMs();
+        return { 'Server-Limit': engine.requestsPerSecond.toFixed(2) };
+      };
+
       const serveStream = async (
         incoming: IncomingMessage,
         response: ServerResponse,
       ): Promise<void> => {
         const { group } = engine;
+        recordLimitedArrival();
         if (group?.rank !== 0 || group.state !== 'open') {
           response.writeHead(group?.rank === 0 ? HTTP_UNAVAILABLE : HTTP_MISDIRECTED, {
             'X-Not-Executed': '1',
+            ...buildLimitHeader(),
           });
           response.end();
           return;
@@ -230,6 +266,7 @@
           'Content-Type': 'text/event-stream',
           'X-Response-Signature': 'signed',
           'X-Attempt-Id': attemptId,
+          ...buildLimitHeader(),
         });
         if (isDeadly) {
           await timers.waitFor(EVENT_PERIOD_MS);
@@ -256,6 +293,7 @@
       const lifecycle = buildLifecycle(environment, id, server, proxy, publish);
       engine.address = proxy.address;
       engines.set(id, engine);
+      publishers.set(id, publish);
       publish();
       return {
         id,
--- a/src/stand-ins/soak/soak-environment.ts
+++ b/src/stand-ins/soak/soak-environment.ts
@@ -16,6 +16,8 @@
   listTargets(): SoakTarget[];
   /** Starts a new target of the same kind in place of one that has ended. */
   replaceTarget(target: SoakTarget): Promise<void>;
+  /** Writes again what engines and the operator have written, as after a restoration of the store. */
+  rewriteStore(): void;
   /** Writes the next version of the configuration to the store, up to the last one. */
   changeConfiguration(): void;
   close(): Promise<void>;
@@ -27,6 +29,8 @@
   store: StandInStore;
   observations: Observations;
   random(): number;
+  /** Share of the engines that limit their requests. */
+  limitedShare: number;
   zones: readonly string[];
 }
 
@@ -143,6 +147,10 @@
     hasOpenGroups: () => engineFleet.listOpenModels().length === 2,
     listTargets: () => [...starters.keys()],
     replaceTarget,
+    rewriteStore() {
+      store.putObject('config', 'main', buildSoakConfiguration(configurationIndex));
+      engineFleet.publishAll();
+    },
     changeConfiguration() {
       if (configurationIndex + 1 >= VERSION_COUNT) return;
       configurationIndex++;
--- a/src/stand-ins/soak/soak-targets.ts
+++ b/src/stand-ins/soak/soak-targets.ts
@@ -13,6 +13,8 @@
   timers: TimerService;
   store: StandInStore;
   observations: Observations;
+  /** Share of the engines that limit their requests. */
+  limitedShare: number;
   random(): number;
 }
 
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -25,6 +25,33 @@
   }
 });
 
+describe('request limits at real processes', () => {
+  // Guards against targets that get more than they take from all processes together (rule LIMIT).
+  for (const limitedShare of [0.5, 1]) {
+    it(`are kept, stated by ${limitedShare * 100} of 100 engines`, async () => {
+      const timers = createTimerService();
+      const size = { durationMs: 12_000, gateways: 6, callers: 40, buildFolder: 'dist' };
+      const result = await runSoak({ ...size, seed: 7, limitedShare, isFaultFree: true, timers });
+      expect(result.violations).toEqual([]);
+      expect(result.limitedArrivals > 0).toEqual(true);
+    });
+  }
+});
+
+describe('a store that comes back from an older copy, at real processes', () => {
+  // Guards against older configurations, conflicting joins and gateways that do not recover.
+  for (const isFaultFree of [true, false]) {
+    it(`breaks no rule ${isFaultFree ? 'by itself' : 'among other faults'}`, async () => {
+      const timers = createTimerService();
+      const size = { durationMs: 10_000, gateways: 4, callers: 20, buildFolder: 'dist' };
+      const options = { ...size, seed: 3, isStoreRestored: true, isFaultFree, timers };
+      const result = await runSoak(options);
+      expect(result.violations).toEqual([]);
+      expect(result.answered > result.requests / 2).toEqual(true);
+    });
+  }
+});
+
 describe('soak of real processes', () => {
   for (const { seed, cause } of SEEDS) {
     it(`breaks no rule under the faults of seed ${seed} (${cause})`, async () => {
