--- a/src/core/advisories/create-advisories.ts
+++ b/src/core/advisories/create-advisories.ts
@@ -78,7 +78,8 @@
   };
   const stopSweep = timers.subscribe(SWEEP_PERIOD_MS, removeGoneTargets);
 
-  const report = (targetKey: string, isDueNow: boolean): void => {
+  /** Reports a limit now, or if its last report is a window ago. */
+  const reportLimit = (targetKey: string, isDueNow: boolean): void => {
     const now = timers.getMonotonicMs();
     if (!isDueNow && now - (reportedMs.get(targetKey) ?? -Infinity) < SEND_WINDOW_MS) return;
     const requestsPerSecond = book.findEntry(targetKey)?.requestsPerSecond;
@@ -92,11 +93,11 @@
     book.findEntry(targetKey)?.requestsPerSecond !== undefined;
 
   /** Adds a statement; returns whether a limit is new or over, and not only another one. */
-  const addNotice = (notice: LimitNotice): boolean => {
+  const addLimitNotice = (notice: LimitNotice): boolean => {
     const wasLimited = isLimited(notice.targetKey);
     book.addNotice(notice);
     const isNews = wasLimited !== isLimited(notice.targetKey);
-    if (isNews) report(notice.targetKey, true);
+    if (isNews) reportLimit(notice.targetKey, true);
     return isNews;
   };
 
@@ -107,7 +108,8 @@
     return isNews;
   };
 
-  const addLimit = (target: Target, advice: TargetAdvice, sentMs: number): boolean => {
+  /** Records what a response says of its target's limit; returns whether that is news. */
+  const recordLimit = (target: Target, advice: TargetAdvice, sentMs: number): boolean => {
     const { requestsPerSecond, isLimitUnreadable } = advice;
     if (isLimitUnreadable) return false;
     const now = getFleetMs();
@@ -116,8 +118,8 @@
     const statedMs =
       requestsPerSecond === undefined ? now - (timers.getMonotonicMs() - sentMs) : now;
     const targetKey = formatTargetKey(target);
-    if (addNotice({ targetKey, requestsPerSecond, statedMs })) return true;
-    if (requestsPerSecond !== undefined) report(targetKey, false);
+    if (addLimitNotice({ targetKey, requestsPerSecond, statedMs })) return true;
+    if (requestsPerSecond !== undefined) reportLimit(targetKey, false);
     return false;
   };
 
@@ -155,7 +157,7 @@
   return {
     recordSend: counter.recordSend,
     recordAdvice(target, advice, sentMs) {
-      const isLimitNews = addLimit(target, advice, sentMs);
+      const isLimitNews = recordLimit(target, advice, sentMs);
       const isLeavingNews = advice.isLeaving && addLeaving(formatTargetKey(target));
       const { pauseMs } = advice;
       if (pauseMs !== undefined && pauses.add(formatTargetKey(target), pauseMs)) {
@@ -176,7 +178,7 @@
     },
     takeNotices: () => ({ limits: book.takeNotices(), leavingKeys: takeLeavingKeys() }),
     receiveNotices({ limits, leavingKeys }) {
-      const newLimits = limits.filter(addNotice);
+      const newLimits = limits.filter(addLimitNotice);
       const newLeavingKeys = leavingKeys.filter(addLeaving);
       return newLimits.length + newLeavingKeys.length > 0;
     },
--- a/src/core/advisories/limit-book.ts
+++ b/src/core/advisories/limit-book.ts
@@ -15,8 +15,8 @@
 
 /** The newest statement of each target about its limit, from all gateways. */
 export interface LimitBook {
-  /** Adds a statement unless a newer one is known; returns whether the limit has changed. */
-  addNotice(notice: LimitNotice): boolean;
+  /** Adds a statement unless a newer one is known. */
+  addNotice(notice: LimitNotice): void;
   findEntry(targetKey: string): LimitEntry | undefined;
   /** Selects what fits into one packet; each call moves on to other limits. */
   takeNotices(): LimitNotice[];
@@ -35,8 +35,8 @@
     addNotice({ targetKey, requestsPerSecond, statedMs }) {
       const now = getFleetMs();
       const known = entries.get(targetKey);
-      if (known === undefined && requestsPerSecond === undefined) return false;
-      if (known !== undefined && known.statedMs >= statedMs) return false;
+      if (known === undefined && requestsPerSecond === undefined) return;
+      if (known !== undefined && known.statedMs >= statedMs) return;
       const isChanged = known?.requestsPerSecond !== requestsPerSecond;
       entries.set(targetKey, {
         requestsPerSecond,
@@ -47,7 +47,6 @@
       });
       const [oldest] = entries.keys();
       if (entries.size > MAX_LIMITS && oldest !== undefined) entries.delete(oldest);
-      return isChanged;
     },
     findEntry: (targetKey) => entries.get(targetKey),
     takeNotices() {
