Compute the capacity of targets once for a request, and share the test targets

Found on reading the whole change again: a request without a place computed the capacity twice unless it had tried a target, the chooser selected the targets without a limit twice, and the decoder read numeric fields in two places. The builder of plain targets moves to fleet/fixtures and replaces two copies in tests.

--- a/src/core/advisories/advisories.test.ts
+++ b/src/core/advisories/advisories.test.ts
@@ -4,7 +4,7 @@
 import { createFleet } from '../fleet/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import { findNextTurnMs } from './find-turn.ts';
-import { buildTarget } from './fixtures/build-target.ts';
+import { buildTarget } from '../fleet/fixtures/build-target.ts';
 import { createTestAdvisories } from './fixtures/test-advisories.ts';
 import { NO_ADVICE, NO_NOTICES } from './index.ts';
 
--- a/src/core/advisories/leaving.test.ts
+++ b/src/core/advisories/leaving.test.ts
@@ -5,7 +5,7 @@
 import { createTargetChooser } from '../forwarding/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
-import { buildTarget } from './fixtures/build-target.ts';
+import { buildTarget } from '../fleet/fixtures/build-target.ts';
 import { createTestAdvisories } from './fixtures/test-advisories.ts';
 import { NO_ADVICE } from './index.ts';
 
--- a/src/core/advisories/pauses.test.ts
+++ b/src/core/advisories/pauses.test.ts
@@ -8,7 +8,7 @@
 import { FailureReason } from '../forwarding/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
-import { buildTarget } from './fixtures/build-target.ts';
+import { buildTarget } from '../fleet/fixtures/build-target.ts';
 import { createTestAdvisories } from './fixtures/test-advisories.ts';
 import { NO_ADVICE } from './index.ts';
 
--- a/src/core/fleet/fleet.test.ts
+++ b/src/core/fleet/fleet.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { buildTarget } from '../advisories/fixtures/build-target.ts';
+import { buildTarget } from './fixtures/build-target.ts';
 import { createFleet } from './index.ts';
 
 const READY = buildTarget('i-1');
--- a/src/core/forwarding/choose-target.test.ts
+++ b/src/core/forwarding/choose-target.test.ts
@@ -3,6 +3,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createTestAdvisories } from '../advisories/fixtures/test-advisories.ts';
+import { buildTarget } from '../fleet/fixtures/build-target.ts';
 import type { Target } from '../fleet/index.ts';
 import { createFleet, createTargetMonitor } from '../fleet/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -18,20 +19,7 @@
 };
 
 function createTarget(id: string, coldRemainingMs = 0): Target {
-  return {
-    id,
-    service: SERVICE.name,
-    address: `${id}:80`,
-    availabilityZone: 'a',
-    isLeaving: false,
-    coldRemainingMs,
-    receivedMs: 0,
-    startedWallMs: 0,
-    fabricDomain: '',
-    stagedModels: [],
-    currentModel: undefined,
-    group: undefined,
-  };
+  return buildTarget(id, { service: SERVICE.name, coldRemainingMs });
 }
 
 /** Choosers of several gateways that know the same targets but exchange no loads. */
--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -173,9 +173,13 @@
    * Lists the targets where this gateway has a slot of its own that is free, and those that limit
    * their requests and take one from it now.
    */
-  const listWithOwnSlot = (targets: readonly Target[], all: readonly Target[], slots: number) => {
+  const listWithOwnSlot = (
+    targets: readonly Target[],
+    unlimited: readonly Target[],
+    slots: number,
+  ): Target[] => {
     const position = getPosition();
-    const order = all.filter((target) => !isLimited(target)).sort(compareByZone);
+    const order = [...unlimited].sort(compareByZone);
     return targets.filter((target) => {
       if (isLimited(target)) return advisories.hasTurn(target);
       const placed = { index: order.indexOf(target), count: order.length, slots };
@@ -193,8 +197,9 @@
     slots: number,
     isAnyLoadAllowed: boolean,
   ): Target[] => {
-    const own = rankTargets(listWithOwnSlot(targets, all, slots));
-    const sharedSlots = all.filter((target) => !isLimited(target)).length * slots;
+    const unlimited = all.filter((target) => !isLimited(target));
+    const own = rankTargets(listWithOwnSlot(targets, unlimited, slots));
+    const sharedSlots = unlimited.length * slots;
     const borrowableSlots = slots * computeBorrowableShare(sharedSlots, getPosition().count);
     const borrowable = targets.filter(({ id }) => monitor.countInFlight(id) < borrowableSlots);
     const shuffled = shuffleTargets(borrowable);
--- a/src/core/forwarding/request-placement.ts
+++ b/src/core/forwarding/request-placement.ts
@@ -91,11 +91,12 @@
     planWait(query) {
       const now = timers.getMonotonicMs();
       const minEndMs = arrivedMs + route.latencyObjectiveMs * MIN_WAIT_SHARE;
-      const { pauseMs } = computeCapacity(anyTarget);
+      const total = computeCapacity(anyTarget);
+      const { pauseMs } = total;
       if (pauseMs > 0 && now + pauseMs > Math.max(getSlackEndMs(), minEndMs)) {
         return { reason: FailureReason.TargetsLimited, giveUpMs: undefined };
       }
-      const capacity = computeCapacity(query);
+      const capacity = query.triedIds.size === 0 ? total : computeCapacity(query);
       const { targetCount, areAllLimited } = capacity;
       if (targetCount === 0 || (service.engine === undefined && !areAllLimited)) {
         return { reason: FailureReason.NoTarget, giveUpMs: now < minEndMs ? minEndMs : undefined };
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -142,22 +142,25 @@
   );
 }
 
+/** Lists the values that are non-negative decimal numbers. */
+function listNumbers(values: readonly string[]): number[] {
+  return values.map(parseNonNegativeNumber).filter((value) => value !== undefined);
+}
+
 /** Statuses whose `Retry-After` tells when the target wants to be asked again. */
 const PAUSE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 /** Decodes for how long a target wants no requests; of several times, the longest one holds. */
 function parsePauseMs(status: number, rawHeaders: readonly string[]): number | undefined {
   if (!PAUSE_STATUSES.has(status)) return undefined;
-  const seconds = listFields(rawHeaders, Header.RetryAfter)
-    .map(parseNonNegativeNumber)
-    .filter((one) => one !== undefined);
+  const seconds = listNumbers(listFields(rawHeaders, Header.RetryAfter));
   return seconds.length > 0 ? Math.max(...seconds) * MS_PER_SECOND : undefined;
 }
 
 /** Decodes what a target says of itself; of several limits, the lowest one holds. */
 function parseAdvice(status: number, rawHeaders: readonly string[]): TargetAdvice {
   const limits = listFields(rawHeaders, Header.RequestLimit);
-  const readable = limits.map(parseNonNegativeNumber).filter((limit) => limit !== undefined);
+  const readable = listNumbers(limits);
   return {
     requestsPerSecond: readable.length > 0 ? Math.min(...readable) : undefined,
     isLimitUnreadable: limits.length > 0 && readable.length === 0,
