--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -20,13 +20,16 @@
   let era = 1;
   let isAway = false;
   let copy;
+  let isSilent = false;
+  /** Connections with a lost answer, on which nothing further returns. */
+  let silenced = new Set();
   const waiters = new Set();
   const sockets = new Set();
 
   const wake = () => [...waiters].forEach((check) => check());
 
   const send = (response, status, body) => {
-    if (response.destroyed) return;
+    if (response.destroyed || silenced.has(response.socket)) return;
     response.writeHead(status, { 'Content-Type': 'application/json', 'Store-Era': String(era) });
     response.end(body === undefined ? '' : JSON.stringify(body));
   };
@@ -127,7 +130,8 @@
     else void handleObject(request, response, kind, name);
   });
   server.on('connection', (socket) => {
-    if (isAway) socket.destroy();
+    if (isSilent) silenced.add(socket);
+    else if (isAway) socket.destroy();
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
   });
@@ -150,6 +154,13 @@
       waiters.clear();
       sockets.forEach((socket) => socket.resetAndDestroy());
     },
+    /** The store answers no more; what it had got by then stays without an answer for good. */
+    fallSilent() {
+      isAway = true;
+      isSilent = true;
+      waiters.clear();
+      silenced = new Set(sockets);
+    },
     isAway: () => isAway,
     /** The store comes back with all that it had, and with what has changed meanwhile. */
     comeBack() {
@@ -162,6 +173,7 @@
       events = [...copy.events];
       era += 1;
       isAway = false;
+      isSilent = false;
     },
     close() {
       sockets.forEach((socket) => socket.destroy());
