Let the server of the case leave while the store is stable

The rule counts acknowledgements that the store gives while it is stable. The removal of the entry is now the last change before the outage, not one during it.

--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -148,10 +148,14 @@
     takeCopy() {
       copy = { objects: new Map(objects), revision, events: [...events] };
     },
-    /** The store goes away: all connections are reset, new ones too. */
-    goAway() {
-      isAway = true;
+    /**
+     * The store goes away: all connections are reset, new ones too. `makeLastWrite` makes the last
+     * change that it acknowledges before; no watch returns it any more.
+     */
+    goAway(makeLastWrite = () => undefined) {
       waiters.clear();
+      makeLastWrite();
+      isAway = true;
       sockets.forEach((socket) => socket.resetAndDestroy());
     },
     /** The store answers no more; what it had got by then stays without an answer for good. */
