--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,30 +1,34 @@
-// A server has left; then the store comes back from a copy in which it is still there.
+// A server leaves as the store goes down; after the return of the store it is gone.
 /* eslint-disable import-x/extensions, no-await-in-loop, no-restricted-syntax */
 import { setTimeout as wait } from 'node:timers/promises';
 import { sendRequest } from '../stand-ins/callers.mjs';
 import { BOUNDS, createGateways } from '../stand-ins/gateways.mjs';
 import { createRecord, runCase } from '../stand-ins/record.mjs';
-import { buildConfiguration, startServer } from '../stand-ins/servers.mjs';
+import { buildConfiguration, startEntries, startServer } from '../stand-ins/servers.mjs';
 import { startStore } from '../stand-ins/store.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const HOST_NAME = 'ficu95.example';
 const ZONES = ['almaty-a', 'almaty-b', 'almaty-c'];
 const LEAVING_ID = 'i-2';
-const SEND_PERIOD_MS = 50;
+/** 18 requests a second at each machine, as on the sheet of temir-feed. */
+const SEND_PERIOD_MS = 55;
 const DEADLINE_MS = 1_000;
 const WORK_MS = 20;
-/** The copy is about 4 s old when the store comes back from it. */
-const LEAVE_AFTER_COPY_MS = 500;
-const AWAY_AFTER_LEAVE_MS = 3_500;
-const AWAY_MS = 300;
-/** What the servers wrote is written again after this time, also that one has left. */
-const REWRITE_MS = 1_500;
-const LENGTH_AFTER_RETURN_MS = 4_000;
+/** The store is down for 4.5 s in temir-feed. */
+const AWAY_MS = 4_000;
+/** Entries lapse after three heartbeats of silence, of 1.2 s each. */
+const LAPSE_AFTER_AWAY_MS = 3_700;
+const ENGINES = 60;
+const LENGTH_AFTER_RETURN_MS = 15_000;
 
 const record = createRecord(import.meta.url);
 const store = await startStore();
-const fleet = createGateways(store.address, ZONES.slice(0, 2));
+/** The machines of temir-feed. */
+const fleet = createGateways(
+  store.address,
+  [3, 3, 2].flatMap((count, index) => Array.from({ length: count }, () => ZONES[index])),
+);
 const servers = [];
 const runs = [];
 const sentBy = new Map();
@@ -80,50 +84,42 @@
     });
     servers.push(server);
   }
+  servers.push(startEntries({ store, service: 'huvo11a', zones: ZONES, count: ENGINES }));
   const gateways = await fleet.start();
   const sending = sendRequests(gateways);
   await wait(BOUNDS.touch_ms + 500);
-  store.takeCopy();
-  record.add('the store is copied');
-  await wait(LEAVE_AFTER_COPY_MS);
-  servers.find(({ id }) => id === LEAVING_ID).removeEntry();
+  const leaving = servers.find(({ id }) => id === LEAVING_ID);
+  if (HAS_TROUBLE) store.goAway(leaving.removeEntry);
+  else leaving.removeEntry();
   const leftMs = record.getMs();
-  record.add(`the entry of ${LEAVING_ID} is removed; it serves on`);
-  await wait(AWAY_AFTER_LEAVE_MS);
-  const awayMs = record.getMs();
+  record.add(`${LEAVING_ID} has left: the store has removed its entry; it serves on`);
+  if (HAS_TROUBLE) record.add('the store is down');
+  await wait(LAPSE_AFTER_AWAY_MS);
   if (HAS_TROUBLE) {
-    record.add('the store is away');
-    store.goAway();
-    await wait(AWAY_MS);
-    store.returnFromCopy();
-    record.add('the store is back, from the copy');
-    await wait(REWRITE_MS);
-    servers.forEach((server) => server.beat());
-    store.remove('servers', LEAVING_ID);
-    record.add(`the servers have written again; the entry of ${LEAVING_ID} is removed again`);
+    store.list('servers').forEach((name) => store.remove('servers', name));
+    record.add('the entries of all servers have lapsed');
   }
+  await wait(AWAY_MS - LAPSE_AFTER_AWAY_MS);
+  if (HAS_TROUBLE) store.comeBack();
+  const returnedMs = record.getMs();
+  record.add('the store is up');
   await wait(LENGTH_AFTER_RETURN_MS);
   isOver = true;
   await sending;
-  const atLeft = runs.filter(({ id }) => id === LEAVING_ID);
-  const boundMs = leftMs + BOUNDS.drain_ms;
-  // Each gateway has itself acknowledged the leaving: it sent nothing more there.
-  const known = gateways.filter(({ name }) =>
-    atLeft.every(
-      ({ attempt, atMs }) => sentBy.get(attempt) !== name || atMs < boundMs || atMs > awayMs,
-    ),
-  );
-  const late = atLeft.filter(
-    ({ attempt, atMs }) => atMs > boundMs && known.some(({ name }) => name === sentBy.get(attempt)),
-  );
-  const last = late.at(-1);
-  const lastText =
-    last === undefined
-      ? ''
-      : `, the last one ${Math.round(last.atMs - leftMs)} ms after it had left`;
+  // The store was stable when it removed the entry. It is stable again, and all machines are in touch,
+  // from `touch_ms` after its return; requests count that were sent `drain_ms` later.
+  const boundMs = HAS_TROUBLE
+    ? returnedMs + BOUNDS.touch_ms + BOUNDS.drain_ms
+    : leftMs + BOUNDS.drain_ms;
+  const late = runs.filter(({ id, atMs }) => id === LEAVING_ID && atMs > boundMs);
+  const names = [...new Set(late.map(({ attempt }) => sentBy.get(attempt)))].sort();
+  const lastMs = Math.round((late.at(-1)?.atMs ?? leftMs) - leftMs);
   return {
     isBroken: late.length > 0,
-    text: `${late.length} requests reached ${LEAVING_ID} later than ${BOUNDS.drain_ms} ms after it had left${lastText}`,
+    text:
+      late.length === 0
+        ? `no request reached ${LEAVING_ID} later than ${Math.round(boundMs - leftMs)} ms after it had left`
+        : `${late.length} requests reached ${LEAVING_ID} later than ${Math.round(boundMs - leftMs)} ms after it had left, the last one after ${lastMs} ms, from ${names.join(' and ')}`,
   };
 }
 
--- a/review/stand-ins/servers.mjs
+++ b/review/stand-ins/servers.mjs
@@ -57,6 +57,12 @@
     record(`${id} runs ${attempt}`);
     options.handleRun?.(attempt);
     await wait(workMs);
+    if (options.isFailing?.(attempt) === true) {
+      // An error after the run: nothing in it states that the request has not run.
+      response.writeHead(503, { 'X-Attempt-Id': attempt, 'Content-Type': 'text/plain' });
+      response.end('failed to confirm');
+      return;
+    }
     response.writeHead(200, {
       'X-Attempt-Id': attempt,
       'X-Response-Signature': `${id}.${attempt}`,
