--- a/review/stand-ins/servers.mjs
+++ b/review/stand-ins/servers.mjs
@@ -1,5 +1,6 @@
 // Stand-ins of the servers of a service without models, after PROTOCOL.md.
 /* eslint-disable no-restricted-syntax */
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 import { setTimeout as wait } from 'node:timers/promises';
 
@@ -7,14 +8,17 @@
 
 /** Reads a request whole, at a bounded rate if one is given. */
 async function readBody(request, readBytesPerSecond) {
+  if (readBytesPerSecond === undefined) {
+    request.resume();
+    if (!request.readableEnded) await once(request, 'end');
+    return;
+  }
   const startMs = performance.now();
   let bytes = 0;
   for await (const chunk of request) {
     bytes += chunk.length;
-    if (readBytesPerSecond !== undefined) {
-      const dueMs = startMs + (bytes / readBytesPerSecond) * 1000;
-      await wait(Math.max(0, dueMs - performance.now()));
-    }
+    const dueMs = startMs + (bytes / readBytesPerSecond) * 1000;
+    await wait(Math.max(0, dueMs - performance.now()));
   }
 }
 
