--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,4 +1,4 @@
-// A server has left; then the store comes back from a copy in which it is still there.
+// Operators evacuate a zone just after the store has come back from a copy.
 /* eslint-disable import-x/extensions, no-await-in-loop, no-restricted-syntax */
 import { setTimeout as wait } from 'node:timers/promises';
 import { sendRequest } from '../stand-ins/callers.mjs';
@@ -10,17 +10,15 @@
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const HOST_NAME = 'ficu95.example';
 const ZONES = ['almaty-a', 'almaty-b', 'almaty-c'];
-const LEAVING_ID = 'i-2';
+const EVACUATED_ZONE = 'almaty-c';
+const EVACUATED_ID = 'i-2';
 const SEND_PERIOD_MS = 50;
 const DEADLINE_MS = 1_000;
 const WORK_MS = 20;
-/** The copy is about 4 s old when the store comes back from it. */
-const LEAVE_AFTER_COPY_MS = 500;
-const AWAY_AFTER_LEAVE_MS = 3_500;
-const AWAY_MS = 300;
-/** What the servers wrote is written again after this time, also that one has left. */
-const REWRITE_MS = 1_500;
-const LENGTH_AFTER_RETURN_MS = 4_000;
+const COPY_AGE_MS = 3_000;
+const AWAY_MS = 1_000;
+const EVACUATE_AFTER_RETURN_MS = 100;
+const LENGTH_AFTER_RETURN_MS = 10_000;
 
 const record = createRecord(import.meta.url);
 const store = await startStore();
@@ -85,45 +83,31 @@
   await wait(BOUNDS.touch_ms + 500);
   store.takeCopy();
   record.add('the store is copied');
-  await wait(LEAVE_AFTER_COPY_MS);
-  servers.find(({ id }) => id === LEAVING_ID).removeEntry();
-  const leftMs = record.getMs();
-  record.add(`the entry of ${LEAVING_ID} is removed; it serves on`);
-  await wait(AWAY_AFTER_LEAVE_MS);
-  const awayMs = record.getMs();
+  await wait(COPY_AGE_MS);
   if (HAS_TROUBLE) {
     record.add('the store is away');
-    store.goAway();
+    store.fallSilent();
     await wait(AWAY_MS);
     store.returnFromCopy();
     record.add('the store is back, from the copy');
-    await wait(REWRITE_MS);
-    servers.forEach((server) => server.beat());
-    store.remove('servers', LEAVING_ID);
-    record.add(`the servers have written again; the entry of ${LEAVING_ID} is removed again`);
   }
+  await wait(EVACUATE_AFTER_RETURN_MS);
+  store.write('evacuations', EVACUATED_ZONE, {});
+  const evacuatedMs = record.getMs();
+  record.add(`the store has acknowledged the evacuation of ${EVACUATED_ZONE}`);
   await wait(LENGTH_AFTER_RETURN_MS);
   isOver = true;
   await sending;
-  const atLeft = runs.filter(({ id }) => id === LEAVING_ID);
-  const boundMs = leftMs + BOUNDS.drain_ms;
-  // Each gateway has itself acknowledged the leaving: it sent nothing more there.
-  const known = gateways.filter(({ name }) =>
-    atLeft.every(
-      ({ attempt, atMs }) => sentBy.get(attempt) !== name || atMs < boundMs || atMs > awayMs,
-    ),
-  );
-  const late = atLeft.filter(
-    ({ attempt, atMs }) => atMs > boundMs && known.some(({ name }) => name === sentBy.get(attempt)),
-  );
-  const last = late.at(-1);
-  const lastText =
-    last === undefined
-      ? ''
-      : `, the last one ${Math.round(last.atMs - leftMs)} ms after it had left`;
+  const boundMs = evacuatedMs + BOUNDS.evacuation_ms;
+  const late = runs.filter(({ id, atMs }) => id === EVACUATED_ID && atMs > boundMs);
+  const names = [...new Set(late.map(({ attempt }) => sentBy.get(attempt)))].sort();
+  const lastMs = Math.round((late.at(-1)?.atMs ?? evacuatedMs) - evacuatedMs);
   return {
     isBroken: late.length > 0,
-    text: `${late.length} requests reached ${LEAVING_ID} later than ${BOUNDS.drain_ms} ms after it had left${lastText}`,
+    text:
+      late.length === 0
+        ? `no request reached ${EVACUATED_ID} later than ${BOUNDS.evacuation_ms} ms after its zone was evacuated`
+        : `${late.length} requests reached ${EVACUATED_ID} later than ${BOUNDS.evacuation_ms} ms after its zone was evacuated, the last one after ${lastMs} ms, from ${names.join(' and ')}`,
   };
 }
 
