Log the grace period of missing target entries

Each gateway now logs the start of the period, and its end with the number of missing entries and the time left.

--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -76,7 +76,12 @@
   };
 
   const endGracePeriod = (): void => {
-    if (timers.getMonotonicMs() < gracePeriodEndMs) return;
+    const remainingMs = gracePeriodEndMs - timers.getMonotonicMs();
+    logger.info('the grace period of missing entries is over', {
+      missing: expiredIds.size,
+      remainingMs,
+    });
+    if (remainingMs > 0) return;
     const ids = [...expiredIds];
     expiredIds.clear();
     ids.forEach(removeTarget);
@@ -84,6 +89,9 @@
 
   const startGracePeriod = (): void => {
     gracePeriodEndMs = timers.getMonotonicMs() + EXPIRED_ENTRY_GRACE_MS;
+    logger.info('missing entries do not mean that their targets are gone for now', {
+      graceMs: EXPIRED_ENTRY_GRACE_MS,
+    });
     timers.scheduleOnce(EXPIRED_ENTRY_GRACE_MS, endGracePeriod);
   };
 
