Log which evacuations are listed and which are in force

Whether a gateway has not listed the new evacuation in time, or lists it and ignores it, could not be told from the logs: only events of a watch were logged. Each list and each restoration is now logged with the zones that the store has and those that are in force.

--- a/src/core/gateway/evacuated-zones.ts
+++ b/src/core/gateway/evacuated-zones.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '../logs/index.ts';
+import type { LogContext, Logger } from '../logs/index.ts';
 import type { FeedListener } from '../store-feed/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
@@ -27,12 +27,18 @@
   const getInForce = (): ReadonlySet<string> =>
     timers.getMonotonicMs() < heldUntilMs ? held : stored;
 
+  const logZones = (message: string, context: LogContext = {}): void => {
+    const zones = { listed: [...stored].join(' '), inForce: [...getInForce()].join(' ') };
+    logger.info(message, { ...zones, ...context });
+  };
+
   return {
     isEvacuated: (availabilityZone) => getInForce().has(availabilityZone),
     listener: {
       handleList(objects) {
         stored.clear();
         objects.forEach(({ name }) => stored.add(name));
+        logZones('listed the evacuated zones');
       },
       handleObject({ name }) {
         stored.add(name);
@@ -47,6 +53,7 @@
       handleRestoration() {
         held = new Set(getInForce());
         heldUntilMs = timers.getMonotonicMs() + REWRITE_MS;
+        logZones('holds the evacuations of before the restoration', { forMs: REWRITE_MS });
       },
     },
   };
