Call timer listeners only when they are due

Cause: the listener that ends the grace period of missing entries compared the clock with the end of the period and did nothing if it was early; it was scheduled once. Timers of Node.js count in whole milliseconds and fire up to 1 ms before the monotonic clock reaches the due time.

The timer service now waits again if the clock has not advanced by the whole delay, for all its users; and the grace period ends when its timer fires, without a second look at the clock. A period that starts anew replaces the timer.

--- a/src/core/gateway/store-view.test.ts
+++ b/src/core/gateway/store-view.test.ts
@@ -12,13 +12,17 @@
   return { name, revision: 1, spec, status: null };
 }
 
-function createTestStoreView(): {
+/** The view's own timers fire `earlyMs` before they are due. */
+function createTestStoreView(earlyMs = 0): {
   storeView: StoreView;
   timers: ReturnType<typeof createManualTimers>;
 } {
   const timers = createManualTimers();
   const storeView = createStoreView({
-    timers,
+    timers: {
+      ...timers,
+      scheduleOnce: (delayMs, listener) => timers.scheduleOnce(delayMs - earlyMs, listener),
+    },
     logger: createLogger('test'),
     decodeConfiguration: (spec) => ({ value: spec as ServingConfiguration }),
     decodeTarget: ({ name, spec }) =>
@@ -46,6 +50,32 @@
     expect(storeView.fleet.listTargets('s').map(({ id }) => id)).toEqual(['a']);
   });
 
+  // Guards against sending requests for good to a target that left as the store went down: the timer
+  // that ends the grace period fires early, and nothing ends the period any more.
+  it('ends the grace period although its timer fires early', () => {
+    const { storeView, timers } = createTestStoreView(0.5);
+    const { targetListener } = storeView;
+    targetListener.handleList([createObject('a'), createObject('b')]);
+    targetListener.handleOutageEnd?.();
+    targetListener.handleList([createObject('a')]);
+    timers.runFor(10_000);
+    expect(storeView.fleet.listTargets('s').map(({ id }) => id)).toEqual(['a']);
+  });
+
+  it('starts the grace period anew after each outage', () => {
+    const { storeView, timers } = createTestStoreView();
+    const { targetListener } = storeView;
+    targetListener.handleList([createObject('a')]);
+    targetListener.handleOutageEnd?.();
+    targetListener.handleList([]);
+    timers.runFor(1_500);
+    targetListener.handleOutageEnd?.();
+    timers.runFor(1_500);
+    expect(storeView.fleet.listTargets('s').length).toEqual(1);
+    timers.runFor(1_000);
+    expect(storeView.fleet.listTargets('s')).toEqual([]);
+  });
+
   // Guards against dropping targets that are younger than the copy that the store came back from.
   it('keeps targets that the store has lost until the grace period ends', () => {
     const { storeView, timers } = createTestStoreView();
--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -4,6 +4,7 @@
 import type { LogContext } from '../logs/index.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { StoreObject } from '../store/index.ts';
+import type { Unsubscribe } from '../timers/index.ts';
 import { createEvacuatedZones } from './evacuated-zones.ts';
 import type { RoutingTable } from './routing-table.ts';
 import { buildRoutingTable } from './routing-table.ts';
@@ -62,12 +63,14 @@
   let handleConfiguration: (configuration: ServingConfiguration) => void = () => undefined;
   /** Targets whose entry is missing and that are kept until the grace period ends. */
   const expiredIds = new Set<string>();
-  let gracePeriodEndMs = 0;
-  let targetsRestoredUntilMs = 0;
+  let isGracePeriod = false;
+  let cancelGracePeriodEnd: Unsubscribe = () => undefined;
+  /** Whether the entries are those of the copy that the store came back from. */
+  let areTargetsRestored = false;
 
   const removeTarget = (id: string): void => {
     if (fleet.findTarget(id) === undefined) return;
-    if (timers.getMonotonicMs() < gracePeriodEndMs) {
+    if (isGracePeriod) {
       expiredIds.add(id);
       return;
     }
@@ -76,23 +79,21 @@
   };
 
   const endGracePeriod = (): void => {
-    const remainingMs = gracePeriodEndMs - timers.getMonotonicMs();
-    logger.info('the grace period of missing entries is over', {
-      missing: expiredIds.size,
-      remainingMs,
-    });
-    if (remainingMs > 0) return;
+    logger.info('the grace period of missing entries is over', { missing: expiredIds.size });
+    isGracePeriod = false;
+    areTargetsRestored = false;
     const ids = [...expiredIds];
     expiredIds.clear();
     ids.forEach(removeTarget);
   };
 
   const startGracePeriod = (): void => {
-    gracePeriodEndMs = timers.getMonotonicMs() + EXPIRED_ENTRY_GRACE_MS;
+    cancelGracePeriodEnd();
+    cancelGracePeriodEnd = timers.scheduleOnce(EXPIRED_ENTRY_GRACE_MS, endGracePeriod);
+    isGracePeriod = true;
     logger.info('missing entries do not mean that their targets are gone for now', {
       graceMs: EXPIRED_ENTRY_GRACE_MS,
     });
-    timers.scheduleOnce(EXPIRED_ENTRY_GRACE_MS, endGracePeriod);
   };
 
   const applyConfiguration = (object: StoreObject): void => {
@@ -131,7 +132,7 @@
     fleet,
     getRoutingTable: () => table,
     hasListedTargets: () => hasListedTargets,
-    areTargetsCurrent: () => timers.getMonotonicMs() >= targetsRestoredUntilMs,
+    areTargetsCurrent: () => !areTargetsRestored,
     isZoneEvacuated: evacuatedZones.isEvacuated,
     onConfiguration(listener) {
       handleConfiguration = listener;
@@ -158,7 +159,7 @@
       handleOutageEnd: startGracePeriod,
       handleRestoration() {
         startGracePeriod();
-        targetsRestoredUntilMs = gracePeriodEndMs;
+        areTargetsRestored = true;
       },
     },
   };
--- a/src/core/timers/timer-service.ts
+++ b/src/core/timers/timer-service.ts
@@ -22,7 +22,16 @@
     };
   };
   const scheduleOnce: TimerService['scheduleOnce'] = (delayMs, listener) => {
-    const timer = setTimeout(wrapListener(listener), Math.max(0, delayMs));
+    const dueMs = performance.now() + Math.max(0, delayMs);
+    const callListener = wrapListener(listener);
+    let timer: NodeJS.Timeout;
+    // Node.js counts in whole milliseconds, so that its timers fire up to 1 ms early.
+    const runWhenDue = (): void => {
+      const remainingMs = dueMs - performance.now();
+      if (remainingMs > 0) timer = setTimeout(runWhenDue, remainingMs);
+      else callListener();
+    };
+    timer = setTimeout(runWhenDue, Math.max(0, delayMs));
     return () => clearTimeout(timer);
   };
   return {
--- a/src/core/timers/types.ts
+++ b/src/core/timers/types.ts
@@ -7,7 +7,7 @@
   getMonotonicMs(): number;
   /** Returns the wall-clock time in milliseconds since the Unix epoch. */
   getWallMs(): number;
-  /** Calls the listener once after the delay. */
+  /** Calls the listener once, as soon as the monotonic clock has advanced by the delay. */
   scheduleOnce(delayMs: number, listener: () => void): Unsubscribe;
   /** Calls the listener at a fixed interval until cancelled. */
   subscribe(periodMs: number, listener: () => void): Unsubscribe;
