Handle the signals that arrive while a daemon starts

Users: a gateway that gets SIGHUP while it starts ends by that signal. SIGHUP comes to all gateways when the settings change, also to those that have just been started again.

Cause: the handlers were set after the start had resolved, and most of the time before goes into loading the bundle.

Daemons now handle signals with their first statement, and load the rest of the program after it. SIGHUP while a daemon starts reloads the settings once it has started; SIGTERM stops it gracefully.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles each command of src/cli into one JavaScript file. Bundles all commands unless some are named
+// Bundles each command of src/cli into one JavaScript file, with chunks for what it loads later. Bundles all commands unless some are named
 // as arguments, and writes to dist/ unless `--out FOLDER` names another folder.
 import { existsSync, readdirSync, rmSync } from 'node:fs';
 import { parseArgs } from 'node:util';
@@ -30,6 +30,7 @@
   })),
   outdir: outputFolder,
   bundle: true,
+  splitting: true,
   platform: 'node',
   target: 'node20',
   format: 'esm',
--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -1,25 +1,7 @@
 import '../../core/logs/enable.ts';
-import { createEntryDaemon, entrySettingsSchema } from '../../core/entry/index.ts';
-import { createLogger } from '../../core/logs/index.ts';
-import { createDaemonCommand, runProgram } from '../../core/process/index.ts';
-import { createTimerService } from '../../core/timers/index.ts';
+import { createSignalInbox } from '../../core/process/signal-inbox.ts';
 
-const logger = createLogger('entry');
-
-await runProgram(
-  createDaemonCommand({
-    name: 'clementinefork-entry',
-    description: 'Accepts requests of callers on one entry VM and forwards them to targets.',
-    logger,
-    schema: entrySettingsSchema,
-    example: {
-      name: 'entry-1',
-      address: '10.0.0.1',
-      availabilityZone: 'sofia-a',
-      region: 'sofia',
-      platform: { address: '10.0.0.100', port: 7000 },
-      seeds: [{ address: '10.0.0.2', port: 8082 }],
-    },
-    start: (settings) => createEntryDaemon(settings, createTimerService(), logger),
-  }),
-);
+// The modules of the daemon take longer to load than all that runs before; signals wait meanwhile.
+const signals = createSignalInbox();
+const { runEntry } = await import('./run-entry.ts');
+await runEntry(signals);
--- /dev/null
+++ b/src/cli/gateway/run-gateway.ts
@@ -0,0 +1,73 @@
+import { command, option, optional, string } from 'cmd-ts';
+import { createErrorReporter, ErrorOrigin } from '../../core/errors/index.ts';
+import { startGateway } from '../../core/gateway/index.ts';
+import { createLogger } from '../../core/logs/index.ts';
+import type { SignalInbox } from '../../core/process/index.ts';
+import { runDaemon, runProgram } from '../../core/process/index.ts';
+import { readSettings } from '../../core/settings/index.ts';
+import { createTimerService } from '../../core/timers/index.ts';
+import type { GatewaySettings } from '../../platform/index.ts';
+import {
+  createEngineControl,
+  createStoreClient,
+  decodeConfiguration,
+  decodeTarget,
+  gatewaySettingsSchema,
+  platformWireFormat,
+  SETTINGS_VARIABLE,
+  startAuxiliaryServers,
+} from '../../platform/index.ts';
+
+const logger = createLogger('gateway');
+const errorReporter = createErrorReporter(logger.error);
+
+async function start(file: string): ReturnType<typeof startGateway> {
+  const readOwnSettings = (): GatewaySettings => readSettings(file, gatewaySettingsSchema);
+  const settings = readOwnSettings();
+  const timers = createTimerService((error) => errorReporter.report(ErrorOrigin.Timer, error));
+  return startGateway(settings, {
+    timers,
+    logger,
+    errorReporter,
+    store: createStoreClient(settings.store, timers),
+    control: createEngineControl(timers),
+    wire: platformWireFormat,
+    decodeConfiguration,
+    decodeTarget,
+    startAuxiliaryServers: (pages) =>
+      startAuxiliaryServers({
+        ...pages,
+        directory: settings.directory,
+        readiness: settings.readiness,
+        handleProblem: (problem) => logger.warn('metrics are not served', { problem }),
+        metrics: { host: settings.ip, port: settings.metricsPort },
+      }),
+    // eslint-disable-next-line no-restricted-properties -- The only call of Math.random in the system.
+    random: () => Math.random(),
+    readSettings: readOwnSettings,
+  });
+}
+
+/** Runs the gateway with the command-line arguments of the process. */
+export function runGateway(signals: SignalInbox): Promise<void> {
+  return runProgram(
+    command({
+      name: 'clementinefork-gateway',
+      description: 'Forwards requests of callers to targets and forms serving groups from engines.',
+      args: {
+        settings: option({
+          type: optional(string),
+          long: 'settings',
+          description: `settings file of the platform; default: the environment variable ${SETTINGS_VARIABLE}`,
+        }),
+      },
+      handler: ({ settings }) =>
+        runDaemon({
+          logger,
+          signals,
+          errorReporter,
+          start: () => start(settings ?? process.env[SETTINGS_VARIABLE] ?? ''),
+        }),
+    }),
+  );
+}
--- a/src/cli/standin-engine/index.ts
+++ b/src/cli/standin-engine/index.ts
@@ -12,12 +12,15 @@
   description: 'Simulates engine members in tests and demos.',
   args: { settings: option({ type: optional(string), long: 'settings' }) },
   handler: ({ settings: file }) =>
-    runDaemon(logger, async () => {
-      const settings = readSettings(requireSettingsFile(file), engineSettingsSchema);
-      const server = createStandInEngine(settings, createTimerService());
-      await server.start();
-      logger.info('started', { members: server.members.length });
-      return server;
+    runDaemon({
+      logger,
+      start: async () => {
+        const settings = readSettings(requireSettingsFile(file), engineSettingsSchema);
+        const server = createStandInEngine(settings, createTimerService());
+        await server.start();
+        logger.info('started', { members: server.members.length });
+        return server;
+      },
     }),
 });
 
--- a/src/cli/standin-platform/index.ts
+++ b/src/cli/standin-platform/index.ts
@@ -16,16 +16,19 @@
     settings: option({ type: string, long: 'settings', description: 'YAML settings file' }),
   },
   handler: ({ settings }) =>
-    runDaemon(logger, async () => {
-      const { address, port, vms } = readStandInPlatformSettings(settings);
-      const standIn = await createStandInPlatform({
-        address,
-        port,
-        vms,
-        timers: createTimerService(),
-      });
-      logger.info('listening', { address, port, vms: vms.length });
-      return { stop: standIn.close };
+    runDaemon({
+      logger,
+      start: async () => {
+        const { address, port, vms } = readStandInPlatformSettings(settings);
+        const standIn = await createStandInPlatform({
+          address,
+          port,
+          vms,
+          timers: createTimerService(),
+        });
+        logger.info('listening', { address, port, vms: vms.length });
+        return { stop: standIn.close };
+      },
     }),
 });
 
--- a/src/cli/standin-service/index.ts
+++ b/src/cli/standin-service/index.ts
@@ -12,12 +12,15 @@
   description: 'Simulates the targets of a plain service in tests and demos.',
   args: { settings: option({ type: optional(string), long: 'settings' }) },
   handler: ({ settings: file }) =>
-    runDaemon(logger, async () => {
-      const settings = readSettings(requireSettingsFile(file), serviceSettingsSchema);
-      const server = createStandInService(settings, createTimerService());
-      await server.start();
-      logger.info('started', { targets: server.targets.length });
-      return server;
+    runDaemon({
+      logger,
+      start: async () => {
+        const settings = readSettings(requireSettingsFile(file), serviceSettingsSchema);
+        const server = createStandInService(settings, createTimerService());
+        await server.start();
+        logger.info('started', { targets: server.targets.length });
+        return server;
+      },
     }),
 });
 
--- a/src/cli/standin-weights/index.ts
+++ b/src/cli/standin-weights/index.ts
@@ -12,12 +12,15 @@
   description: 'Simulates the weight store in tests and demos.',
   args: { settings: option({ type: optional(string), long: 'settings' }) },
   handler: ({ settings: file }) =>
-    runDaemon(logger, async () => {
-      const settings = readSettings(requireSettingsFile(file), weightsSettingsSchema);
-      const server = createStandInWeights(settings, createTimerService());
-      await server.start();
-      logger.info('started', { port: server.port });
-      return server;
+    runDaemon({
+      logger,
+      start: async () => {
+        const settings = readSettings(requireSettingsFile(file), weightsSettingsSchema);
+        const server = createStandInWeights(settings, createTimerService());
+        await server.start();
+        logger.info('started', { port: server.port });
+        return server;
+      },
     }),
 });
 
--- a/src/core/process/daemon-command.ts
+++ b/src/core/process/daemon-command.ts
@@ -6,6 +6,7 @@
 import type { Daemon } from './run-daemon.ts';
 import { requireSettingsFile, runDaemon } from './run-daemon.ts';
 import type { Program } from './run-program.ts';
+import type { SignalInbox } from './signal-inbox.ts';
 
 /** Options of `createDaemonCommand`. */
 export interface DaemonCommandOptions<Schema extends z.ZodType> {
@@ -15,6 +16,8 @@
   schema: Schema;
   /** Example values of the required settings; `--print-settings` prints them with all defaults. */
   example: z.input<Schema>;
+  /** Signals of the process since its start. */
+  signals: SignalInbox;
   start(settings: z.output<Schema>): Promise<Daemon>;
 }
 
@@ -22,7 +25,7 @@
 export function createDaemonCommand<Schema extends z.ZodType>(
   options: DaemonCommandOptions<Schema>,
 ): Program {
-  const { name, description, example, logger, schema, start } = options;
+  const { name, description, example, logger, schema, signals, start } = options;
   return command({
     name,
     description,
@@ -42,9 +45,11 @@
         process.stdout.write(stringify(schema.parse(example)));
         return;
       }
-      await runDaemon(logger, async () =>
-        start(readSettings(requireSettingsFile(settings), schema)),
-      );
+      await runDaemon({
+        logger,
+        signals,
+        start: async () => start(readSettings(requireSettingsFile(settings), schema)),
+      });
     },
   });
 }
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -10,6 +10,8 @@
 import { startLogWriter } from '../logs/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { ExitStatus } from './exit-status.ts';
+import type { SignalInbox } from './signal-inbox.ts';
+import { createSignalInbox } from './signal-inbox.ts';
 
 const EXIT_STATUS_BY_ERROR_KIND: Partial<Record<ErrorKind, ExitStatus>> = {
   [ErrorKind.SettingsInvalid]: ExitStatus.Invalid,
@@ -48,55 +50,89 @@
 /** Maximum time to write the last log lines when a daemon exits. */
 const LOG_DRAIN_MS = 200;
 
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+/** Options of `runDaemon`. */
+export interface DaemonOptions {
+  logger: Logger;
+  /** Signals of the process; default: those that arrive from now on. */
+  signals?: SignalInbox | undefined;
+  /** Starts the daemon; may give up once the signal aborts, as the daemon would stop at once. */
+  start(abortSignal: AbortSignal): Promise<Daemon>;
+  /** Gets the errors that nothing else has caught; without it, such an error ends the process. */
+  errorReporter?: ErrorReporter;
+}
 
 /**
- * Starts a daemon and stops it gracefully on the first SIGTERM or SIGINT. With a reporter, an error
- * that nothing else has caught is reported and the process goes on.
+ * Starts a daemon, and stops it gracefully on the first SIGTERM or SIGINT. Signals that arrive while
+ * it starts take effect afterwards.
  */
-export async function runDaemon(
-  logger: Logger,
-  start: () => Promise<Daemon>,
-  errorReporter?: ErrorReporter,
-): Promise<void> {
+export async function runDaemon(options: DaemonOptions): Promise<void> {
+  const { logger, start, errorReporter, signals = createSignalInbox() } = options;
   if (errorReporter !== undefined) {
     const report = (error: unknown): void => errorReporter.report(ErrorOrigin.Process, error);
     process.on('uncaughtException', report);
     process.on('unhandledRejection', report);
   }
   const logWriter = startLogWriter(createTimerService());
-  await runAndReportErrors(async () => {
-    const daemon = await start().catch((error: unknown) => {
-      process.stderr.write(`${formatProblem(error)}\n`);
-      // Components that have already started must not keep a process running that cannot serve.
-      // eslint-disable-next-line n/no-process-exit
-      process.exit(getExitStatus(error));
-    });
-    let isStopping = false;
-    const handleSignal = (signal: string): void => {
-      if (isStopping) return;
-      isStopping = true;
-      logger.info('stopping', { signal });
-      void daemon
-        .stop()
-        .then(() => logger.info('stopped'))
-        .catch((error: unknown) => {
-          logger.error('graceful shutdown failed', { problem: formatProblem(error) });
-          process.exitCode = ExitStatus.Failure;
-        })
-        .then(() => logWriter.drain(LOG_DRAIN_MS))
-        .catch((error: unknown) => process.stderr.write(`${formatProblem(error)}\n`))
-        // Idle keep-alive sockets and timers of libraries must not keep the process running.
-        // eslint-disable-next-line n/no-process-exit
-        .finally(() => process.exit());
-    };
-    // Without a handler, SIGHUP terminates the process.
-    process.on('SIGHUP', () => {
-      logger.info('reloading the settings');
-      daemon.reload?.();
-    });
-    STOP_SIGNALS.forEach((signal) => process.on(signal, handleSignal));
+  const startAbort = new AbortController();
+  let daemon: Daemon | undefined;
+  let isStopping = false;
+  let needsReload = false;
+
+  const exit = async (status: ExitStatus): Promise<void> => {
+    await logWriter
+      .drain(LOG_DRAIN_MS)
+      .catch((error: unknown) => process.stderr.write(`${formatProblem(error)}\n`));
+    // Idle keep-alive sockets, timers of libraries and components that have already started must not
+    // keep the process running.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(status);
+  };
+
+  const stop = async (running: Daemon): Promise<void> => {
+    try {
+      await running.stop();
+      logger.info('stopped');
+      await exit(ExitStatus.Success);
+    } catch (error) {
+      logger.error('graceful shutdown failed', { problem: formatProblem(error) });
+      await exit(ExitStatus.Failure);
+    }
+  };
+
+  const reload = (): void => {
+    logger.info('reloading the settings');
+    daemon?.reload?.();
+  };
+
+  signals.subscribe((signal) => {
+    // Signals that are sent together arrive in any order; a daemon that stops needs no new settings.
+    if (isStopping) return;
+    if (signal === 'SIGHUP') {
+      if (daemon === undefined) needsReload = true;
+      else reload();
+      return;
+    }
+    isStopping = true;
+    logger.info('stopping', { signal, isStarted: daemon !== undefined });
+    startAbort.abort();
+    if (daemon !== undefined) void stop(daemon);
   });
+
+  try {
+    daemon = await start(startAbort.signal);
+  } catch (error) {
+    if (!isStopping) {
+      process.stderr.write(`${formatProblem(error)}\n`);
+      await exit(getExitStatus(error));
+      return;
+    }
+    logger.info('stopped before the start was complete', { problem: formatProblem(error) });
+    await exit(ExitStatus.Success);
+    return;
+  }
+  if (isStopping) await stop(daemon);
+  // The settings may have changed after they were read.
+  else if (needsReload) reload();
 }
 
 /** Returns the value of `--settings FILE`; throws a usage error if the option is missing. */
