Let the soak see gateways that end by themselves, and their memory

The soak sent SIGHUP to gateways at any time and did not notice that one ended by it. A process that ends without SIGTERM, SIGINT or SIGKILL now breaks the rule keeps-running, with its end, age and last log line, and is started again as on the platform; resident memory over the limit of the VM breaks memory-limit. Gateways run with the options of deploy/system.toml.

--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -69,10 +69,11 @@
         const timers = createTimerService();
         for (let seed = firstSeed; seed < firstSeed + count; seed++) {
           const result = await runSoak({ ...size, seed, timers, buildFolder: BUILD_FOLDER });
-          const { violations, requests, answered, engineCrashes, workFolder } = result;
+          const { violations, requests, answered, engineCrashes, peakMemoryMb, workFolder } =
+            result;
           const outcome = violations.length === 0 ? 'no rule violated' : 'RULES VIOLATED';
           process.stdout.write(
-            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${workFolder}\n`,
+            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${Math.round(peakMemoryMb)} MB at most, ${workFolder}\n`,
           );
           if (violations.length === 0) continue;
           process.exitCode = ExitStatus.Failure;
--- a/src/demo/processes.ts
+++ b/src/demo/processes.ts
@@ -11,6 +11,8 @@
   /** Name of the bundle in the build folder, without `.js`. */
   binary: string;
   settings: unknown;
+  /** Options of Node.js; default: none. */
+  nodeOptions?: readonly string[];
 }
 
 /** Handle of a started process. */
@@ -23,6 +25,8 @@
   /** Resolves with the exit status, or with the signal that terminated the process. */
   exited: Promise<number | NodeJS.Signals>;
   sendSignal(signal: NodeJS.Signals): void;
+  /** Whether a signal was sent that ends the process. */
+  wasToldToEnd(): boolean;
   /** Sends SIGTERM, then SIGKILL if the process still runs after `deadlineMs` milliseconds. */
   stop(deadlineMs?: number): Promise<number | NodeJS.Signals>;
 }
@@ -42,6 +46,7 @@
   timers: TimerService;
 }
 
+const END_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set(['SIGTERM', 'SIGINT', 'SIGKILL']);
 const STOP_DEADLINE_MS = 10_000;
 
 /** Controllers stop first, because they release their leases on the platform when they stop. */
@@ -51,13 +56,13 @@
 export function createProcessRunner(options: ProcessRunnerOptions): ProcessRunner {
   const running = new Set<RunningProcess>();
 
-  const start = ({ name, binary, settings }: ProcessSpec): RunningProcess => {
+  const start = ({ name, binary, settings, nodeOptions = [] }: ProcessSpec): RunningProcess => {
     const settingsFile = join(options.workFolder, `${name}.yaml`);
     const logFile = join(options.workFolder, `${name}.log`);
     writeFileSync(settingsFile, stringify(settings));
     const log = openSync(logFile, 'a');
     const bundle = join(options.buildFolder, `${binary}.js`);
-    const child = spawn(process.execPath, [bundle, '--settings', settingsFile], {
+    const child = spawn(process.execPath, [...nodeOptions, bundle, '--settings', settingsFile], {
       stdio: ['ignore', log, log],
       env: { ...process.env, ROARR_LOG: 'true' },
     });
@@ -66,18 +71,22 @@
       child.once('exit', (code, signal) => resolve(code ?? signal ?? 0));
       child.once('error', () => resolve(1));
     });
+    let wasToldToEnd = false;
+    const sendSignal = (signal: NodeJS.Signals): void => {
+      wasToldToEnd ||= END_SIGNALS.has(signal);
+      child.kill(signal);
+    };
     const handle: RunningProcess = {
       name,
       binary,
       pid: child.pid ?? 0,
       logFile,
       exited,
-      sendSignal: (signal) => {
-        child.kill(signal);
-      },
+      sendSignal,
+      wasToldToEnd: () => wasToldToEnd,
       async stop(deadlineMs = STOP_DEADLINE_MS) {
-        child.kill('SIGTERM');
-        const cancel = options.timers.scheduleOnce(deadlineMs, () => child.kill('SIGKILL'));
+        sendSignal('SIGTERM');
+        const cancel = options.timers.scheduleOnce(deadlineMs, () => sendSignal('SIGKILL'));
         const status = await exited;
         cancel();
         return status;
--- a/src/stand-ins/soak/checks.test.ts
+++ b/src/stand-ins/soak/checks.test.ts
@@ -51,6 +51,21 @@
 
 /** Observations of a faulty system; each case violates exactly one rule. */
 const VIOLATING: { rule: Rule; name: string; fill(observations: Observations): void }[] = [
+  {
+    rule: Rule.KeepsRunning,
+    name: 'ends by a signal that does not stop it',
+    fill(observations) {
+      const lastLine = 'started';
+      observations.unplannedEnds.push({ gateway: GATEWAY, end: 'SIGHUP', ranMs: 40, lastLine });
+    },
+  },
+  {
+    rule: Rule.MemoryLimit,
+    name: 'holds more memory than its VM has',
+    fill(observations) {
+      observations.peakMemoryMb.set(GATEWAY, 351);
+    },
+  },
   {
     rule: Rule.OwnResponse,
     name: 'returns the response of another request',
--- a/src/stand-ins/soak/checks.ts
+++ b/src/stand-ins/soak/checks.ts
@@ -25,6 +25,10 @@
   ContainedCrashes = 'contained-crashes',
   /** An engine gets no more requests than the limit that it states allows, by the slack of the rule. */
   KeptLimits = 'kept-limits',
+  /** A gateway ends only when a signal tells it to. */
+  KeepsRunning = 'keeps-running',
+  /** The resident memory of a gateway keeps to the limit of its VM. */
+  MemoryLimit = 'memory-limit',
   /** Prompts that share other parts with the deadly ones are served meanwhile. */
   SoundPromptsServed = 'sound-prompts-served',
 }
@@ -39,6 +43,8 @@
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time after SIGTERM within which a gateway must exit; the platform kills it after 8 s. */
 export const MAX_STOP_MS = 8_000;
+/** Memory of an entry VM in the small deployments (`memory_mb` of the settings). */
+const MEMORY_LIMIT_MB = 350;
 
 function getAttemptId({ attemptId }: ObservedResponse): string {
   return attemptId;
@@ -165,6 +171,22 @@
   return violations;
 }
 
+function checkUnplannedEnds({ unplannedEnds }: Observations): Violation[] {
+  return unplannedEnds.map(({ gateway, end, ranMs, lastLine }) => ({
+    rule: Rule.KeepsRunning,
+    detail: `${gateway} ended by itself with ${end}, ${Math.round(ranMs)} ms after its start; last line: ${lastLine}`,
+  }));
+}
+
+function checkMemory({ peakMemoryMb }: Observations): Violation[] {
+  return [...peakMemoryMb]
+    .filter(([, peakMb]) => peakMb > MEMORY_LIMIT_MB)
+    .map(([gateway, peakMb]) => ({
+      rule: Rule.MemoryLimit,
+      detail: `${gateway} held ${Math.round(peakMb)} MB`,
+    }));
+}
+
 function checkJoins(observations: Observations): Violation[] {
   return observations.conflictingJoins.map(({ targetId, group, formerGroup }) => ({
     rule: Rule.OneGroup,
@@ -239,6 +261,8 @@
     checkVersions,
     checkStops,
     checkJoins,
+    checkUnplannedEnds,
+    checkMemory,
   ];
   return checks.flatMap((check) => check(observations));
 }
--- a/src/stand-ins/soak/gateways.ts
+++ b/src/stand-ins/soak/gateways.ts
@@ -1,9 +1,11 @@
+import { readFileSync } from 'node:fs';
 import { request } from 'undici';
 import type { TimerService } from '../../core/timers/index.ts';
 import { findFreePorts } from '../../demo/free-ports.ts';
 import type { ProcessRunner, RunningProcess } from '../../demo/processes.ts';
 import { waitUntil } from '../../demo/wait-until.ts';
 import { buildGatewaySettings } from './gateway-settings.ts';
+import type { Observations } from './observations.ts';
 import type { TcpProxy } from './tcp-proxy.ts';
 import { startTcpProxy } from './tcp-proxy.ts';
 
@@ -15,9 +17,11 @@
   storeProxy: TcpProxy;
   /** The current process; each restart replaces it. */
   process: RunningProcess;
-  /** Starts a new process; the previous one must have ended. */
+  /** Starts a new process if the previous one has ended. */
   restart(): void;
   waitUntilReady(): Promise<void>;
+  /** Lets a process that ends by itself stay ended. */
+  stopRestarting(): void;
 }
 
 /** Options of a gateway of a soak test. */
@@ -28,6 +32,7 @@
   storePort: number;
   timers: TimerService;
   runner: ProcessRunner;
+  observations: Pick<Observations, 'unplannedEnds' | 'peakMemoryMb'>;
 }
 
 const STORE_HOST = '127.0.0.1';
@@ -38,6 +43,27 @@
 const PORT_COUNT = 4;
 const READY_TIMEOUT_MS = 20_000;
 
+/** Options of deploy/system.toml. */
+const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
+const MEMORY_PERIOD_MS = 200;
+/** Delay before a process that ended is restarted, as on the platform. */
+export const RESTART_DELAY_MS = 300;
+const KB_PER_MB = 1_024;
+
+/** Reads the resident memory of a process; 0 if it has ended. */
+function readMemoryMb(pid: number): number {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    return Number(/VmRSS:\s+(?<kb>\d+)/.exec(status)?.groups?.kb ?? 0) / KB_PER_MB;
+  } catch {
+    return 0;
+  }
+}
+
+function readLastLine(file: string): string {
+  return readFileSync(file, 'utf8').trimEnd().split('\n').at(-1) ?? '';
+}
+
 /** Starts one gateway as a separate process. */
 export async function startSoakGateway(options: SoakGatewayOptions): Promise<SoakGateway> {
   const { seed, index, zone, timers, runner } = options;
@@ -47,10 +73,14 @@
   const storeProxy = await startTcpProxy(STORE_HOST, store, timers);
   const [callersPort = 0, readinessPort = 0, directoryPort = 0, peerPort = 0] =
     await findFreePorts(PORT_COUNT);
-  const start = (isFirstStart: boolean): RunningProcess =>
-    runner.start({
+  let isOver = false;
+  const { unplannedEnds, peakMemoryMb } = options.observations;
+  const start = (isFirstStart: boolean): RunningProcess => {
+    const startedMs = timers.getMonotonicMs();
+    const started = runner.start({
       name,
       binary: 'clementinefork-gateway',
+      nodeOptions: NODE_OPTIONS,
       settings: buildGatewaySettings({
         name,
         host,
@@ -63,6 +93,19 @@
         isFirstStart,
       }),
     });
+    const stopSampling = timers.subscribe(MEMORY_PERIOD_MS, () => {
+      peakMemoryMb.set(name, Math.max(peakMemoryMb.get(name) ?? 0, readMemoryMb(started.pid)));
+    });
+    void started.exited.then((end) => {
+      stopSampling();
+      if (started.wasToldToEnd() || isOver) return;
+      const ranMs = timers.getMonotonicMs() - startedMs;
+      unplannedEnds.push({ gateway: name, end, ranMs, lastLine: readLastLine(started.logFile) });
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- Set when a process ends.
+      timers.scheduleOnce(RESTART_DELAY_MS, () => gateway.restart());
+    });
+    return started;
+  };
 
   const gateway: SoakGateway = {
     name,
@@ -71,6 +114,8 @@
     storeProxy,
     process: start(true),
     restart() {
+      // A process that ended by itself and was killed then is started once only.
+      if (isOver || runner.isRunning(gateway.process)) return;
       gateway.process = start(false);
     },
     waitUntilReady: () =>
@@ -79,6 +124,9 @@
         await response.body.dump();
         return response.statusCode === 200 ? true : undefined;
       }).then(() => undefined),
+    stopRestarting() {
+      isOver = true;
+    },
   };
   return gateway;
 }
--- a/src/stand-ins/soak/inject-faults.ts
+++ b/src/stand-ins/soak/inject-faults.ts
@@ -2,6 +2,7 @@
 import type { StandInStore } from '../store/index.ts';
 import { StoreFault } from '../store/index.ts';
 import type { SoakGateway } from './gateways.ts';
+import { RESTART_DELAY_MS } from './gateways.ts';
 import type { Observations, PlannedStop } from './observations.ts';
 import type { PlannedFault } from './plan-faults.ts';
 import { FaultKind } from './plan-faults.ts';
@@ -26,8 +27,6 @@
 
 const STORE_FAULTS = Object.values(StoreFault).filter((fault) => fault !== StoreFault.None);
 const LINK_FAULTS = Object.values(ProxyMode).filter((mode) => mode !== ProxyMode.Pass);
-/** Delay before a process that ended is restarted, as on the platform. */
-const RESTART_DELAY_MS = 300;
 /** Faults that can break a response themselves, so that a planned stop may not be the cause. */
 const DISRUPTIVE_FAULTS: ReadonlySet<FaultKind> = new Set([
   FaultKind.PauseGateway,
--- a/src/stand-ins/soak/observations.ts
+++ b/src/stand-ins/soak/observations.ts
@@ -82,6 +82,17 @@
   isDisrupted: boolean;
 }
 
+/** A gateway process that ended although no signal told it to. */
+export interface UnplannedEnd {
+  gateway: string;
+  /** Exit status, or the signal that ended the process. */
+  end: number | string;
+  /** Time that the process ran. */
+  ranMs: number;
+  /** Last line of its log. */
+  lastLine: string;
+}
+
 /** Everything that callers, targets and the soak test itself observed during a run. */
 export interface Observations {
   requests: Map<string, SentRequest>;
@@ -93,6 +104,9 @@
   limitedArrivals: LimitedArrival[];
   /** Times at which a request crashed its engine. */
   engineCrashesMs: number[];
+  unplannedEnds: UnplannedEnd[];
+  /** Largest resident memory of each gateway's processes, in MB. */
+  peakMemoryMb: Map<string, number>;
 }
 
 /** Creates empty observations. */
@@ -106,5 +120,7 @@
     deadlyArrivals: [],
     limitedArrivals: [],
     engineCrashesMs: [],
+    unplannedEnds: [],
+    peakMemoryMb: new Map(),
   };
 }
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -47,6 +47,8 @@
   engineCrashes: number;
   /** Requests that reached engines after these had stated a limit. */
   limitedArrivals: number;
+  /** Largest resident memory of a gateway, in MB. */
+  peakMemoryMb: number;
   faults: string[];
   /** Folder with the settings and logs of the gateways. */
   workFolder: string;
@@ -112,6 +114,7 @@
           storePort: store.port,
           timers,
           runner,
+          observations,
         }),
       ),
     );
@@ -146,6 +149,7 @@
     await injected.finish();
     await callers.stop();
   } finally {
+    gateways.forEach(({ stopRestarting }) => stopRestarting());
     await runner.stopAll();
     await Promise.all(gateways.map(({ storeProxy }) => storeProxy.close()));
     await environment.close();
@@ -164,6 +168,7 @@
     limitedArrivals: observations.limitedArrivals.length,
     requests: observations.requests.size,
     answered: answered.length,
+    peakMemoryMb: Math.max(...observations.peakMemoryMb.values()),
     faults: faults.map(({ kind, atMs, forMs }) => {
       const [from, length] = [atMs, forMs].map((ms) => (ms / MS_PER_SECOND).toFixed(1));
       return `${from} s ${kind} for ${length} s`;
