Wait for ports that are in use when a daemon starts

Users: a gateway that starts while one of its ports is in use ends at once with status 1, and so does each that is started after it. It is one way in which processes end by themselves (FAULT); whether it is the one that the users saw is not known.

Cause: each part listened once, and any error ended the process, also one that passes when a predecessor has ended.

Evidence: with the port of callers, readiness, the directory or other gateways held by another process, the gateway ends with status 1 (4 of 4).

The entry daemon does the same. A process that is to stop, and other errors, end the wait at once.

--- a/src/cli/gateway/run-gateway.ts
+++ b/src/cli/gateway/run-gateway.ts
@@ -3,7 +3,7 @@
 import { startGateway } from '../../core/gateway/index.ts';
 import { createLogger } from '../../core/logs/index.ts';
 import type { SignalInbox } from '../../core/process/index.ts';
-import { runDaemon, runProgram } from '../../core/process/index.ts';
+import { createPortWaiter, runDaemon, runProgram } from '../../core/process/index.ts';
 import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import type { GatewaySettings } from '../../platform/index.ts';
@@ -21,10 +21,11 @@
 const logger = createLogger('gateway');
 const errorReporter = createErrorReporter(logger.error);
 
-async function start(file: string): ReturnType<typeof startGateway> {
+async function start(file: string, abortSignal: AbortSignal): ReturnType<typeof startGateway> {
   const readOwnSettings = (): GatewaySettings => readSettings(file, gatewaySettingsSchema);
   const settings = readOwnSettings();
   const timers = createTimerService((error) => errorReporter.report(ErrorOrigin.Timer, error));
+  const waitForPort = createPortWaiter({ timers, logger, abortSignal });
   return startGateway(settings, {
     timers,
     logger,
@@ -41,7 +42,9 @@
         readiness: settings.readiness,
         handleProblem: (problem) => logger.warn('metrics are not served', { problem }),
         metrics: { host: settings.ip, port: settings.metricsPort },
+        waitForPort,
       }),
+    waitForPort,
     // eslint-disable-next-line no-restricted-properties -- The only call of Math.random in the system.
     random: () => Math.random(),
     readSettings: readOwnSettings,
@@ -66,7 +69,8 @@
           logger,
           signals,
           errorReporter,
-          start: () => start(settings ?? process.env[SETTINGS_VARIABLE] ?? ''),
+          start: (abortSignal) =>
+            start(settings ?? process.env[SETTINGS_VARIABLE] ?? '', abortSignal),
         }),
     }),
   );
--- a/src/core/entry/create-entry-daemon.ts
+++ b/src/core/entry/create-entry-daemon.ts
@@ -10,6 +10,8 @@
 import { createMetrics } from '../metrics/index.ts';
 import { createPlatformClient } from '../object-api/index.ts';
 import type { Daemon } from '../process/index.ts';
+import type { WaitForPort } from '../process/port-waiter.ts';
+import { createPortWaiter } from '../process/port-waiter.ts';
 import { createPlatformRelay } from '../relay/index.ts';
 import type { Member, PeerLinks } from '../rpc/index.ts';
 import { createPeerLinks, createPeerServer, MemberSchema, MemberState } from '../rpc/index.ts';
@@ -58,9 +60,13 @@
   timers: TimerService,
   recorder: EventRecorder,
   links: PeerLinks,
+  waitForPort: WaitForPort,
 ): Promise<ClusterComponents> {
   const documents = createDocumentStore({ recorder });
-  const socket = await openDatagramSocket(settings.address, settings.ports.membership);
+  const { address, ports } = settings;
+  const socket = await waitForPort(`${address}:${ports.membership}`, () =>
+    openDatagramSocket(address, ports.membership),
+  );
   let documentSync: DocumentSync | undefined;
   const membership = createMembership({
     self,
@@ -94,12 +100,14 @@
   const recorder = createEventRecorder(settings.name, timers);
   const metrics = createMetrics(settings.metrics, { daemon: settings.name });
   const links = createPeerLinks();
+  const waitForPort = createPortWaiter({ timers, logger });
   const { documents, membership, documentSync } = await createClusterComponents(
     settings,
     self,
     timers,
     recorder,
     links,
+    waitForPort,
   );
   const platform = createPlatformClient({ ...settings.platform, timers });
   const relay = createPlatformRelay({
@@ -137,22 +145,27 @@
   });
   const getStatus = (): ReturnType<typeof buildStatus> =>
     buildStatus({ settings, documents, membership, health, requestPath });
-  const peers = await createPeerServer({
-    address: settings.address,
-    port: settings.ports.peers,
-    timers,
-    handlers: createPeerHandlers({
-      documents,
-      membership,
-      recorder,
-      granter,
-      router: requestPath.router,
-      watchTargets,
-      getStatus,
+  const peers = await waitForPort(`${settings.address}:${settings.ports.peers}`, () =>
+    createPeerServer({
+      address: settings.address,
+      port: settings.ports.peers,
+      timers,
+      handlers: createPeerHandlers({
+        documents,
+        membership,
+        recorder,
+        granter,
+        router: requestPath.router,
+        watchTargets,
+        getStatus,
+      }),
     }),
-  });
+  );
   targetComponents.start();
-  await requestPath.callerServer.start();
+  await waitForPort(
+    `${settings.address}:${settings.ports.callers}`,
+    requestPath.callerServer.start,
+  );
   recorder.record('entry', 'started', { daemon: settings.name });
   logger.info('listening', { name: settings.name, callers: settings.ports.callers });
 
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -17,6 +17,7 @@
 } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
+import type { PeerExchangeListener } from '../peers/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -266,7 +267,7 @@
     return isReady ? PeerState.Ready : PeerState.Starting;
   };
 
-  await peerExchange.start({
+  const peerListener: PeerExchangeListener = {
     getStatus: () => ({
       vmName,
       incarnation,
@@ -303,7 +304,8 @@
     handleEvidence: quarantine.receiveEvidence,
     handleAdvisories: advisories.receiveNotices,
     handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
-  });
+  };
+  await dependencies.waitForPort(peerAddress, () => peerExchange.start(peerListener));
   leaderElection.start({
     getHandoverState: () =>
       buildHandoverState(
@@ -374,15 +376,17 @@
     isReady: () => getState() === PeerState.Ready,
     renderMetrics: () => metrics.renderMetrics(getGaugeValues()),
   });
-  const server = await startCallerServer({
-    host: settings.callers.host,
-    port: settings.callers.port,
-    wire,
-    handler,
-    errorReporter,
-    timers,
-    isLeaving: () => stopRequestedMs !== undefined,
-  });
+  const server = await dependencies.waitForPort(callersAddress, () =>
+    startCallerServer({
+      host: settings.callers.host,
+      port: settings.callers.port,
+      wire,
+      handler,
+      errorReporter,
+      timers,
+      isLeaving: () => stopRequestedMs !== undefined,
+    }),
+  );
   storeView.onConfiguration(({ limits }) => server.setLimits(limits));
   logger.info('started', { vm: vmName, incarnation, callersAddress });
 
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -3,6 +3,7 @@
 import type { Target } from '../fleet/index.ts';
 import type { WireFormat } from '../forwarding/index.ts';
 import type { Logger } from '../logs/index.ts';
+import type { WaitForPort } from '../process/port-waiter.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { StoreClient, StoreObject } from '../store/index.ts';
 import type { TimerService } from '../timers/index.ts';
@@ -70,6 +71,7 @@
   decodeTarget(object: StoreObject, nowMs: number): Target | undefined;
   startAuxiliaryServers(handlers: AuxiliaryServerHandlers): Promise<{ close(): Promise<void> }>;
   random(): number;
+  waitForPort: WaitForPort;
   /** Reads the settings file again; throws if it is unreadable or invalid. */
   readSettings(): GatewayParameters;
 }
--- a/src/platform/auxiliary-servers.ts
+++ b/src/platform/auxiliary-servers.ts
@@ -1,6 +1,7 @@
 import fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { formatProblem } from '../core/errors/index.ts';
+import type { WaitForPort } from '../core/process/port-waiter.ts';
 import type { SocketAddress } from './settings.ts';
 
 /** Addresses that callers connect to, and how long they may cache them. */
@@ -14,6 +15,7 @@
   directory: SocketAddress;
   readiness: SocketAddress;
   metrics: SocketAddress;
+  waitForPort: WaitForPort;
   /** Returns undefined if no gateway is ready. */
   getDirectoryResponse(): DirectoryResponse | undefined;
   isReady(): boolean;
@@ -61,7 +63,11 @@
     [directory, options.directory],
     [readiness, options.readiness],
   ];
-  await Promise.all(servers.map(([app, address]) => app.listen(address)));
+  await Promise.all(
+    servers.map(([app, address]) =>
+      options.waitForPort(`${address.host}:${address.port}`, () => app.listen(address)),
+    ),
+  );
   // Another program may use the fixed metrics port; the gateway then runs without metrics.
   await metrics.listen(options.metrics).then(
     () => servers.push([metrics, options.metrics]),
