Send responses whole before a gateway that stops closes their connections

Cause: a request counts as done when its response has been handed to Node.js, and closing a Node.js server closes connections whose response has ended, although most of it is still in the memory of the process.

The gateway now waits for the responses that are not sent, until the limit.

--- a/src/core/gateway/caller-server.test.ts
+++ b/src/core/gateway/caller-server.test.ts
@@ -32,7 +32,13 @@
   openCaller(): RawCaller;
 }
 
-/** Starts a server whose handler answers with 200 after a while, or throws for the path `/broken`. */
+/** More than the buffers of the operating system take on loopback. */
+const LARGE_BODY = Buffer.alloc(16 * 1024 * 1024, 'x');
+
+/**
+ * Starts a server whose handler answers with 200 after a while, at once with a large body for the path
+ * `/large`, or throws for the path `/broken`.
+ */
 async function startSession(): Promise<Session> {
   let errors = 0;
   const errorReporter = createErrorReporter(() => undefined);
@@ -42,7 +48,8 @@
   const handler: RequestHandler = {
     handleRequest(request, _body, sink) {
       if (request.path === '/broken') throw new Error('broken');
-      timers.scheduleOnce(ANSWER_MS, () => sink.sendResponse(200, [], Buffer.from('whole')));
+      if (request.path === '/large') sink.sendResponse(200, [], LARGE_BODY);
+      else timers.scheduleOnce(ANSWER_MS, () => sink.sendResponse(200, [], Buffer.from('whole')));
       return undefined;
     },
     countInProgress: () => 0,
@@ -106,6 +113,33 @@
     });
   }
 
+  // Guards against a planned stop that cuts an answer while its caller is still reading it (LOST).
+  it('sends a large answer whole to a caller that reads it after the server has begun to close', async () => {
+    const { server, openCaller } = await startSession();
+    const caller = openCaller();
+    caller.socket.pause();
+    caller.socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n');
+    await timers.waitFor(ANSWER_MS);
+    const closed = server.close(STOP_LIMIT_MS);
+    await timers.waitFor(ANSWER_MS);
+    caller.socket.resume();
+    await Promise.all([caller.waitForEnd(), closed]);
+    const [, body = ''] = caller.getReceived().split('\r\n\r\n');
+    expect(body.length).toEqual(LARGE_BODY.length);
+  });
+
+  it('closes the connection of a caller that does not read its answer when the limit passes', async () => {
+    const { server, openCaller } = await startSession();
+    const caller = openCaller();
+    caller.socket.pause();
+    caller.socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n');
+    await timers.waitFor(ANSWER_MS);
+    expect(server.countUnsentResponses()).toEqual(1);
+    await server.close(ANSWER_MS);
+    expect(server.countUnsentResponses()).toEqual(0);
+    caller.socket.destroy();
+  });
+
   it('closes connections that send nothing more when the limit passes', async () => {
     const { server, openCaller } = await startSession();
     const caller = openCaller();
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -5,6 +5,7 @@
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin } from '../errors/index.ts';
 import type { CallerSink, WireFormat } from '../forwarding/index.ts';
+import { createUnsentResponses } from '../http/unsent-responses.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { RequestHandler } from './request-handler.ts';
@@ -33,9 +34,12 @@
   port: number;
   /** Applies the limits of a configuration to connections and to later requests. */
   setLimits(limits: CallerLimits): void;
+  /** Responses that callers have not taken whole yet. */
+  countUnsentResponses(): number;
   /**
-   * Stops accepting connections, and waits up to `limitMs` until the requests that callers have begun
-   * to send are answered; then closes what is left.
+   * Waits up to `limitMs` until callers have taken the responses that are under way, then stops
+   * accepting connections and waits until the requests that callers have begun to send are answered.
+   * Closes what is left at the limit.
    */
   close(limitMs: number): Promise<void>;
 }
@@ -108,6 +112,7 @@
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const { host, port, wire, handler, errorReporter, timers, isLeaving } = options;
   let limits = INITIAL_LIMITS;
+  const unsentResponses = createUnsentResponses();
   const app: FastifyInstance = fastify({
     bodyLimit: MAX_BODY_BYTES,
     keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
@@ -144,6 +149,7 @@
       return;
     }
     reply.hijack();
+    unsentResponses.track(reply.raw);
     const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
     try {
       handleCallerRequest(request.raw, reply.raw, body);
@@ -161,8 +167,10 @@
       app.server.headersTimeout = changed.headerTimeoutMs;
       app.server.keepAliveTimeout = changed.idleTimeoutMs + IDLE_MARGIN_MS;
     },
+    countUnsentResponses: unsentResponses.count,
     async close(limitMs) {
       const cancelLimit = timers.scheduleOnce(limitMs, () => app.server.closeAllConnections());
+      await unsentResponses.waitUntilSent();
       await new Promise<void>((resolve) => {
         app.server.close(() => resolve());
       });
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -426,6 +426,10 @@
       leaderElection.stop();
       const endMs = startMs + settings.graceMs - ABORT_MARGIN_MS;
       await drain(startMs, endMs);
+      logger.info('closing the connections of callers', {
+        unsentResponses: server.countUnsentResponses(),
+        sinceStopMs: Math.round(timers.getMonotonicMs() - startMs),
+      });
       await server.close(Math.max(0, endMs - timers.getMonotonicMs()));
       feeds.forEach((feed) => feed.stop());
       monitor.stop();
