Ignore target entries whose address is no IP address

Cause: the decoder took digits and dots for an address, and the client threw while forwardRequest had no exchange yet. Its deadline failed for the same reason, so that the request and its place at the target stayed taken.

The decoder refuses such an entry. The client reports a connection that cannot be built as not sent, after send has returned; the request goes elsewhere.

Tests: two entries of decode.test.ts and the address in target-client.test.ts fail on the code before.

--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -195,6 +195,37 @@
   });
 });
 
+describe('a target whose address is invalid', () => {
+  // Guards against an error thrown by `send`: the request and its place at the target stay taken, and
+  // its deadline cannot end it.
+  it('fails after send has returned, and has not got the request', async () => {
+    const client = createTargetClient(WIRE, timers);
+    const failures: SendFailure[] = [];
+    client.send(
+      {
+        request: { method: 'POST', path: '/' } as CallerRequest,
+        body: Buffer.from('x'),
+        target: { id: 't', address: '300.1.1.1:80' } as Target,
+        remainingMs: 1_000,
+        customer: undefined,
+        lastEventId: undefined,
+        isUrgent: false,
+      },
+      {
+        handleSent: () => undefined,
+        handleHead: () => undefined,
+        handleData: () => undefined,
+        handleEnd: () => undefined,
+        handleError: (failure) => failures.push(failure),
+      },
+    );
+    expect(failures).toEqual([]);
+    await timers.waitFor(END_DELAY_MS);
+    expect(failures).toEqual([SendFailure.NotSent]);
+    await client.close();
+  });
+});
+
 describe('probe of a listener', () => {
   // Guards against taking a target for crashed that only closed a connection, and the reverse.
   it('tells a process that accepts connections from one that has ended', async () => {
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -122,6 +122,14 @@
 ): TargetClient {
   const openClients = new Set<Client>();
 
+  /** Reports after `send` has returned that no connection could be created. */
+  const failBeforeSend = (listener: ExchangeListener, error: unknown): TargetExchange => {
+    const cancel = timers.scheduleOnce(0, () =>
+      listener.handleError(SendFailure.NotSent, formatProblem(error)),
+    );
+    return { cancel, pause: () => undefined, resume: () => undefined };
+  };
+
   return {
     send(request, listener) {
       const state: ConnectionState = {
@@ -130,7 +138,12 @@
         hasHead: false,
         isFramed: false,
       };
-      const client = createConnection(request.target.address, state);
+      let client: Client;
+      try {
+        client = createConnection(request.target.address, state);
+      } catch (error) {
+        return failBeforeSend(listener, error);
+      }
       openClients.add(client);
       let isDone = false;
       let wasSent = false;
--- a/src/core/peers/address.ts
+++ b/src/core/peers/address.ts
@@ -1,7 +1,7 @@
 import { isIPv4 } from 'node:net';
 
-/** IP address and UDP port of a gateway. */
-export interface PeerAddress {
+/** IP address and port of a gateway or a target. */
+export interface SocketAddress {
   host: string;
   port: number;
 }
@@ -9,7 +9,7 @@
 const MAX_PORT = 65_535;
 
 /** Parses `host:port` with an IPv4 address; undefined if it is not one that a socket can send to. */
-export function parseAddress(text: string): PeerAddress | undefined {
+export function parseAddress(text: string): SocketAddress | undefined {
   const [host = '', portText = '', ...rest] = text.split(':');
   const port = Number(portText);
   const isValid = isIPv4(host) && Number.isInteger(port) && port > 0 && port <= MAX_PORT;
--- a/src/platform/decode-target.ts
+++ b/src/platform/decode-target.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { GroupState } from '../core/fleet/index.ts';
 import type { Target } from '../core/fleet/index.ts';
+import { parseAddress } from '../core/peers/address.ts';
 import type { StoreObject } from '../core/store/index.ts';
 
 const READY_STATE = 'ready';
@@ -27,7 +28,7 @@
 
 const targetSchema = engineStateSchema.extend({
   service: z.string(),
-  address: z.string().regex(/^[\d.]+:\d+$/),
+  address: z.string().refine((address) => parseAddress(address) !== undefined),
   zone: z.string(),
   state: z.enum([READY_STATE, DRAINING_STATE]),
   cold_remaining_ms: z.number().default(0),
--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -79,6 +79,8 @@
     { name: 'a spec that is not an object', spec: 'bytes' },
     { name: 'a missing field', spec: { ...ENTRY, address: undefined } },
     { name: 'a field of another type', spec: { ...ENTRY, service: 7 } },
+    { name: 'an address that is no IP address', spec: { ...ENTRY, address: '300.1.1.1:80' } },
+    { name: 'a port that is out of range', spec: { ...ENTRY, address: '10.0.0.1:70000' } },
     { name: 'an unknown state', spec: { ...ENTRY, state: 'paused' } },
     {
       name: 'an unknown state of its group',
