--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -169,10 +169,16 @@
     },
     countUnsentResponses: unsentResponses.count,
     async close(limitMs) {
-      const cancelLimit = timers.scheduleOnce(limitMs, () => app.server.closeAllConnections());
+      let isLimitOver = false;
+      const cancelLimit = timers.scheduleOnce(limitMs, () => {
+        isLimitOver = true;
+        app.server.closeAllConnections();
+      });
       await unsentResponses.waitUntilSent();
       await new Promise<void>((resolve) => {
         app.server.close(() => resolve());
+        // Connections may have come since the limit, as the server was still open.
+        if (isLimitOver) app.server.closeAllConnections();
       });
       cancelLimit();
       await app.close();
--- a/src/core/gateway/evacuated-zones.ts
+++ b/src/core/gateway/evacuated-zones.ts
@@ -73,7 +73,7 @@
         // A zone that the copy lacks has not been taken back.
         stored.clear();
         rewrittenMs = timers.getMonotonicMs() + REWRITE_MS;
-        logZones('holds the evacuations of before the restoration', { forMs: REWRITE_MS });
+        logZones('keeps the evacuations from before the restoration', { forMs: REWRITE_MS });
       },
     },
   };
--- a/src/core/gateway/store-view.ts
+++ b/src/core/gateway/store-view.ts
@@ -91,7 +91,7 @@
     cancelGracePeriodEnd();
     cancelGracePeriodEnd = timers.scheduleOnce(EXPIRED_ENTRY_GRACE_MS, endGracePeriod);
     isGracePeriod = true;
-    logger.info('missing entries do not mean that their targets are gone for now', {
+    logger.info('the grace period of missing entries has begun', {
       graceMs: EXPIRED_ENTRY_GRACE_MS,
     });
   };
