Read the settings again if they are being written when a gateway starts

Users: a gateway that starts while the platform changes its settings file ends with status 2. It is one way in which processes end by themselves (FAULT); whether it is the one that the users saw is not known.

Cause: the file was read once, and an error ended the process.

Evidence: with half a file, an empty one and none, the gateway ends with status 2 (3 of 3). The wait for ports shares the repetition.

--- a/src/cli/gateway/run-gateway.ts
+++ b/src/cli/gateway/run-gateway.ts
@@ -3,7 +3,12 @@
 import { startGateway } from '../../core/gateway/index.ts';
 import { createLogger } from '../../core/logs/index.ts';
 import type { SignalInbox } from '../../core/process/index.ts';
-import { createPortWaiter, runDaemon, runProgram } from '../../core/process/index.ts';
+import {
+  createPortWaiter,
+  readSettingsAtStart,
+  runDaemon,
+  runProgram,
+} from '../../core/process/index.ts';
 import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import type { GatewaySettings } from '../../platform/index.ts';
@@ -23,8 +28,8 @@
 
 async function start(file: string, abortSignal: AbortSignal): ReturnType<typeof startGateway> {
   const readOwnSettings = (): GatewaySettings => readSettings(file, gatewaySettingsSchema);
-  const settings = readOwnSettings();
   const timers = createTimerService((error) => errorReporter.report(ErrorOrigin.Timer, error));
+  const settings = await readSettingsAtStart(readOwnSettings, { timers, logger, abortSignal });
   const waitForPort = createPortWaiter({ timers, logger, abortSignal });
   return startGateway(settings, {
     timers,
--- a/src/core/process/index.ts
+++ b/src/core/process/index.ts
@@ -3,6 +3,7 @@
 export { ExitStatus } from './exit-status.ts';
 export { createPortWaiter } from './port-waiter.ts';
 export type { WaitForPort } from './port-waiter.ts';
+export { readSettingsAtStart } from './read-at-start.ts';
 export { getExitStatus, requireSettingsFile, runAndReportErrors, runDaemon } from './run-daemon.ts';
 export type { Daemon, DaemonOptions } from './run-daemon.ts';
 export { runProgram } from './run-program.ts';
--- a/src/core/process/port-waiter.ts
+++ b/src/core/process/port-waiter.ts
@@ -1,15 +1,13 @@
 import type { Logger } from '../logs/index.ts';
-import type { TimerService } from '../timers/index.ts';
+import type { RetryOptions } from './retry-while.ts';
+import { retryWhilePassing } from './retry-while.ts';
 
 /** Opens a port, and tries again while another process uses it; rejects as `open` does otherwise. */
 export type WaitForPort = <Value>(address: string, open: () => Promise<Value>) => Promise<Value>;
 
 /** Options of `createPortWaiter`. */
-export interface PortWaiterOptions {
-  timers: Pick<TimerService, 'getMonotonicMs' | 'waitFor'>;
+export interface PortWaiterOptions extends Pick<RetryOptions, 'timers' | 'abortSignal'> {
   logger: Logger;
-  /** Ends the wait, as the process is to stop. */
-  abortSignal?: AbortSignal;
 }
 
 const RETRY_MS = 200;
@@ -21,20 +19,13 @@
 }
 
 /** Creates a function that waits for ports that a predecessor, or any other process, still uses. */
-export function createPortWaiter({ timers, logger, abortSignal }: PortWaiterOptions): WaitForPort {
-  return async (address, open) => {
-    const startMs = timers.getMonotonicMs();
-    for (let tries = 1; ; tries++) {
-      try {
-        const value = await open();
-        if (tries > 1) logger.info('the port is free', { address, tries });
-        return value;
-      } catch (error) {
-        const isOver = timers.getMonotonicMs() - startMs >= LIMIT_MS;
-        if (!isAddressInUse(error) || isOver || abortSignal?.aborted === true) throw error;
-        if (tries === 1) logger.warn('the port is in use; waiting for it', { address });
-      }
-      await timers.waitFor(RETRY_MS, abortSignal);
-    }
-  };
+export function createPortWaiter({ logger, ...waiting }: PortWaiterOptions): WaitForPort {
+  return (address, open) =>
+    retryWhilePassing(open, {
+      ...waiting,
+      isPassing: isAddressInUse,
+      pauseMs: RETRY_MS,
+      limitMs: LIMIT_MS,
+      handleFirstFailure: () => logger.warn('the port is in use; waiting for it', { address }),
+    });
 }
