Name transient errors by their usual term

A rename in retry-while.ts and its two users, and a reflowed comment in build.mjs; no behaviour changes. Types and lint of the whole project, format of the changed folders and 16 tests of port-waiter, unfinished-settings and early-signals pass.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,6 @@
-// Bundles each command of src/cli into one JavaScript file, with chunks for what it loads later. Bundles all commands unless some are named
-// as arguments, and writes to dist/ unless `--out FOLDER` names another folder.
+// Bundles each command of src/cli into one JavaScript file, and into chunks what the command loads later.
+// Bundles all commands unless some are named as arguments, and writes to dist/ unless `--out FOLDER` names
+// another folder.
 import { existsSync, readdirSync, rmSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { build } from 'esbuild';
--- a/src/core/process/port-waiter.ts
+++ b/src/core/process/port-waiter.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '../logs/index.ts';
 import type { RetryOptions } from './retry-while.ts';
-import { retryWhilePassing } from './retry-while.ts';
+import { retryWhileTransient } from './retry-while.ts';
 
 /** Opens a port, and tries again while another process uses it; rejects as `open` does otherwise. */
 export type WaitForPort = <Value>(address: string, open: () => Promise<Value>) => Promise<Value>;
@@ -21,9 +21,9 @@
 /** Creates a function that waits for ports that a predecessor, or any other process, still uses. */
 export function createPortWaiter({ logger, ...waiting }: PortWaiterOptions): WaitForPort {
   return (address, open) =>
-    retryWhilePassing(open, {
+    retryWhileTransient(open, {
       ...waiting,
-      isPassing: isAddressInUse,
+      isTransient: isAddressInUse,
       pauseMs: RETRY_MS,
       limitMs: LIMIT_MS,
       handleFirstFailure: () => logger.warn('the port is in use; waiting for it', { address }),
--- a/src/core/process/read-at-start.ts
+++ b/src/core/process/read-at-start.ts
@@ -1,7 +1,7 @@
 import { ErrorKind, formatProblem, isServingError } from '../errors/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { RetryOptions } from './retry-while.ts';
-import { retryWhilePassing } from './retry-while.ts';
+import { retryWhileTransient } from './retry-while.ts';
 
 /** Options of `readSettingsAtStart`. */
 export interface StartReadOptions extends Pick<RetryOptions, 'timers' | 'abortSignal'> {
@@ -27,9 +27,9 @@
   read: () => Settings,
   { logger, ...waiting }: StartReadOptions,
 ): Promise<Settings> {
-  return retryWhilePassing(read, {
+  return retryWhileTransient(read, {
     ...waiting,
-    isPassing: isSettingsError,
+    isTransient: isSettingsError,
     pauseMs: RETRY_MS,
     limitMs: LIMIT_MS,
     handleFirstFailure: (error) =>
--- a/src/core/process/retry-while.ts
+++ b/src/core/process/retry-while.ts
@@ -5,15 +5,15 @@
   timers: Pick<TimerService, 'getMonotonicMs' | 'waitFor'>;
   /** Ends the wait, as the process is to stop. */
   abortSignal?: AbortSignal | undefined;
-  /** Whether the error may pass; any other one is thrown at once. */
-  isPassing(error: unknown): boolean;
+  /** Whether the error is transient; any other one is thrown at once. */
+  isTransient(error: unknown): boolean;
   pauseMs: number;
   limitMs: number;
   handleFirstFailure(error: unknown): void;
 }
 
-/** Repeats an attempt while it fails with an error that may pass; throws the last error otherwise. */
-export async function retryWhilePassing<Value>(
+/** Repeats an attempt while it fails with a transient error; throws the last error otherwise. */
+export async function retryWhileTransient<Value>(
   attempt: () => Value | Promise<Value>,
   options: RetryOptions,
 ): Promise<Value> {
@@ -24,7 +24,7 @@
       return await attempt();
     } catch (error) {
       const isOver = timers.getMonotonicMs() - startMs >= options.limitMs;
-      if (!options.isPassing(error) || isOver || abortSignal?.aborted === true) throw error;
+      if (!options.isTransient(error) || isOver || abortSignal?.aborted === true) throw error;
       if (tries === 1) options.handleFirstFailure(error);
     }
     await timers.waitFor(options.pauseMs, abortSignal);
