Log when a gateway comes near its memory, and what it holds then

Nothing in the logs of a gateway told why its process ended: a process that is killed for its memory, or whose heap is full, writes no last line. It now measures its memory four times a second and logs from 80 % of the VM's memory (limits.memory_mb of the settings) or of the heap, with the requests in progress and the answers that callers have not read.

The metrics have the same figures (heap_memory_bytes, external_memory_bytes, memory_limit_bytes).

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -21,6 +21,7 @@
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
+import { measureMemory, startMemoryMonitor } from '../memory/index.ts';
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
 import { startCallerServer } from './caller-server.ts';
 import { planReload } from './plan-reload.ts';
@@ -368,6 +369,8 @@
     dutyTerm: leaderElection.getTerm(),
     quarantinedSets: quarantine.countEntries(),
     limitedTargets: advisories.countLimits(),
+    memory: measureMemory(),
+    memoryLimitBytes: settings.memoryLimitBytes,
     configurationVersion: storeView.getRoutingTable()?.version ?? 0,
   });
 
@@ -388,6 +391,16 @@
     }),
   );
   storeView.onConfiguration(({ limits }) => server.setLimits(limits));
+  const stopMemoryMonitor = startMemoryMonitor({
+    timers,
+    logger,
+    limitBytes: settings.memoryLimitBytes,
+    measure: measureMemory,
+    getHeldCounts: () => ({
+      inProgress: handler.countInProgress(),
+      unsentResponses: server.countUnsentResponses(),
+    }),
+  });
   logger.info('started', { vm: vmName, incarnation, callersAddress });
 
   /** Waits for requests in progress; new ones are refused after `ACCEPT_AFTER_STOP_MS`. */
@@ -436,6 +449,7 @@
       advisories.stop();
       peerExchange.stop();
       metrics.stop();
+      stopMemoryMonitor();
       await Promise.all([auxiliaryServers.close(), client.close(), store.close()]);
     },
   };
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
+import type { MemoryUsage } from '../memory/index.ts';
 import type { StoreCallResult, StoreKind } from '../store/index.ts';
 import type { GroupCount, TargetCount } from './fleet-counts.ts';
 
@@ -22,6 +23,8 @@
   configurationVersion: number;
   quarantinedSets: number;
   limitedTargets: number;
+  memory: MemoryUsage;
+  memoryLimitBytes: number;
 }
 
 /** Counters, histograms and gauges of one gateway. */
@@ -134,6 +137,15 @@
     'Targets that limit the requests of all gateways together.',
   );
   const residentMemory = createGauge('resident_memory_bytes', 'Resident memory of the process.');
+  const heapMemory = createGauge('heap_memory_bytes', 'JavaScript objects in use.');
+  const externalMemory = createGauge(
+    'external_memory_bytes',
+    'Buffers and other memory outside the JavaScript heap.',
+  );
+  const memoryLimit = createGauge(
+    'memory_limit_bytes',
+    'Resident memory above which the process is killed.',
+  );
   const eventLoopDelay = createGauge(
     'event_loop_delay_seconds',
     'Delay of the event loop, 99th centile.',
@@ -154,7 +166,10 @@
     configurationVersion.set(values.configurationVersion);
     quarantinedSets.set(values.quarantinedSets);
     limitedTargets.set(values.limitedTargets);
-    residentMemory.set(process.memoryUsage.rss());
+    residentMemory.set(values.memory.residentBytes);
+    heapMemory.set(values.memory.heapBytes);
+    externalMemory.set(values.memory.externalBytes);
+    memoryLimit.set(values.memoryLimitBytes);
     eventLoopDelay.set(loopDelay.percentile(99) / NS_PER_SECOND);
     loopDelay.reset();
   };
--- a/src/core/gateway/plan-reload.test.ts
+++ b/src/core/gateway/plan-reload.test.ts
@@ -9,6 +9,7 @@
   capacity: 675,
   callers: { host: '10.0.0.1', port: 80 },
   peerPort: 7_000,
+  memoryLimitBytes: 350 * 1024 * 1024,
   leavingBoundMs: 2_000,
   configurationBoundMs: 2_000,
   evacuationBoundMs: 5_000,
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -20,6 +20,8 @@
   availabilityZone: string;
   /** CPU capacity of the VM in millicores; the VMs with the most become hubs. */
   capacity: number;
+  /** Memory above which the platform kills the process. */
+  memoryLimitBytes: number;
   /** Address that callers connect to. */
   callers: ListenAddress;
   /** UDP port of the packets between gateways. */
--- /dev/null
+++ b/src/core/memory/index.ts
@@ -0,0 +1,5 @@
+export { BYTES_PER_MB } from './consts.ts';
+export { measureMemory } from './measure-memory.ts';
+export { startMemoryMonitor } from './memory-monitor.ts';
+export type { MemoryMonitorOptions } from './memory-monitor.ts';
+export type { MemoryUsage } from './types.ts';
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -1,8 +1,12 @@
 import { z } from 'zod';
+import { BYTES_PER_MB } from '../core/memory/index.ts';
 
 /** Environment variable with the path of the platform's settings file. */
 export const SETTINGS_VARIABLE = 'CLEMENTINEFORK_CONFIG';
 
+/** Memory limit that holds if the file states none. */
+const DEFAULT_MEMORY_MB = 350;
+
 const socketSchema = z.string().regex(/^[^:]+:\d+$/);
 
 /** Fields of the platform's settings file that the gateway reads; others are ignored. */
@@ -13,7 +17,11 @@
   listen: z.object({ front: socketSchema, ready: socketSchema, directory: socketSchema }),
   internal_port_range: z.tuple([z.number(), z.number()]),
   bootstrap: z.boolean().default(false),
-  limits: z.object({ cpu_share: z.number(), cores: z.number() }),
+  limits: z.object({
+    cpu_share: z.number(),
+    cores: z.number(),
+    memory_mb: z.number().positive().default(DEFAULT_MEMORY_MB),
+  }),
   bounds: z.object({
     drain_ms: z.number(),
     config_apply_ms: z.number(),
@@ -43,6 +51,8 @@
   availabilityZone: string;
   /** CPU capacity of the VM in millicores; the VMs with the most become hubs. */
   capacity: number;
+  /** Memory above which the platform kills the process. */
+  memoryLimitBytes: number;
   /** Address that callers connect to. */
   callers: SocketAddress;
   /** Address that the platform's readiness checks connect to. */
@@ -93,6 +103,7 @@
   ip: file.ip,
   availabilityZone: file.zone,
   capacity: Math.round(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
+  memoryLimitBytes: file.limits.memory_mb * BYTES_PER_MB,
   callers: parseSocket(file.listen.front),
   readiness: parseSocket(file.listen.ready),
   directory: parseSocket(file.listen.directory),
