--- a/src/stand-ins/soak/gateways.ts
+++ b/src/stand-ins/soak/gateways.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from '../../core/timers/index.ts';
 import { findFreePorts } from '../../demo/free-ports.ts';
 import type { ProcessRunner, RunningProcess } from '../../demo/processes.ts';
+import { readResidentMb } from '../../demo/resident-memory.ts';
 import { waitUntil } from '../../demo/wait-until.ts';
 import { buildGatewaySettings } from './gateway-settings.ts';
 import type { Observations } from './observations.ts';
@@ -44,21 +45,10 @@
 const READY_TIMEOUT_MS = 20_000;
 
 /** Options of deploy/system.toml. */
-const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
+export const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
 const MEMORY_PERIOD_MS = 200;
 /** Delay before a process that ended is restarted, as on the platform. */
 export const RESTART_DELAY_MS = 300;
-const KB_PER_MB = 1_024;
-
-/** Reads the resident memory of a process; 0 if it has ended. */
-function readMemoryMb(pid: number): number {
-  try {
-    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-    return Number(/VmRSS:\s+(?<kb>\d+)/.exec(status)?.groups?.kb ?? 0) / KB_PER_MB;
-  } catch {
-    return 0;
-  }
-}
 
 function readLastLine(file: string): string {
   return readFileSync(file, 'utf8').trimEnd().split('\n').at(-1) ?? '';
@@ -94,7 +84,7 @@
       }),
     });
     const stopSampling = timers.subscribe(MEMORY_PERIOD_MS, () => {
-      peakMemoryMb.set(name, Math.max(peakMemoryMb.get(name) ?? 0, readMemoryMb(started.pid)));
+      peakMemoryMb.set(name, Math.max(peakMemoryMb.get(name) ?? 0, readResidentMb(started.pid)));
     });
     void started.exited.then((end) => {
       stopSampling();
--- a/test/processes/gateway-session.ts
+++ b/test/processes/gateway-session.ts
@@ -1,6 +1,6 @@
 import { mkdirSync, mkdtempSync } from 'node:fs';
 import { createServer } from 'node:http';
-import type { IncomingHttpHeaders, Server } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { join } from 'node:path';
 import { request } from 'undici';
 import type { TimerService } from '../../src/core/timers/index.ts';
@@ -16,8 +16,8 @@
 const BUILD_FOLDER = 'dist';
 const OUTPUT_FOLDER = 'out';
 const HOST = '127.0.0.1';
-/** Loopback address that only the gateway uses, so that its ports don't collide with other tests. */
-const GATEWAY_HOST = '127.0.0.21';
+/** Loopback address of gateways; tests that run at the same time use different ones. */
+const DEFAULT_GATEWAY_HOST = '127.0.0.21';
 const READY_LIMIT_MS = 20_000;
 /** Number of ports that the gateway and the target need. */
 const PORT_COUNT = 5;
@@ -33,6 +33,8 @@
   timers: TimerService;
   store: StandInStore;
   gateway: RunningProcess;
+  /** Address that callers connect to. */
+  callers: { host: string; port: number };
   /** Requests that the target has received, oldest first. */
   calls: TargetCall[];
   /** Sets the time that the target takes to answer, in milliseconds. */
@@ -42,6 +44,8 @@
   /** Returns the HTTP status of the readiness endpoint. */
   fetchReadiness(): Promise<number>;
   fetchMetrics(): Promise<string>;
+  /** Repeats a POST request until the target answers it; throws after some seconds. */
+  waitForAnswer(path: string): Promise<void>;
   /** Sends a POST request with an API key, and returns status and body. */
   sendRequest(path: string, key?: string): Promise<{ status: number; body: string }>;
   stop(): Promise<void>;
@@ -50,7 +54,24 @@
 /** Metrics port of every gateway; it must match deploy/system.toml. */
 const METRICS_PORT = 9_464;
 
-function buildConfiguration(): object {
+/** Options of a session. */
+export interface GatewaySessionOptions {
+  /** Loopback address of the gateway. */
+  host?: string;
+  /** Options of Node.js for the gateway. */
+  nodeOptions?: readonly string[];
+  /** Largest body that callers may send. */
+  maxBodyBytes?: number;
+  /** Time limit of the route. */
+  timeoutMs?: number;
+  /** Responds for the target; default: a short answer after the time set with `setWorkMs`. */
+  respond?: (request: IncomingMessage, response: ServerResponse) => void;
+}
+
+const DEFAULT_MAX_BODY_BYTES = 65_536;
+const DEFAULT_TIMEOUT_MS = 5_000;
+
+function buildConfiguration(maxBodyBytes: number, timeoutMs: number): object {
   return {
     version: 3,
     routes: [
@@ -59,7 +80,7 @@
         host: 'orders.example',
         path_prefix: '/orders/',
         kind: 'non_idempotent',
-        timeout_ms: 5000,
+        timeout_ms: timeoutMs,
         target_latency_ms: 1000,
         service: 'order-app',
         max_attempts: 1,
@@ -68,7 +89,7 @@
     services: [{ name: 'order-app' }],
     limits: {
       max_header_bytes: 16384,
-      max_body_bytes: 65536,
+      max_body_bytes: maxBodyBytes,
       header_timeout_ms: 3000,
       idle_timeout_ms: 15000,
     },
@@ -77,13 +98,20 @@
 }
 
 /** Starts the session; the gateway is ready when the promise resolves. */
-export async function startGatewaySession(): Promise<GatewaySession> {
+export async function startGatewaySession(
+  options: GatewaySessionOptions = {},
+): Promise<GatewaySession> {
+  const gatewayHost = options.host ?? DEFAULT_GATEWAY_HOST;
   const timers = createTimerService();
   const store = await createStandInStore();
   const calls: TargetCall[] = [];
   let workMs = 0;
   const target: Server = createServer((incoming, response) => {
     calls.push({ url: incoming.url ?? '', headers: incoming.headers });
+    if (options.respond !== undefined) {
+      options.respond(incoming, response);
+      return;
+    }
     timers.scheduleOnce(workMs, () => {
       response.setHeader('X-Response-Signature', 'signed');
       response.end('booked');
@@ -94,7 +122,12 @@
   await new Promise<void>((resolve) => {
     target.listen(targetPort, HOST, resolve);
   });
-  store.putObject('config', 'main', buildConfiguration());
+  const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  store.putObject(
+    'config',
+    'main',
+    buildConfiguration(maxBodyBytes, options.timeoutMs ?? DEFAULT_TIMEOUT_MS),
+  );
   store.putObject('servers', 'i-1', {
     service: 'order-app',
     address: `${HOST}:${targetPort}`,
@@ -108,9 +141,10 @@
   const gateway = runner.start({
     name: 'gateway-1',
     binary: 'clementinefork-gateway',
+    nodeOptions: options.nodeOptions ?? [],
     settings: buildGatewaySettings({
       name: 'gateway-1',
-      host: GATEWAY_HOST,
+      host: gatewayHost,
       zone: 'sofia-a',
       callersPort: callers,
       readinessPort: ready,
@@ -122,7 +156,7 @@
   });
 
   const fetchReadiness = async (): Promise<number> => {
-    const answer = await request(`http://${GATEWAY_HOST}:${ready}/ready`);
+    const answer = await request(`http://${gatewayHost}:${ready}/ready`);
     await answer.body.dump();
     return answer.statusCode;
   };
@@ -130,37 +164,45 @@
     (await fetchReadiness()) === 200 ? true : undefined,
   );
 
+  const sendRequest: GatewaySession['sendRequest'] = async (path, key = 'key-1') => {
+    const answer = await request(`http://${gatewayHost}:${callers}${path}`, {
+      method: 'POST',
+      headers: {
+        host: 'orders.example',
+        authorization: `Bearer ${key}`,
+        'x-attempt-id': 'attempt-1',
+        'x-deadline-ms': '4000',
+      },
+      body: 'two pallets',
+    });
+    return { status: answer.statusCode, body: await answer.body.text() };
+  };
+
   return {
     timers,
     store,
     gateway,
+    callers: { host: gatewayHost, port: callers },
     calls,
     setWorkMs: (value) => {
       workMs = value;
     },
     fetchReadiness,
     async fetchMetrics() {
-      const answer = await request(`http://${GATEWAY_HOST}:${METRICS_PORT}/metrics`);
+      const answer = await request(`http://${gatewayHost}:${METRICS_PORT}/metrics`);
       return answer.body.text();
     },
     async fetchAddresses() {
       const query = 'name=orders.example&region=sofia&zone=sofia-a';
-      const answer = await request(`http://${GATEWAY_HOST}:${directory}/resolve?${query}`);
+      const answer = await request(`http://${gatewayHost}:${directory}/resolve?${query}`);
       const { addresses } = (await answer.body.json()) as { addresses: string[] };
       return addresses;
     },
-    async sendRequest(path, key = 'key-1') {
-      const answer = await request(`http://${GATEWAY_HOST}:${callers}${path}`, {
-        method: 'POST',
-        headers: {
-          host: 'orders.example',
-          authorization: `Bearer ${key}`,
-          'x-attempt-id': 'attempt-1',
-          'x-deadline-ms': '4000',
-        },
-        body: 'two pallets',
-      });
-      return { status: answer.statusCode, body: await answer.body.text() };
+    sendRequest,
+    async waitForAnswer(path) {
+      await waitUntil('answer of the target', timers, READY_LIMIT_MS, async () =>
+        (await sendRequest(path)).status === 200 ? true : undefined,
+      );
     },
     async stop() {
       await runner.stopAll();
