Bound the bodies that a gateway holds by the memory of its VM

Callers saw gateways end: with servers that read bodies of 4 MB slowly, or callers that stop in the middle of their bodies, a gateway held over 350 MB and was killed, with all requests that it had taken, again after each start.

Cause: each body was read whole, up to 8 MB, on any number of connections, and kept until the request ended; no figure of the settings was related to it.

A body now has to fit into a memory budget, 30 % of limits.memory_mb, before it is read: a request whose declared length does not fit is refused at once with 503 and Retry-After, and a chunked one as soon as it does not. Large requests leave a quarter of the budget to small ones. A body has to arrive before the deadline of its caller. Requests that are certain to be refused, for their route, key or length, are refused before their bodies are read. Fastify hands requests over before it reads anything, so that a body of a GET request reaches its target and an invalid content type no longer gets 415.

The cases of caller-server.test.ts for a GET body and an invalid content type are new.

--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -1,5 +1,6 @@
 import type { Advisories } from '../advisories/index.ts';
 import type { Target, TargetMonitor, RequestHandle } from '../fleet/index.ts';
+import type { MemoryAccount } from '../memory/index.ts';
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
@@ -21,6 +22,8 @@
 export interface RoutedRequest {
   request: CallerRequest;
   body: Buffer;
+  /** Memory that is held for the request and its response. */
+  account: MemoryAccount;
   route: CustomerRoute;
   service: ServiceSpec;
   customer: string | undefined;
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -122,4 +122,8 @@
   Quarantined = 'quarantined',
   /** The body of the request is larger than the configuration allows. */
   TooLarge = 'too-large',
+  /** The memory budget has no room for the request. */
+  MemoryFull = 'memory-full',
+  /** The caller did not send the whole body in time. */
+  BodyTimeout = 'body-timeout',
 }
--- a/src/core/gateway/caller-server.test.ts
+++ b/src/core/gateway/caller-server.test.ts
@@ -4,7 +4,10 @@
 import { expect } from 'earl';
 import { createErrorReporter } from '../errors/index.ts';
 import type { CallerRequest, WireFormat } from '../forwarding/index.ts';
+import { FailureReason } from '../forwarding/index.ts';
 import { createTimerService } from '../timers/index.ts';
+import type { MemoryBudget } from '../memory/index.ts';
+import { createMemoryBudget } from '../memory/index.ts';
 import type { CallerServer } from './caller-server.ts';
 import { startCallerServer } from './caller-server.ts';
 import type { RequestHandler } from './request-handler.ts';
@@ -13,10 +16,21 @@
 const STOP_LIMIT_MS = 2_000;
 const ANSWER_MS = 100;
 const MAX_SENT_BYTES = 32 * 1024 * 1024;
+const BUDGET_BYTES = 1024 * 1024;
+const NO_BODY = Buffer.alloc(0);
+const STATUS_BY_REASON = {
+  [FailureReason.TooLarge]: 413,
+  [FailureReason.MemoryFull]: 503,
+  [FailureReason.BodyTimeout]: 408,
+} as const;
 const timers = createTimerService();
 
 const WIRE: Pick<WireFormat, 'parseRequest'> = {
-  parseRequest: (method, path) => ({ method, path }) as CallerRequest,
+  parseRequest(method, path, rawHeaders) {
+    const deadline = rawHeaders[rawHeaders.indexOf('X-Deadline') + 1];
+    const deadlineMs = rawHeaders.includes('X-Deadline') ? Number(deadline) : undefined;
+    return { method, path, deadlineMs } as CallerRequest;
+  },
 };
 
 /** A caller on one connection, which collects what it receives. */
@@ -28,6 +42,7 @@
 
 interface Session {
   server: CallerServer;
+  budget: MemoryBudget;
   countErrors(): number;
   openCaller(): RawCaller;
 }
@@ -37,28 +52,33 @@
 
 /**
  * Starts a server whose handler answers with 200 after a while, at once with a large body for the path
- * `/large`, or throws for the path `/broken`.
+ * `/large` or with the body of the request for `/echo`, or throws for the path `/broken`.
  */
-async function startSession(): Promise<Session> {
+async function startSession(isLeaving = true): Promise<Session> {
   let errors = 0;
   const errorReporter = createErrorReporter(() => undefined);
   errorReporter.subscribe(() => {
     errors++;
   });
   const handler: RequestHandler = {
-    handleRequest(request, _body, sink) {
+    refuseUnread: () => false,
+    refuse: (_request, sink, reason) => sink.sendResponse(STATUS_BY_REASON[reason], [], NO_BODY),
+    handleRequest(request, body, _account, sink) {
       if (request.path === '/broken') throw new Error('broken');
-      if (request.path === '/large') sink.sendResponse(200, [], LARGE_BODY);
+      if (request.path === '/echo') sink.sendResponse(200, [], body);
+      else if (request.path === '/large') sink.sendResponse(200, [], LARGE_BODY);
       else timers.scheduleOnce(ANSWER_MS, () => sink.sendResponse(200, [], Buffer.from('whole')));
       return undefined;
     },
     countInProgress: () => 0,
     hasReceivedRequests: () => true,
   };
-  const options = { host: HOST, port: 0, wire: WIRE, handler, errorReporter, timers };
-  const server = await startCallerServer({ ...options, isLeaving: () => true });
+  const budget = createMemoryBudget(BUDGET_BYTES);
+  const options = { host: HOST, port: 0, wire: WIRE, handler, budget, errorReporter, timers };
+  const server = await startCallerServer({ ...options, isLeaving: () => isLeaving });
   return {
     server,
+    budget,
     countErrors: () => errors,
     openCaller() {
       const socket = connect({ host: HOST, port: server.port });
@@ -189,9 +209,105 @@
     await server.close(STOP_LIMIT_MS);
   });
 
+  // Guards against bodies that a gateway holds beyond its memory (FAULT).
+  const bodies = [
+    {
+      name: 'refuses a body for which there is no memory before it arrives',
+      start: 'Content-Length: 900000\r\n\r\nab',
+      rest: '',
+      status: 503,
+    },
+    {
+      name: 'refuses a chunked body that outgrows the memory',
+      start: 'Transfer-Encoding: chunked\r\n\r\n',
+      rest: `180000\r\n${'x'.repeat(0x180000)}\r\n`,
+      status: 503,
+    },
+    {
+      name: 'refuses a body that is declared larger than the limit',
+      start: 'Content-Length: 90000000\r\n\r\nab',
+      rest: '',
+      status: 413,
+    },
+    {
+      name: 'refuses a body that does not arrive before the deadline of its caller',
+      start: 'X-Deadline: 200\r\nContent-Length: 4\r\n\r\nab',
+      rest: '',
+      status: 408,
+    },
+    {
+      name: 'reads a body with a length',
+      start: 'Content-Length: 4\r\n\r\nab',
+      rest: 'cd',
+      status: 200,
+    },
+    {
+      name: 'reads a chunked body',
+      start: 'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n',
+      rest: '2\r\ncd\r\n0\r\n\r\n',
+      status: 200,
+    },
+    {
+      name: 'reads a body whose type is not valid',
+      start: 'Content-Type: ;;\r\nContent-Length: 4\r\n\r\nab',
+      rest: 'cd',
+      status: 200,
+    },
+  ];
+  for (const { name, start, rest, status } of bodies) {
+    it(name, async () => {
+      const { server, budget, openCaller } = await startSession(false);
+      const caller = openCaller();
+      caller.socket.write(`POST /echo HTTP/1.1\r\nHost: a\r\n${start}`);
+      await timers.waitFor(ANSWER_MS);
+      if (rest !== '') caller.socket.write(rest);
+      await timers.waitFor(ANSWER_MS * 2);
+      expect(caller.getReceived().slice(9, 12)).toEqual(String(status));
+      if (status === 200) expect(caller.getReceived().endsWith('abcd')).toEqual(true);
+      caller.socket.destroy();
+      await server.close(STOP_LIMIT_MS);
+      expect(budget.getHeldBytes()).toEqual(0);
+    });
+  }
+
+  // Guards against a request that reaches its target without its body (UNASKED).
+  it('reads the body of a GET request', async () => {
+    const { server, openCaller } = await startSession();
+    const caller = openCaller();
+    caller.socket.write('GET /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd');
+    await caller.waitForEnd();
+    expect(caller.getReceived().endsWith('abcd')).toEqual(true);
+    await server.close(STOP_LIMIT_MS);
+  });
+
+  it('refuses no body any more once callers have gone', async () => {
+    const { server, openCaller } = await startSession(false);
+    const holder = openCaller();
+    holder.socket.write('POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 700000\r\n\r\nab');
+    await timers.waitFor(ANSWER_MS);
+    const request = `POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n${'x'.repeat(100_000)}`;
+    const refused = openCaller();
+    refused.socket.write(request);
+    await timers.waitFor(ANSWER_MS);
+    expect(refused.getReceived().startsWith('HTTP/1.1 503')).toEqual(true);
+    holder.socket.destroy();
+    await timers.waitFor(ANSWER_MS);
+    // The connection of the refused request stays usable.
+    refused.socket.write(request);
+    await timers.waitFor(ANSWER_MS);
+    expect(refused.getReceived().split('HTTP/1.1 200').length).toEqual(2);
+    refused.socket.destroy();
+    await server.close(STOP_LIMIT_MS);
+  });
+
   it('applies the limits of a configuration', async () => {
     const { server, openCaller } = await startSession();
-    server.setLimits({ maxHeaderBytes: 100, headerTimeoutMs: 3_000, idleTimeoutMs: 200 });
+    server.setLimits({
+      maxBodyBytes: 100,
+      maxHeaderBytes: 100,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 200,
+    });
     const caller = openCaller();
     caller.socket.write(`GET /x HTTP/1.1\r\nHost: a\r\nX-Long: ${'x'.repeat(200)}\r\n\r\n`);
     await caller.waitForEnd();
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -1,19 +1,21 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import fastify from 'fastify';
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin } from '../errors/index.ts';
-import type { CallerSink, WireFormat } from '../forwarding/index.ts';
+import type { WireFormat } from '../forwarding/index.ts';
 import { createUnsentResponses } from '../http/unsent-responses.ts';
+import type { MemoryBudget } from '../memory/index.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { RequestHandler } from './request-handler.ts';
+import { createRequestReceiver } from './receive-request.ts';
 
 /** Limits of the configuration on what callers send, and on how long they take. */
 export type CallerLimits = Pick<
   ServingConfiguration['limits'],
-  'maxHeaderBytes' | 'headerTimeoutMs' | 'idleTimeoutMs'
+  'maxBodyBytes' | 'maxHeaderBytes' | 'headerTimeoutMs' | 'idleTimeoutMs'
 >;
 
 /** Options of the HTTP server for callers. */
@@ -22,6 +24,8 @@
   port: number;
   wire: Pick<WireFormat, 'parseRequest'>;
   handler: RequestHandler;
+  /** Budget for what is held for callers. */
+  budget: Pick<MemoryBudget, 'openAccount'>;
   errorReporter: ErrorReporter;
   timers: Pick<TimerService, 'scheduleOnce'>;
   /** Whether the gateway is stopping; responses then carry `Connection: close`. */
@@ -50,6 +54,7 @@
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Limits until a configuration has been read; callers close idle connections after 15 s. */
 const INITIAL_LIMITS: CallerLimits = {
+  maxBodyBytes: MAX_BODY_BYTES,
   maxHeaderBytes: MAX_HEADER_BYTES,
   headerTimeoutMs: 4_000,
   idleTimeoutMs: 19_000,
@@ -62,37 +67,6 @@
 const CONNECTION_CHECK_PERIOD_MS = 500;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_BAD_GATEWAY = 502;
-/** Bytes buffered for a slow caller before the gateway stops reading from the target. */
-const HIGH_WATER_MARK_BYTES = 64 * 1024;
-
-/** Creates a sink that writes the response to one request to a Node.js response. */
-function createSink(response: ServerResponse, isLeaving: () => boolean): CallerSink {
-  const listConnectionHeaders = (): string[] => (isLeaving() ? ['Connection', 'close'] : []);
-  return {
-    sendResponse(status, headers, body) {
-      const length = ['Content-Length', String(body.length)];
-      response.writeHead(status, [...headers, ...length, ...listConnectionHeaders()]);
-      response.end(body);
-    },
-    startBody(status, headers) {
-      response.writeHead(status, [...headers, ...listConnectionHeaders()]);
-    },
-    writeBody(part) {
-      response.write(part);
-      return response.writableLength < HIGH_WATER_MARK_BYTES;
-    },
-    endBody: () => {
-      response.end();
-    },
-    abort: () => {
-      response.destroy();
-    },
-    onWritable: (listener) => {
-      response.once('drain', listener);
-    },
-  };
-}
-
 /** Counts the bytes of header fields as sent, with `: ` and the line end of each. */
 function countHeaderBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((total, part) => total + part.length + 2, 0);
@@ -110,11 +84,10 @@
 
 /** Starts the HTTP server for callers. */
 export async function startCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-  const { host, port, wire, handler, errorReporter, timers, isLeaving } = options;
+  const { host, port, errorReporter, timers } = options;
   let limits = INITIAL_LIMITS;
   const unsentResponses = createUnsentResponses();
   const app: FastifyInstance = fastify({
-    bodyLimit: MAX_BODY_BYTES,
     keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     exposeHeadRoutes: false,
@@ -125,39 +98,32 @@
       connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
     },
   });
-  app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
-  app.setErrorHandler((error: { statusCode?: number }, _request, reply) => {
-    void reply.code(error.statusCode ?? 500).send('');
+  const receiveRequest = createRequestReceiver({
+    ...options,
+    getMaxBodyBytes: () => Math.min(limits.maxBodyBytes, MAX_BODY_BYTES),
+    handleFailure(error, response) {
+      errorReporter.report(ErrorOrigin.Request, error);
+      endFailedResponse(response);
+    },
   });
-
-  const handleCallerRequest = (
-    raw: IncomingMessage,
-    response: ServerResponse,
-    body: Buffer,
-  ): void => {
-    const request = wire.parseRequest(raw.method ?? 'GET', raw.url ?? '/', raw.rawHeaders);
-    const forwardedRequest = handler.handleRequest(request, body, createSink(response, isLeaving));
-    response.on('close', () => {
-      if (!response.writableFinished) forwardedRequest?.abandon();
-    });
-  };
-
-  app.all('*', (request, reply) => {
-    if (countHeaderBytes(request.raw.rawHeaders) > limits.maxHeaderBytes) {
-      void reply.code(HTTP_HEADERS_TOO_LARGE).send('');
+  const respond = (reply: FastifyReply): void => {
+    const { raw: response } = reply;
+    const { raw: incoming } = reply.request;
+    unsentResponses.track(response);
+    if (countHeaderBytes(incoming.rawHeaders) > limits.maxHeaderBytes) {
+      response.writeHead(HTTP_HEADERS_TOO_LARGE, ['Content-Length', '0']);
+      response.end();
       return;
     }
+    receiveRequest(incoming, response);
+  };
+  // Takes requests over before Fastify reads their bodies, which it would hold without a bound.
+  app.addHook('onRequest', (_request, reply, done) => {
     reply.hijack();
-    unsentResponses.track(reply.raw);
-    const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
-    try {
-      handleCallerRequest(request.raw, reply.raw, body);
-    } catch (error) {
-      errorReporter.report(ErrorOrigin.Request, error);
-      endFailedResponse(reply.raw);
-    }
+    respond(reply);
+    done();
   });
+  app.all('*', () => undefined);
   await app.listen({ host, port });
   const { port: boundPort } = app.server.address() as AddressInfo;
   return {
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -21,7 +21,13 @@
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
-import { measureMemory, startMemoryMonitor } from '../memory/index.ts';
+import {
+  BYTES_PER_MB,
+  computeBudgetBytes,
+  createMemoryBudget,
+  measureMemory,
+  startMemoryMonitor,
+} from '../memory/index.ts';
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
 import { startCallerServer } from './caller-server.ts';
 import { planReload } from './plan-reload.ts';
@@ -209,6 +215,7 @@
     handleChange: requestLog.recordQuarantine,
     sendNow: peerExchange.sendNow,
   });
+  const memoryBudget = createMemoryBudget(computeBudgetBytes(settings.memoryLimitBytes));
   const handler = createRequestHandler({
     requestLog,
     getRoutingTable: storeView.getRoutingTable,
@@ -371,6 +378,7 @@
     limitedTargets: advisories.countLimits(),
     memory: measureMemory(),
     memoryLimitBytes: settings.memoryLimitBytes,
+    heldMemory: memoryBudget,
     configurationVersion: storeView.getRoutingTable()?.version ?? 0,
   });
 
@@ -385,6 +393,7 @@
       port: settings.callers.port,
       wire,
       handler,
+      budget: memoryBudget,
       errorReporter,
       timers,
       isLeaving: () => stopRequestedMs !== undefined,
@@ -397,6 +406,7 @@
     limitBytes: settings.memoryLimitBytes,
     measure: measureMemory,
     getHeldCounts: () => ({
+      heldMb: Math.round(memoryBudget.getHeldBytes() / BYTES_PER_MB),
       inProgress: handler.countInProgress(),
       unsentResponses: server.countUnsentResponses(),
     }),
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -2,7 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
-import type { MemoryUsage } from '../memory/index.ts';
+import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
 import type { StoreCallResult, StoreKind } from '../store/index.ts';
 import type { GroupCount, TargetCount } from './fleet-counts.ts';
 
@@ -25,6 +25,8 @@
   limitedTargets: number;
   memory: MemoryUsage;
   memoryLimitBytes: number;
+  /** Memory held for callers and targets, and its limit. */
+  heldMemory: Pick<MemoryBudget, 'getHeldBytes' | 'getLimitBytes'>;
 }
 
 /** Counters, histograms and gauges of one gateway. */
@@ -146,6 +148,11 @@
     'memory_limit_bytes',
     'Resident memory above which the process is killed.',
   );
+  const heldMemory = createGauge('held_memory_bytes', 'Memory held for callers and targets.');
+  const heldMemoryLimit = createGauge(
+    'held_memory_limit_bytes',
+    'Memory that may be held for callers and targets.',
+  );
   const eventLoopDelay = createGauge(
     'event_loop_delay_seconds',
     'Delay of the event loop, 99th centile.',
@@ -170,6 +177,8 @@
     heapMemory.set(values.memory.heapBytes);
     externalMemory.set(values.memory.externalBytes);
     memoryLimit.set(values.memoryLimitBytes);
+    heldMemory.set(values.heldMemory.getHeldBytes());
+    heldMemoryLimit.set(values.heldMemory.getLimitBytes());
     eventLoopDelay.set(loopDelay.percentile(99) / NS_PER_SECOND);
     loopDelay.reset();
   };
--- a/src/core/memory/index.ts
+++ b/src/core/memory/index.ts
@@ -1,5 +1,6 @@
 export { BYTES_PER_MB } from './consts.ts';
 export { measureMemory } from './measure-memory.ts';
+export { computeBudgetBytes, createMemoryBudget } from './memory-budget.ts';
 export { startMemoryMonitor } from './memory-monitor.ts';
 export type { MemoryMonitorOptions } from './memory-monitor.ts';
-export type { MemoryUsage } from './types.ts';
+export type { MemoryAccount, MemoryBudget, MemoryUsage } from './types.ts';
