Bound the answers that a gateway holds for callers that read slowly

Callers saw gateways end: 300 callers that did not read answers of 4 MB made one hold 1,291 MB, for as long as their connections stayed open.

Cause: an answer that is not a stream was buffered whole, up to 4 MB, for any number of callers, and then lay in the connection until the caller took it, without a limit of time.

Answers now count towards the memory budget until callers have taken them. If it has no room, an answer goes to the caller as it arrives, and the gateway reads from the target only as fast as the caller takes it: the answer is still delivered, but the request cannot go to another target any more. Streams of slow callers are paused sooner while memory is short. A connection whose caller takes nothing of its answer for 10 s is closed. Bodies of refusals and of failures that lead to another attempt are not kept.

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { RequestKind } from '../serving/index.ts';
+import { createMemoryBudget } from '../memory/index.ts';
 import type { PromptGuard } from '../quarantine/index.ts';
 import type { ReceivedSend, ForwardingHarness } from './fixtures/forwarding-harness.ts';
 import {
@@ -13,6 +14,9 @@
 import { SendFailure } from './target-client.ts';
 import { FailureReason, Outcome } from './types.ts';
 
+/** Memory for the responses of one test. */
+const MEMORY_BYTES = 1_000;
+
 function getSend(harness: ForwardingHarness, index: number): ReceivedSend {
   const send = harness.sends[index];
   if (send === undefined) throw new Error(`send ${index} was not made`);
@@ -42,6 +46,53 @@
     expect(harness.caller).toEqual({ status: 200, body: 'whole', isEnded: true, isAborted: false });
   });
 
+  // Guards against answers that a gateway without memory holds whole, or gives up (FAULT, LOST).
+  const ends = [
+    {
+      name: 'whole if the target completes it',
+      end: ({ listener }: ReceivedSend) => listener.handleEnd(true),
+      caller: { status: 200, body: 'first second', isEnded: true, isAborted: false },
+      outcome: Outcome.Answered,
+    },
+    {
+      name: 'visibly broken if the target fails',
+      end: ({ listener }: ReceivedSend) => listener.handleError(SendFailure.Sent, 'reset'),
+      caller: { status: 200, body: 'first second', isEnded: false, isAborted: true },
+      outcome: Outcome.BrokenOff,
+    },
+  ];
+  for (const { name, end, caller, outcome } of ends) {
+    it(`passes a response on as it arrives when memory is short, ${name}`, () => {
+      const budget = createMemoryBudget(MEMORY_BYTES);
+      const account = budget.openAccount(0)!;
+      const harness = startTestForwarding({ kind: RequestKind.Idempotent, account });
+      const send = acceptSend(harness, 0);
+      send.listener.handleHead(RESPONSE_HEAD);
+      send.listener.handleData(Buffer.from('first '));
+      expect(budget.getHeldBytes()).toEqual('first '.length);
+      budget.openAccount(MEMORY_BYTES - budget.getHeldBytes());
+      send.listener.handleData(Buffer.from('second'));
+      expect(harness.caller.body).toEqual('first second');
+      expect(budget.getHeldBytes()).toEqual(MEMORY_BYTES - 'first '.length);
+      end(send);
+      expect(harness.caller).toEqual(caller);
+      expect(harness.getResult()?.outcome).toEqual(outcome);
+      expect(harness.sends.length).toEqual(1);
+    });
+  }
+
+  it('holds nothing of a failure that another target may still turn into an answer', () => {
+    const budget = createMemoryBudget(MEMORY_BYTES);
+    const account = budget.openAccount(0)!;
+    const harness = startTestForwarding({ kind: RequestKind.Idempotent, account });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead({ ...RESPONSE_HEAD, status: 500 });
+    listener.handleData(Buffer.from('failed'));
+    expect(budget.getHeldBytes()).toEqual(0);
+    listener.handleEnd(true);
+    expect(harness.sends.length).toEqual(2);
+  });
+
   // Guards against a request that runs twice (rule TWICE), and against reporting that a request has
   // not run although it may have (rule REFUSED).
   const lostResponses = [
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -109,6 +109,8 @@
   parser: EventParser | undefined;
   parts: Buffer[];
   bufferedBytes: number;
+  /** Whether parts of the body go to the caller as they arrive, for want of memory to buffer it. */
+  isPassedOn: boolean;
   /** Buffered bytes when the attempt timeout was last started. */
   checkedBytes: number;
   sentMs: number;
@@ -120,6 +122,10 @@
   return status >= HTTP_SUCCESS_MIN && status <= HTTP_SUCCESS_MAX;
 }
 
+function sumBytes(parts: readonly Buffer[]): number {
+  return parts.reduce((sum, part) => sum + part.length, 0);
+}
+
 function isStreamHead(head: ResponseHead): boolean {
   for (let index = 0; index < head.forwardedHeaders.length; index += 2) {
     const isType = head.forwardedHeaders[index]?.toLowerCase() === 'content-type';
@@ -128,6 +134,11 @@
   return false;
 }
 
+/** Whether a target states, or an unsigned status says, that it has refused the request. */
+function isRefusal(head: ResponseHead): boolean {
+  return head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status));
+}
+
 /** Parses an event id as a number; undefined if it is not one. */
 function parseEventNumber(id: string | undefined): number | undefined {
   return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
@@ -176,11 +187,18 @@
   let cancelDeadline: Unsubscribe | undefined;
   let lastFailure = '';
 
+  /** Gives the memory of the buffered body back. */
+  function dropParts(attempt: Attempt): void {
+    if (!attempt.isPassedOn) input.account.charge(-sumBytes(attempt.parts));
+    attempt.parts.length = 0;
+  }
+
   function getRemainingMs(): number {
     return input.dueMs - timers.getMonotonicMs();
   }
 
   function endAttempt(isFailure: boolean): void {
+    if (current !== undefined) dropParts(current);
     current?.cancelAttemptTimeout?.();
     current?.handle.recordEnd(isFailure);
     current?.exchange.cancel();
@@ -302,7 +320,7 @@
   function retry(reason: string, failure: FailureReason): void {
     if (isDone) return;
     lastFailure = reason;
-    const isAllowed = isRetryable || !mayHaveRun;
+    const isAllowed = (isRetryable || !mayHaveRun) && !(isBodyStarted && !isStreaming);
     if (!isAllowed || possiblyRunAttempts >= route.maxAttempts || targetIds.length >= MAX_SENDS) {
       endWithoutResponse(isAllowed ? FailureReason.AttemptsUsed : failure);
       return;
@@ -322,6 +340,7 @@
       parser: undefined,
       parts: [],
       bufferedBytes: 0,
+      isPassedOn: false,
       checkedBytes: 0,
       sentMs: timers.getMonotonicMs(),
       wasSent: false,
@@ -434,7 +453,48 @@
       failAttempt(attempt, 'too-large');
       return;
     }
-    attempt.parts.push(chunk);
+    if (attempt.isPassedOn) {
+      writePart(attempt, chunk);
+      return;
+    }
+    // A body that is not passed on need not be kept.
+    if (attempt.head === undefined || isRefusal(attempt.head) || canRetryStatus(attempt.head))
+      return;
+    if (input.account.tryReserve(chunk.length)) {
+      attempt.parts.push(chunk);
+      return;
+    }
+    passOn(attempt, chunk);
+  }
+
+  /**
+   * Starts to pass a body on as it arrives, because there is no memory to buffer it whole. The request
+   * can't be sent to another target from then on.
+   */
+  function passOn(attempt: Attempt, chunk: Buffer): void {
+    attempt.cancelAttemptTimeout?.();
+    startBody(attempt);
+    const bytes = Buffer.concat([...attempt.parts, chunk]);
+    dropParts(attempt);
+    attempt.isPassedOn = true;
+    writePart(attempt, bytes);
+  }
+
+  /** Writes a part of the body; stops reading from the target while the caller is slow. */
+  function writePart(attempt: Attempt, bytes: Buffer): void {
+    if (sink.writeBody(bytes)) return;
+    attempt.exchange.pause();
+    attempt.handle.setPaused(true);
+    sink.onWritable(() => {
+      attempt.handle.setPaused(false);
+      attempt.exchange.resume();
+    });
+  }
+
+  /** Whether a target's failure leads to another attempt instead of a response to the caller. */
+  function canRetryStatus(head: ResponseHead): boolean {
+    const canRetry = isRetryable && possiblyRunAttempts < route.maxAttempts;
+    return canRetry && head.status >= HTTP_SERVER_ERROR;
   }
 
   function forwardEvents(attempt: Attempt, parser: EventParser, chunk: Buffer): void {
@@ -464,14 +524,7 @@
     const now = timers.getMonotonicMs();
     longestGapMs = Math.max(longestGapMs, now - (lastPartMs ?? now));
     lastPartMs = now;
-    const isRead = sink.writeBody(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
-    if (isRead) return;
-    attempt.exchange.pause();
-    attempt.handle.setPaused(true);
-    sink.onWritable(() => {
-      attempt.handle.setPaused(false);
-      attempt.exchange.resume();
-    });
+    writePart(attempt, parts.length === 1 ? parts[0]! : Buffer.concat(parts));
   }
 
   function startBody(attempt: Attempt): void {
@@ -484,7 +537,7 @@
   function handleEnd(attempt: Attempt, isFramed: boolean): void {
     if (attempt !== current || attempt.head === undefined) return;
     const { head } = attempt;
-    if (head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status))) {
+    if (isRefusal(head)) {
       handleRefusal(attempt, head);
       return;
     }
@@ -492,19 +545,26 @@
       endStream(attempt, attempt.parser, isFramed);
       return;
     }
-    const canRetry = isRetryable && possiblyRunAttempts < route.maxAttempts;
-    if (isBodyStarted || (canRetry && head.status >= HTTP_SERVER_ERROR)) {
+    if ((isBodyStarted && !attempt.isPassedOn) || canRetryStatus(head)) {
       failAttempt(attempt, `status ${head.status}`);
       return;
     }
     current = undefined;
     attempt.cancelAttemptTimeout?.();
     attempt.handle.recordEnd(head.status >= HTTP_SERVER_ERROR);
-    firstByteMs = timers.getMonotonicMs() - input.arrivedMs;
-    sink.sendResponse(head.status, head.forwardedHeaders, Buffer.concat(attempt.parts));
+    if (attempt.isPassedOn) sink.endBody();
+    else sendBuffered(attempt, head);
     reportResult(Outcome.Answered, head.status);
   }
 
+  function sendBuffered(attempt: Attempt, head: ResponseHead): void {
+    firstByteMs = timers.getMonotonicMs() - input.arrivedMs;
+    const body = attempt.parts.length === 1 ? attempt.parts[0]! : Buffer.concat(attempt.parts);
+    dropParts(attempt);
+    // The sink takes over the charge for what the caller does not take at once.
+    sink.sendResponse(head.status, head.forwardedHeaders, body);
+  }
+
   function endStream(attempt: Attempt, parser: EventParser, isFramed: boolean): void {
     if (parser.countPendingBytes() > 0) {
       failLostAttempt(attempt, 'ended inside an event');
--- a/src/core/gateway/caller-server.test.ts
+++ b/src/core/gateway/caller-server.test.ts
@@ -16,6 +16,8 @@
 const STOP_LIMIT_MS = 2_000;
 const ANSWER_MS = 100;
 const MAX_SENT_BYTES = 32 * 1024 * 1024;
+/** Time for which callers may leave their answers unread. */
+const UNREAD_LIMIT_MS = 400;
 const BUDGET_BYTES = 1024 * 1024;
 const NO_BODY = Buffer.alloc(0);
 const STATUS_BY_REASON = {
@@ -54,7 +56,7 @@
  * Starts a server whose handler answers with 200 after a while, at once with a large body for the path
  * `/large` or with the body of the request for `/echo`, or throws for the path `/broken`.
  */
-async function startSession(isLeaving = true): Promise<Session> {
+async function startSession(isLeaving = true, answerMs = ANSWER_MS): Promise<Session> {
   let errors = 0;
   const errorReporter = createErrorReporter(() => undefined);
   errorReporter.subscribe(() => {
@@ -67,7 +69,7 @@
       if (request.path === '/broken') throw new Error('broken');
       if (request.path === '/echo') sink.sendResponse(200, [], body);
       else if (request.path === '/large') sink.sendResponse(200, [], LARGE_BODY);
-      else timers.scheduleOnce(ANSWER_MS, () => sink.sendResponse(200, [], Buffer.from('whole')));
+      else timers.scheduleOnce(answerMs, () => sink.sendResponse(200, [], Buffer.from('whole')));
       return undefined;
     },
     countInProgress: () => 0,
@@ -75,7 +77,11 @@
   };
   const budget = createMemoryBudget(BUDGET_BYTES);
   const options = { host: HOST, port: 0, wire: WIRE, handler, budget, errorReporter, timers };
-  const server = await startCallerServer({ ...options, isLeaving: () => isLeaving });
+  const server = await startCallerServer({
+    ...options,
+    unreadLimitMs: UNREAD_LIMIT_MS,
+    isLeaving: () => isLeaving,
+  });
   return {
     server,
     budget,
@@ -270,6 +276,49 @@
     });
   }
 
+  // Guards against memory that a caller takes for good by not reading its answer (FAULT).
+  it('closes the connection of a caller that does not read its answer for a time', async () => {
+    const { server, budget, openCaller } = await startSession(false);
+    const caller = openCaller();
+    caller.socket.pause();
+    caller.socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n');
+    await timers.waitFor(ANSWER_MS);
+    expect(budget.getHeldBytes() > BUDGET_BYTES).toEqual(true);
+    await timers.waitFor(UNREAD_LIMIT_MS * 2);
+    expect(server.countUnsentResponses()).toEqual(0);
+    expect(budget.getHeldBytes()).toEqual(0);
+    caller.socket.destroy();
+    await server.close(STOP_LIMIT_MS);
+  });
+
+  it('does not close the connection of a caller that reads its answer slowly', async () => {
+    const { server, openCaller } = await startSession(false);
+    const caller = openCaller();
+    caller.socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n');
+    for (let rest = 8; rest > 0; rest--) {
+      caller.socket.pause();
+      await timers.waitFor(UNREAD_LIMIT_MS / 2);
+      caller.socket.resume();
+      await timers.waitFor(1);
+    }
+    await timers.waitFor(ANSWER_MS);
+    const [, body = ''] = caller.getReceived().split('\r\n\r\n');
+    expect(body.length).toEqual(LARGE_BODY.length);
+    caller.socket.destroy();
+    await server.close(STOP_LIMIT_MS);
+  });
+
+  it('keeps a connection whose next request takes longer than an answer may stay unread', async () => {
+    const { server, openCaller } = await startSession(false, UNREAD_LIMIT_MS * 3);
+    const caller = openCaller();
+    const request = 'GET /x HTTP/1.1\r\nHost: a\r\n\r\n';
+    caller.socket.write(`GET /echo HTTP/1.1\r\nHost: a\r\n\r\n${request}`);
+    await timers.waitFor(UNREAD_LIMIT_MS * 5);
+    expect(caller.getReceived().split('HTTP/1.1 200').length).toEqual(3);
+    caller.socket.destroy();
+    await server.close(STOP_LIMIT_MS);
+  });
+
   // Guards against a request that reaches its target without its body (UNASKED).
   it('reads the body of a GET request', async () => {
     const { server, openCaller } = await startSession();
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -25,9 +25,11 @@
   wire: Pick<WireFormat, 'parseRequest'>;
   handler: RequestHandler;
   /** Budget for what is held for callers. */
-  budget: Pick<MemoryBudget, 'openAccount'>;
+  budget: Pick<MemoryBudget, 'openAccount' | 'isShort'>;
   errorReporter: ErrorReporter;
   timers: Pick<TimerService, 'scheduleOnce'>;
+  /** Time without progress after which the connection of a caller that does not read is closed. */
+  unreadLimitMs?: number;
   /** Whether the gateway is stopping; responses then carry `Connection: close`. */
   isLeaving(): boolean;
 }
@@ -65,6 +67,8 @@
 const REQUEST_TIMEOUT_MS = 15_000;
 /** Interval at which connections are checked against the limits above. */
 const CONNECTION_CHECK_PERIOD_MS = 500;
+/** Callers give up within their deadlines, which are shorter. */
+const DEFAULT_UNREAD_LIMIT_MS = 10_000;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_BAD_GATEWAY = 502;
 /** Counts the bytes of header fields as sent, with `: ` and the line end of each. */
@@ -99,6 +103,7 @@
     },
   });
   const receiveRequest = createRequestReceiver({
+    unreadLimitMs: DEFAULT_UNREAD_LIMIT_MS,
     ...options,
     getMaxBodyBytes: () => Math.min(limits.maxBodyBytes, MAX_BODY_BYTES),
     handleFailure(error, response) {
--- a/src/core/gateway/receive-request.ts
+++ b/src/core/gateway/receive-request.ts
@@ -12,11 +12,13 @@
 export interface RequestReceiverOptions {
   wire: Pick<WireFormat, 'parseRequest'>;
   handler: RequestHandler;
-  budget: Pick<MemoryBudget, 'openAccount'>;
+  budget: Pick<MemoryBudget, 'openAccount' | 'isShort'>;
   timers: Pick<TimerService, 'scheduleOnce'>;
   /** Largest body that callers may send. */
   getMaxBodyBytes(): number;
   isLeaving(): boolean;
+  /** Time without progress after which the connection of a caller that does not read is closed. */
+  unreadLimitMs: number;
   /** Called with an unexpected error that has stopped a request. */
   handleFailure(error: unknown, response: ServerResponse): void;
 }
@@ -39,6 +41,7 @@
  */
 export function createRequestReceiver(options: RequestReceiverOptions): ReceiveRequest {
   const { wire, handler, budget, timers, getMaxBodyBytes, isLeaving, handleFailure } = options;
+  const { unreadLimitMs } = options;
 
   const receive: ReceiveRequest = (incoming, response) => {
     const { method = 'GET', url = '/', rawHeaders } = incoming;
@@ -48,18 +51,23 @@
     const isTooLarge = declaredBytes !== undefined && declaredBytes > maxBytes;
     /** Whether the rest of the body may be too long to read before the next request. */
     let hasLongRest = isTooLarge;
-    const sink = createResponseSink(response, () => hasLongRest || isLeaving());
+    const account = budget.openAccount(declaredBytes ?? 0);
+    const sink = createResponseSink(response, {
+      account,
+      unreadLimitMs,
+      isMemoryShort: budget.isShort,
+      mustClose: () => hasLongRest || isLeaving(),
+    });
+    if (account !== undefined) response.once('close', account.close);
     if (handler.refuseUnread(request, sink)) return;
     if (isTooLarge) {
       handler.refuse(request, sink, FailureReason.TooLarge);
       return;
     }
-    const account = budget.openAccount(declaredBytes ?? 0);
     if (account === undefined) {
       handler.refuse(request, sink, FailureReason.MemoryFull);
       return;
     }
-    response.once('close', account.close);
 
     const handleBody = ({ end, body }: BodyResult): void => {
       if (end === BodyEnd.Aborted) return;
