Give pipelined requests up when their connection closes

A caller that sent several requests on one connection and went left all but the first in progress for good: they counted as unread answers, kept what they held, were not cancelled at their targets, and let a planned stop wait until its limit.

Cause: Node.js emits 'close' on a response only while its connection is assigned to it; the responses of pipelined requests that wait for their turn never get it. The gateway now emits it on them when the connection closes.

With the memory budget it was seen as a gateway that refused everything for good after 20,000 requests on one connection.

Also moves the count of header bytes into a module of its own.

--- a/src/core/gateway/caller-server.test.ts
+++ b/src/core/gateway/caller-server.test.ts
@@ -319,6 +319,20 @@
     await server.close(STOP_LIMIT_MS);
   });
 
+  // Guards against requests that stay in progress for good when their caller goes (FAULT).
+  it('gives up pipelined requests when their connection closes', async () => {
+    const { server, budget, openCaller } = await startSession(false, ANSWER_MS * 5);
+    const caller = openCaller();
+    caller.socket.write('GET /x HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(10));
+    await timers.waitFor(ANSWER_MS);
+    expect(server.countUnsentResponses()).toEqual(10);
+    caller.socket.destroy();
+    await timers.waitFor(ANSWER_MS);
+    expect(server.countUnsentResponses()).toEqual(0);
+    expect(budget.getHeldBytes()).toEqual(0);
+    await server.close(STOP_LIMIT_MS);
+  });
+
   // Guards against a request that reaches its target without its body (UNASKED).
   it('reads the body of a GET request', async () => {
     const { server, openCaller } = await startSession();
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -9,6 +9,8 @@
 import type { MemoryBudget } from '../memory/index.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import { countHeaderBytes } from './header-bytes.ts';
+import { createQueuedResponseTracker } from './queued-responses.ts';
 import type { RequestHandler } from './request-handler.ts';
 import { createRequestReceiver } from './receive-request.ts';
 
@@ -71,11 +73,6 @@
 const DEFAULT_UNREAD_LIMIT_MS = 10_000;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_BAD_GATEWAY = 502;
-/** Counts the bytes of header fields as sent, with `: ` and the line end of each. */
-function countHeaderBytes(rawHeaders: readonly string[]): number {
-  return rawHeaders.reduce((total, part) => total + part.length + 2, 0);
-}
-
 /** Ends the response to a request that an unexpected error has stopped; it may have been sent. */
 function endFailedResponse(response: ServerResponse): void {
   if (response.headersSent) {
@@ -91,6 +88,7 @@
   const { host, port, errorReporter, timers } = options;
   let limits = INITIAL_LIMITS;
   const unsentResponses = createUnsentResponses();
+  const trackQueuedResponse = createQueuedResponseTracker();
   const app: FastifyInstance = fastify({
     keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
@@ -114,6 +112,7 @@
   const respond = (reply: FastifyReply): void => {
     const { raw: response } = reply;
     const { raw: incoming } = reply.request;
+    trackQueuedResponse(incoming.socket, response);
     unsentResponses.track(response);
     if (countHeaderBytes(incoming.rawHeaders) > limits.maxHeaderBytes) {
       response.writeHead(HTTP_HEADERS_TOO_LARGE, ['Content-Length', '0']);
