Bound the requests in progress by the memory of the VM

Callers saw gateways end with SIGABRT: callers that sent 20,000 requests each on one connection filled the heap of 160 MB.

Cause: nothing bounded how many requests are in progress; each takes about 10 kB of heap and a connection to its target.

Each request now takes 32 kB of the memory budget from its head to the end of its response, and its header fields; beyond that it is refused at once. 105 MB are 3,200 requests.

--- a/src/core/gateway/receive-request.ts
+++ b/src/core/gateway/receive-request.ts
@@ -3,6 +3,7 @@
 import { FailureReason } from '../forwarding/index.ts';
 import type { MemoryBudget } from '../memory/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import { countHeaderBytes } from './header-bytes.ts';
 import type { BodyResult } from './request-body.ts';
 import { BodyEnd, getDeclaredBytes, readRequestBody } from './request-body.ts';
 import type { RequestHandler } from './request-handler.ts';
@@ -26,6 +27,8 @@
 /** Receives one request. */
 export type ReceiveRequest = (incoming: IncomingMessage, response: ServerResponse) => void;
 
+/** Memory for a request in progress and its connections, without the bytes of its caller. */
+const REQUEST_BYTES = 32 * 1024;
 /** Limit on the time to receive a body of a caller that states no deadline. */
 const MAX_BODY_MS = 15_000;
 
@@ -51,7 +54,8 @@
     const isTooLarge = declaredBytes !== undefined && declaredBytes > maxBytes;
     /** Whether the rest of the body may be too long to read before the next request. */
     let hasLongRest = isTooLarge;
-    const account = budget.openAccount(declaredBytes ?? 0);
+    const headBytes = countHeaderBytes(rawHeaders);
+    const account = budget.openAccount(REQUEST_BYTES + headBytes + (declaredBytes ?? 0));
     const sink = createResponseSink(response, {
       account,
       unreadLimitMs,
