Replace the program by one renaming when it is built again

What operators saw: while a tree is built again, starts of target/clementinefork-gateway.js fail with a missing entry file or a missing chunk, and a build that fails leaves no program at all.

Cause: scripts/build.mjs removed its output folder, then bundled, then wrote the files. A start reads several files, some of them late, so that it met a gap or files of two builds.

Change: a build writes its chunks into a folder of its own, builds/<digest>, which is not changed afterwards. The entry file names that folder and is replaced by renaming it. The build prints which build each entry file starts now and before.

Why it works: a start reads the entry file once, and all that it loads afterwards comes from one folder that nobody writes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -66,6 +66,13 @@
       ],
     },
   },
+  {
+    files: ['**/*.mjs'],
+    rules: {
+      'import-x/extensions': ['error', 'always', { ignorePackages: true }],
+      'import-x/prefer-default-export': 'off',
+    },
+  },
   {
     files: ['**/*.test.ts', 'eslint.config.mjs', 'scripts/**'],
     rules: {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,9 +1,11 @@
 // Bundles each command of src/cli into one JavaScript file, and into chunks what the command loads later.
 // Bundles all commands unless some are named as arguments, and writes to dist/ unless `--out FOLDER` names
-// another folder.
-import { existsSync, readdirSync, rmSync } from 'node:fs';
+// another folder. Programs that run or start meanwhile are not disturbed.
+import { existsSync, readdirSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { build } from 'esbuild';
+import { bundleCommands } from './build/bundle.mjs';
+import { computeSourcesDigest } from './build/digests.mjs';
+import { openProgramStore } from './build/program-store.mjs';
 
 const CLI_FOLDER = 'src/cli';
 const DEFAULT_FOLDER = 'dist';
@@ -21,27 +23,33 @@
 });
 const outputFolder = values.out;
 const commands = readdirSync(CLI_FOLDER)
-  .filter((name) => existsSync(`${CLI_FOLDER}/${name}/index.ts`))
-  .filter((name) => positionals.length === 0 || positionals.includes(name));
-rmSync(outputFolder, { recursive: true, force: true });
-await build({
-  entryPoints: commands.map((name) => ({
-    in: `${CLI_FOLDER}/${name}/index.ts`,
-    out: formatBinaryName(name),
-  })),
-  outdir: outputFolder,
-  bundle: true,
-  splitting: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  sourcemap: false,
-  legalComments: 'none',
-  // Optional native addon of hot-shots for Unix sockets; not needed, because metrics are sent over UDP.
-  external: ['unix-dgram'],
-  banner: {
-    js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
-  },
-  logLevel: 'warning',
-});
-console.log(`built ${commands.length} commands in ${outputFolder}/`);
+  .filter((command) => positionals.length === 0 || positionals.includes(command))
+  .map((command) => ({
+    name: formatBinaryName(command),
+    source: `${CLI_FOLDER}/${command}/index.ts`,
+  }))
+  .filter(({ source }) => existsSync(source));
+if (commands.length < Math.max(positionals.length, 1)) {
+  throw new Error(`${CLI_FOLDER} does not hold all commands of: ${positionals.join(', ')}`);
+}
+const programs = openProgramStore(outputFolder);
+
+async function buildPrograms() {
+  const bundle = async (output) => {
+    const sources = computeSourcesDigest();
+    await bundleCommands(commands, output);
+    return computeSourcesDigest() === sources ? sources : undefined;
+  };
+  const build = await programs.replace(commands, { bundle, needsCheck: false });
+  console.log(`built ${commands.length} commands in ${outputFolder}/ as build ${build}`);
+}
+
+try {
+  await buildPrograms();
+} catch (error) {
+  console.error(error);
+  const builds = new Set(programs.findBuilds(commands));
+  const kept = [...builds].map((build) => build ?? 'none').join(', ');
+  console.error(`The build failed; the program stays as it was, build ${kept}.`);
+  process.exitCode = 1;
+}
