--- a/test/commands/program-replacement.test.ts
+++ b/test/commands/program-replacement.test.ts
@@ -125,4 +125,13 @@
     await project.build();
     expect(await project.runProgram()).toEqual({ status: 0, output: 'entry 1\npart 1\n' });
   });
+
+  // Guards against a build that replaces a sound program with one that cannot start.
+  it('stays as it is if the new one does not start', async () => {
+    await project.build();
+    project.writeFailingSources();
+    const { status } = await project.build();
+    expect(status).not.toEqual(0);
+    expect(await project.runProgram()).toEqual({ status: 0, output: 'entry 1\npart 1\n' });
+  });
 });
