Install only what a deployment needs

What operators saw: each deployment installed the linters, the compiler and the test tools to bundle one program, and failed when the installation of one of them failed (ETXTBSY in a postinstall of buf).

The case that looks at the arguments of npm failed before.

--- a/scripts/build/packages.mjs
+++ b/scripts/build/packages.mjs
@@ -20,6 +20,7 @@
 const MARKER_FILE = 'complete.txt';
 const INSTALL_PARAMETERS = [
   'ci',
+  '--omit=dev',
   '--ignore-scripts',
   '--prefer-offline',
   '--no-audit',
--- a/test/commands/installation.test.ts
+++ b/test/commands/installation.test.ts
@@ -87,12 +87,13 @@
     expect(output).toInclude('tool is not among the installed packages');
   });
 
-  // Guards against deployments that run install scripts, which fail if another one runs at once.
-  it('takes place once, and runs no scripts of packages', async () => {
+  // Guards against deployments that run install scripts and fetch tools that they do not use.
+  it('fetches the packages of the program only, once, and runs none of their scripts', async () => {
     await checkBuild();
     await checkBuild();
     const calls = project.listNpmCalls();
     expect(calls.length).toEqual(1);
+    expect(calls.join()).toInclude('--omit=dev');
     expect(calls.join()).toInclude('--ignore-scripts');
   });
 
