Keep what callers call a model out of the keys of demands and service times

What callers saw: each request with another X-Model added a key to the demands and, on a service of plain targets, to the times of responses. No key was ever removed, and the demands go into every packet between gateways: a caller that makes up models fills the heap, and the packets of its gateway become too large for a datagram, so that the other gateways lose it. Cause: the key of a request was formatted from the header field as the caller sent it. Change: a request whose model the service does not have gets one key for all of them; plain targets have no models. Keys without requests are removed from the demands. Why it works: the number of keys is the number of models in the configuration, plus two for each service.

--- a/src/core/forwarding/request-placement.ts
+++ b/src/core/forwarding/request-placement.ts
@@ -2,7 +2,7 @@
   computeExpectedWaitMs,
   computeMaxInFlight,
   computeRetryAfterMs,
-  formatPlaceKey,
+  formatRequestKey,
   RefusalCause,
 } from '../placement/index.ts';
 import type { PlaceKey, ServiceTimes, WaitingLines } from '../placement/index.ts';
@@ -55,7 +55,7 @@
 ): RequestPlacement {
   const { request, route, service, arrivedMs } = input;
   const { timers, chooser, lines, serviceTimes } = options;
-  const key = formatPlaceKey(service.name, request.model);
+  const key = formatRequestKey(service, request.model);
 
   /** Returns the time at which the request must be at a target for its first event to be in time. */
   const getSlackEndMs = (): number =>
--- a/src/core/placement/demand.ts
+++ b/src/core/placement/demand.ts
@@ -47,6 +47,8 @@
       const windowMs = BUCKET_MS * BUCKET_COUNT;
       return [...buckets].flatMap(([key, counts]) => {
         const requestsPerSecond = (countRecent(counts, current) * MS_PER_SECOND) / windowMs;
+        // Models that a later configuration has no more are forgotten.
+        if (counts.size === 0) buckets.delete(key);
         return requestsPerSecond > 0 ? { key, requestsPerSecond } : [];
       });
     },
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -13,4 +13,4 @@
 export type { WaitingLines } from './waiting-lines.ts';
 export { createDemandMeter, sumDemands } from './demand.ts';
 export type { Demand, DemandMeter } from './demand.ts';
-export { formatPlaceKey } from './place-key.ts';
+export { formatPlaceKey, formatRequestKey } from './place-key.ts';
