Bound the answers of the store and of engines

What was seen: an answer that does not end was read whole until its call timed out, and a list with endless pages for as long as they came. In 1.5 s on loopback, a list and a watch took 292 MB (status line), 770 MB (body), 54 MB (interim responses) and 25 MB (chunks of one byte); an order and a query of an engine took 207 MB (status line). A list whose pages hold 1 MB each filled a heap of 4 GB after 67 s, and the process aborted; a gateway has 160 MB. Cause: the clients read with text(), and undici bounds header fields only. Lists had no limit on their pages. Change: core/http/bounded-connection.ts counts the bytes of each answer as received, with its heads, interim responses and the framing of chunks, and closes the connection beyond the limit: 4 MB for the store, whose pages and values have 1 MB at most, 64 KB for engines. Lists end at 16 MB or 100 pages of about 500 objects. The error names the limit. A watch whose answer is too long is followed by a list, which has pages; otherwise the same watch would be repeated for ever. Why it works: no more than the limit and the buffers of the system is ever taken for one call.

--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -1,9 +1,9 @@
-import type { Socket } from 'node:net';
-import { buildConnector, Client } from 'undici';
+import { Client } from 'undici';
 import type { Target } from '../core/fleet/index.ts';
 import { OrderResult } from '../core/formation/types.ts';
 import type { EngineControl, EngineOrder } from '../core/formation/types.ts';
 import { formatProblem } from '../core/errors/index.ts';
+import { createBoundedConnection } from '../core/http/bounded-connection.ts';
 import type { TimerService } from '../core/timers/index.ts';
 import { engineStateSchema } from './decode-target.ts';
 
@@ -13,6 +13,12 @@
 /** Timeout of establishing a connection; a round trip takes 1 to 3 ms. */
 const CONNECT_TIMEOUT_MS = 150;
 
+/**
+ * Limit on one answer. A report of an engine has a few hundred bytes; one call to each engine may be
+ * under way at once.
+ */
+const MAX_ANSWER_BYTES = 64 * 1024;
+
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_PRECONDITION_FAILED = 412;
@@ -69,15 +75,9 @@
     body: object | undefined,
     timeoutMs: number,
   ): Promise<CallResult> => {
-    let socket: Socket | undefined;
-    const connect = buildConnector({});
+    const connection = createBoundedConnection({ maxAnswerBytes: MAX_ANSWER_BYTES });
     const client = new Client(`http://${target.address}`, {
-      connect: (options, callback) =>
-        connect(options, (...result) => {
-          const [, connected] = result;
-          socket = connected ?? undefined;
-          callback(...result);
-        }),
+      connect: connection.connect,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -88,7 +88,7 @@
     // An abort signal has no effect until the connection is established; destroy() always does.
     const cancelDeadline = timers.scheduleOnce(timeoutMs, () => {
       // A partition may hold the call back; only a reset keeps it from being delivered when it ends.
-      socket?.resetAndDestroy();
+      connection.abort();
       void client.destroy(new Error('no response in time'));
     });
     const cancelConnectTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => {
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,6 +1,8 @@
 import { Client } from 'undici';
 import { z } from 'zod';
 import { createError, ErrorKind, formatProblem } from '../core/errors/index.ts';
+import { createBoundedConnection } from '../core/http/bounded-connection.ts';
+import type { BoundedConnection } from '../core/http/bounded-connection.ts';
 import { Consistency, StoreFailure, StoreKind } from '../core/store/index.ts';
 import type { StoreClient, StoreObject, StoreResult } from '../core/store/index.ts';
 import type { TimerService } from '../core/timers/index.ts';
@@ -39,9 +41,23 @@
  */
 const MAX_IDLE_MS = 2_000;
 
-/** A connection without a call, and since when. */
-interface IdleClient {
+/**
+ * Limit on one answer. A page of a list and a value have 1 MB at most; an answer to a watch has no
+ * stated limit, and holds several values if several have changed.
+ */
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+/** Limit on a list; its entries are held whole. */
+const MAX_LIST_BYTES = 16 * 1024 * 1024;
+/** Limit on the pages of a list, which hold about 500 objects each. */
+const MAX_LIST_PAGES = 100;
+
+interface StoreConnection {
   client: Client;
+  connection: BoundedConnection;
+}
+
+/** A connection without a call, and since when. */
+interface IdleConnection extends StoreConnection {
   sinceMs: number;
 }
 
@@ -79,6 +95,9 @@
   timeoutMs?: number;
 }
 
+/** Result of one call, with the length of the answer's body in characters. */
+type CallResult<Value> = StoreResult<Value> & { length: number; isTooLong: boolean };
+
 function toStoreObject(object: z.infer<typeof objectSchema>): StoreObject {
   const { name, revision } = object.metadata;
   return { name, revision, spec: object.spec, status: object.status };
@@ -95,32 +114,39 @@
   timers: Pick<TimerService, 'getMonotonicMs' | 'scheduleOnce'>,
 ): StoreClient {
   const origin = `http://${address.host}:${address.port}`;
-  let idleClients: IdleClient[] = [];
+  let idleConnections: IdleConnection[] = [];
 
-  const createClient = (): Client =>
-    new Client(origin, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+  const createConnection = (): StoreConnection => {
+    const connection = createBoundedConnection({
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    });
+    const client = new Client(origin, {
+      connect: connection.connect,
       // The timer service enforces the deadlines instead.
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    return { client, connection };
+  };
 
   /** Returns the connection used last, and closes those that have been idle for too long. */
-  const takeIdleClient = (): Client | undefined => {
+  const takeIdleConnection = (): StoreConnection | undefined => {
     const now = timers.getMonotonicMs();
-    const old = idleClients.filter(({ sinceMs }) => now - sinceMs > MAX_IDLE_MS);
-    idleClients = idleClients.filter(({ sinceMs }) => now - sinceMs <= MAX_IDLE_MS);
+    const old = idleConnections.filter(({ sinceMs }) => now - sinceMs > MAX_IDLE_MS);
+    idleConnections = idleConnections.filter(({ sinceMs }) => now - sinceMs <= MAX_IDLE_MS);
     old.forEach(({ client }) => {
       void client.destroy();
     });
-    return idleClients.pop()?.client;
+    return idleConnections.pop();
   };
 
   const sendCall = async <Schema extends z.ZodType>(
     call: StoreCall,
     schema: Schema,
-  ): Promise<StoreResult<z.output<Schema>>> => {
-    const client = takeIdleClient() ?? createClient();
+  ): Promise<CallResult<z.output<Schema>>> => {
+    const { client, connection } = takeIdleConnection() ?? createConnection();
+    connection.resetLimit();
     // An abort signal has no effect until the connection is established; destroy() always does.
     const cancelDeadline = timers.scheduleOnce(call.timeoutMs ?? CALL_TIMEOUT_MS, () => {
       void client.destroy(new Error('no response in time'));
@@ -133,15 +159,18 @@
         body: call.body === undefined ? null : JSON.stringify(call.body),
       });
       const text = await response.body.text();
-      idleClients.push({ client, sinceMs: timers.getMonotonicMs() });
+      idleConnections.push({ client, connection, sinceMs: timers.getMonotonicMs() });
       const result = parseResponse(call, response.statusCode, text, schema);
-      return { ...result, era: parseEra(response.headers[Header.StoreEra]) };
+      const era = parseEra(response.headers[Header.StoreEra]);
+      return { ...result, era, length: text.length, isTooLong: false };
     } catch (error) {
       // After a lost response, the connection delivers nothing further.
       void client.destroy();
       return {
         kind: StoreFailure.OutcomeUnknown,
         problem: `${call.method} ${call.path}: ${formatProblem(error)}`,
+        length: 0,
+        isTooLong: connection.isLimitExceeded(),
       };
     } finally {
       cancelDeadline();
@@ -152,7 +181,7 @@
     kind: StoreKind,
     after: string | undefined,
     consistency: Consistency,
-  ): Promise<StoreResult<z.infer<typeof listSchema>>> => {
+  ): Promise<CallResult<z.infer<typeof listSchema>>> => {
     const query = new URLSearchParams();
     // Despite its name, after_rev takes the name of the last object of the previous page.
     if (after !== undefined) query.set('after_rev', after);
@@ -166,7 +195,8 @@
       const objects: StoreObject[] = [];
       let revision = Infinity;
       let era: number | undefined;
-      for (;;) {
+      let length = 0;
+      for (let pages = 1; ; pages++) {
         const page = await listPage(kind, objects.at(-1)?.name, consistency);
         if (page.kind !== 'ok') return page;
         if (objects.length > 0 && page.era !== era) {
@@ -178,6 +208,12 @@
         // A watch from the lowest revision returns the changes that the other pages may lack.
         revision = Math.min(revision, page.value.as_of);
         if (!page.value.more || page.value.items.length === 0) break;
+        length += page.length;
+        if (length > MAX_LIST_BYTES || pages >= MAX_LIST_PAGES) {
+          const limits = `${MAX_LIST_BYTES} bytes or ${MAX_LIST_PAGES} pages`;
+          const problem = `${formatPath(kind)}: the list exceeds the limit of ${limits}`;
+          return { kind: StoreFailure.NotDone, problem, era };
+        }
       }
       return { kind: 'ok', value: { objects, revision }, era };
     },
@@ -185,7 +221,11 @@
       const path = `${formatPath(kind)}?watch=${sinceRevision}&wait_ms=${Math.round(waitMs)}`;
       const call: StoreCall = { method: 'GET', path, timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS };
       const result = await sendCall(call, changesSchema);
-      if (result.kind !== 'ok') return result;
+      if (result.kind !== 'ok') {
+        // Changes that are too many for one answer are listed, in pages.
+        const failure = result.isTooLong ? StoreFailure.HistoryGone : result.kind;
+        return { ...result, kind: failure };
+      }
       const events = result.value.events.map(({ object, deleted }) => ({
         object: toStoreObject(object),
         isDeleted: deleted,
@@ -215,7 +255,7 @@
       return result.kind === 'ok' ? { ...result, value: undefined } : result;
     },
     async close() {
-      await Promise.all(idleClients.splice(0).map(({ client }) => client.destroy()));
+      await Promise.all(idleConnections.splice(0).map(({ client }) => client.destroy()));
     },
   };
 }
