Give up a stale list that changes faster than it is read

What was seen: a gateway that starts lists targets as of some seconds ago, and applies changes until an answer has fewer than 400. A store whose answers always have more kept it in that loop without a pause, with a list that grew with each answer; it never became ready. Change: after 20 such answers the kind is listed as it is now, and a log line says so. Evidence: the new test has no list after 900 ms of answers every 4 ms before, and has one now.

--- a/src/core/store-feed/bounds.test.ts
+++ b/src/core/store-feed/bounds.test.ts
@@ -171,4 +171,48 @@
     expect(lists).toEqual([['added']]);
     feed.stop();
   });
+
+  // Guards against a store whose changes never end: the list grew with each answer, and a gateway
+  // that starts never had one.
+  it('gives up a stale list that does not come up to date', async () => {
+    const timers = createManualTimers();
+    let listed = 0;
+    let watches = 0;
+    const feed = startFeed({
+      kind: StoreKind.Targets,
+      timers,
+      logger: createLogger('test'),
+      errorReporter: createErrorReporter(() => undefined),
+      timing: computeFeedTiming(2_000),
+      eras: createEraTracker(createLogger('test')),
+      isListedStale: true,
+      getPauseMs: () => 1_000,
+      isWatcher: () => true,
+      listener: {
+        handleList: (objects) => {
+          listed = objects.length;
+        },
+        handleObject: () => undefined,
+        handleDelete: () => undefined,
+      },
+      store: {
+        listObjects: async () => ({ kind: 'ok', value: { objects: [], revision: 1 } }),
+        async watchObjects(_kind, since) {
+          watches++;
+          await timers.waitFor(4);
+          const events = Array.from({ length: 500 }, (_, index) => ({
+            object: { name: `${watches}-${index}`, revision: since, spec: {}, status: undefined },
+            isDeleted: false,
+          }));
+          return { kind: 'ok', value: { events, revision: since + 1 } };
+        },
+      },
+    });
+    await timers.runForAsync(900);
+    expect({ listed, wasListed: feed.getConfirmedMs() !== undefined }).toEqual({
+      listed: 0,
+      wasListed: true,
+    });
+    feed.stop();
+  });
 });
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -53,6 +53,11 @@
 const SHORT_WATCH_MS = 50;
 /** A watch that returns this many events may have left out later ones. */
 const FULL_PAGE_EVENTS = 400;
+/**
+ * Watches that bring a stale list up to date at most; a list is a few seconds old, in which all
+ * entries of the largest site change a few times.
+ */
+const MAX_CATCH_UP_WATCHES = 20;
 /**
  * How long a follower waits for missing changes in the packets of another process before it calls
  * the store; a little longer than the longest packet period.
@@ -153,7 +158,7 @@
     if (stale.kind !== 'ok' || isOutdated(stale.era)) return false;
     const objects = new Map(stale.value.objects.map((object) => [object.name, object]));
     let since = stale.value.revision;
-    for (;;) {
+    for (let watches = 0; watches < MAX_CATCH_UP_WATCHES; watches++) {
       const sentMs = timers.getMonotonicMs();
       const result = await store.watchObjects(kind, since, SHORT_WATCH_MS);
       if (abortController.signal.aborted) return true;
@@ -168,6 +173,11 @@
         return true;
       }
     }
+    logger.warn('a stale list does not come up to date; the kind is listed as it is now', {
+      kind,
+      watches: MAX_CATCH_UP_WATCHES,
+    });
+    return false;
   };
 
   const readList = async (): Promise<void> => {
