Bound what datagrams make a gateway hold

What was seen: 5,000 datagrams of made-up gateways are all taken for gateways (4,983 at once), and 5,000 with names of 20,000 characters hold 50 MB of heap. A gateway that changes its address, or one that comes and goes, leaves an address behind for good. Each such address also counted as a gateway that is expected, so that the share of this gateway in slots and in the limits of cold targets fell towards zero. In a mesh, lost gateways were kept for digests that are never built there. Change: the table and the address book hold 1,000 gateways, five times those of the largest site; a gateway that is known stays, and a new one is refused with an error in the log. A full address book gives up an address that is not heard any more. Names have 255 characters at most. Lost gateways are forgotten after the time for which digests report them. Which addresses are heard is read from the table, and no longer kept beside it. Why it works: everything that is kept for a peer hangs on the table or the book, and both have a limit.

--- a/src/core/peers/address-book.ts
+++ b/src/core/peers/address-book.ts
@@ -1,7 +1,10 @@
 import type { TimerService } from '../timers/index.ts';
 
+import { MAX_GATEWAYS } from './consts.ts';
+
 /** Gateway addresses from the store and from packets, and when to try those not heard from. */
 export interface AddressBook {
+  /** Adds an address; if there are `MAX_GATEWAYS`, in place of one that is not heard any more. */
   addAddress(address: string): void;
   /**
    * Returns the addresses due for a packet. `isHeard` tells whether the gateway at an address has
@@ -24,7 +27,13 @@
 
   return {
     addAddress(address) {
-      if (!entries.has(address)) entries.set(address, { pauseMs: INITIAL_PAUSE_MS, dueMs: 0 });
+      if (entries.has(address)) return;
+      if (entries.size >= MAX_GATEWAYS) {
+        const silent = [...entries].find(([, { pauseMs }]) => pauseMs >= MAX_PAUSE_MS);
+        if (silent === undefined) return;
+        entries.delete(silent[0]);
+      }
+      entries.set(address, { pauseMs: INITIAL_PAUSE_MS, dueMs: 0 });
     },
     takeDueAddresses(isHeard) {
       const now = timers.getMonotonicMs();
--- /dev/null
+++ b/src/core/peers/consts.ts
@@ -0,0 +1,8 @@
+/**
+ * Gateways that are known at most, five times as many as the largest deployment has. Datagrams can
+ * name any number.
+ */
+export const MAX_GATEWAYS = 1_000;
+
+/** Length of a name or an address in a datagram; a host name has 253 characters at most. */
+export const MAX_NAME_LENGTH = 255;
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -8,6 +8,7 @@
 import type { Position } from '../placement/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { parseAddress } from './address.ts';
+import { MAX_GATEWAYS } from './consts.ts';
 import { createAddressBook } from './address-book.ts';
 import { createDigestAggregator } from './digests.ts';
 import type { FleetClock } from './fleet-clock.ts';
@@ -116,7 +117,6 @@
     getMonotonicMs: () => timers.getMonotonicMs(),
   });
   const fleetClock = createFleetClock(timers);
-  const heardAddresses = new Map<string, string>();
   const socket = createSocket('udp4');
   let listener: PeerExchangeListener | undefined;
   let stopSending: Unsubscribe | undefined;
@@ -204,6 +204,7 @@
     } else {
       sendTo(toAddresses(otherHubs.filter(isInOwnZone)), build(undefined, false));
     }
+    const heardAddresses = new Set(toAddresses(peers));
     sendTo(
       addressBook.takeDueAddresses((address) => heardAddresses.has(address)),
       build(undefined, false),
@@ -228,7 +229,6 @@
     }
     const known = table.findPeer(status.vmName);
     if (known === undefined) return;
-    heardAddresses.set(known.status.peerAddress, status.vmName);
     if (known.status.peerAddress !== ownAddress) addressBook.addAddress(known.status.peerAddress);
     listener?.handleStatus(known.status);
   };
@@ -246,6 +246,9 @@
     );
     fleetClock.observeFleetMs(packet.fleetMs);
     handlePeerStatus(sender, 0);
+    if (table.findPeer(sender.vmName) === undefined) {
+      throw new RangeError(`more than ${MAX_GATEWAYS} gateways send packets`);
+    }
     aggregator.addPacket(packet);
     for (const relayedPeer of digest?.peers ?? []) {
       if (relayedPeer.isLost) table.markLost(relayedPeer);
@@ -276,8 +279,7 @@
       timedOutPeers.push(...table.removeTimedOut(RELAYED_TIMEOUT_MS));
     }
     for (const peer of timedOutPeers) {
-      const { vmName: name, peerAddress } = peer.status;
-      heardAddresses.delete(peerAddress);
+      const { vmName: name } = peer.status;
       aggregator.removePeer(name);
       aggregator.addLostPeer(peer);
       logger.warn('lost a gateway', { peer: name });
--- a/src/core/peers/digests.ts
+++ b/src/core/peers/digests.ts
@@ -103,6 +103,12 @@
     return entries[0]?.packet.digest;
   };
 
+  /** Removes the lost gateways that digests no longer report; in a mesh, no digests are built. */
+  const removeReportedPeers = (): void => {
+    const oldestMs = getMonotonicMs() - LOST_REPORT_MS;
+    for (const [name, { sinceMs }] of lostPeers) if (sinceMs < oldestMs) lostPeers.delete(name);
+  };
+
   const listRelayedPeers = (isWanted: (vmName: string) => boolean): RelayedPeer[] => {
     const now = getMonotonicMs();
     const peers = table.listPeers().filter(({ status }) => isWanted(status.vmName));
@@ -118,11 +124,10 @@
       ageMs: now - heardMs,
       isLost: false,
     }));
+    removeReportedPeers();
     for (const [name, { peer, sinceMs }] of lostPeers) {
-      if (now - sinceMs > LOST_REPORT_MS) lostPeers.delete(name);
-      else if (isWanted(name)) {
-        relayedPeers.push({ status: peer.status, ageMs: now - sinceMs, isLost: true });
-      }
+      if (!isWanted(name)) continue;
+      relayedPeers.push({ status: peer.status, ageMs: now - sinceMs, isLost: true });
     }
     return relayedPeers;
   };
@@ -142,6 +147,7 @@
       received.delete(vmName);
     },
     addLostPeer(peer) {
+      removeReportedPeers();
       lostPeers.set(peer.status.vmName, { peer, sinceMs: getMonotonicMs() });
     },
     computePeerLoads(ownReported) {
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -17,6 +17,7 @@
 import { decodeLimit, encodeLimit } from './limit-codec.ts';
 import { decodeEvidence, encodeEvidence } from './evidence-codec.ts';
 import { parseAddress } from './address.ts';
+import { MAX_NAME_LENGTH } from './consts.ts';
 import { toUint32, toUint53 } from './uint32.ts';
 import type { PeerDigest, PeerPacket, PeerStatus, RelayedPeer } from './types.ts';
 import { PeerState } from './types.ts';
@@ -104,15 +105,20 @@
 }
 
 function decodeStatus(member: GatewayMember): PeerStatus {
-  if (parseAddress(member.peerAddress) === undefined) {
+  const { vmName, callersAddress, peerAddress, availabilityZone } = member;
+  const names = [vmName, callersAddress, peerAddress, availabilityZone];
+  if (names.some(({ length }) => length > MAX_NAME_LENGTH)) {
+    throw new RangeError(`a name has more than ${MAX_NAME_LENGTH} characters`);
+  }
+  if (parseAddress(peerAddress) === undefined) {
     throw new TypeError('the address of a gateway is invalid');
   }
   return {
-    vmName: member.vmName,
+    vmName,
     incarnation: Number(member.incarnation),
-    callersAddress: member.callersAddress,
-    peerAddress: member.peerAddress,
-    availabilityZone: member.availabilityZone,
+    callersAddress,
+    peerAddress,
+    availabilityZone,
     capacity: member.capacity,
     state: decodeState(member.state),
     hasRequests: member.hasRequests,
--- a/src/core/peers/peer-table.ts
+++ b/src/core/peers/peer-table.ts
@@ -1,9 +1,13 @@
 import type { TimerService } from '../timers/index.ts';
+import { MAX_GATEWAYS } from './consts.ts';
 import type { Peer, PeerStatus, RelayedPeer } from './types.ts';
 
 /** The other gateways that have not timed out. */
 export interface PeerTable {
-  /** Records a gateway last heard `ageMs` ago; returns whether it is new or has restarted. */
+  /**
+   * Records a gateway last heard `ageMs` ago; returns whether it is new or has restarted. Leaves a new
+   * one out while `MAX_GATEWAYS` are known.
+   */
   addPeer(status: PeerStatus, ageMs: number): boolean;
   /** Removes a gateway unless a later packet is known; removeTimedOut then returns it as well. */
   markLost(peer: RelayedPeer): void;
@@ -33,6 +37,7 @@
     addPeer(status, ageMs) {
       if (status.vmName === vmName) return false;
       const known = peers.get(status.vmName);
+      if (known === undefined && peers.size >= MAX_GATEWAYS) return false;
       const heardMs = timers.getMonotonicMs() - ageMs;
       const isNew = known?.status.incarnation !== status.incarnation;
       if (known !== undefined) {
