Keep waiting lines sorted by inserting at a place instead of sorting them

What was seen: each request that waits sorted a copy of its whole line, each one that started or gave up filtered it, and each plan to wait counted it. Change: places are found by bisection. Evidence: waiting-lines.test.ts counts how often requests are compared, with a bound of 10 log2 of the line's length for each; it failed before with 1,000 and 5,000. A property test compares the order with that of a sorted list; it passed before and passes now.

--- a/src/core/placement/waiting-lines.ts
+++ b/src/core/placement/waiting-lines.ts
@@ -25,6 +25,18 @@
   return left.priority - right.priority || left.giveUpMs - right.giveUpMs;
 }
 
+/** Finds the first place in a sorted line that a test holds for; it holds for all later ones too. */
+function findPlace(line: readonly Waiter[], isBehind: (waiter: Waiter) => boolean): number {
+  let low = 0;
+  let high = line.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (isBehind(line[middle]!)) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
+
 /** Creates empty lines; a timer runs only while a request waits. */
 export function createWaitingLines(
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>,
@@ -35,9 +47,11 @@
   const countWaiting = (): number => [...lines.values()].reduce((sum, one) => sum + one.length, 0);
 
   const remove = (key: PlaceKey, waiter: Waiter): void => {
-    const line = (lines.get(key) ?? []).filter((one) => one !== waiter);
-    if (line.length > 0) lines.set(key, line);
-    else lines.delete(key);
+    const line = lines.get(key) ?? [];
+    const firstEqual = findPlace(line, (one) => compareWaiters(one, waiter) >= 0);
+    const place = line.indexOf(waiter, firstEqual);
+    if (place >= 0) line.splice(place, 1);
+    if (line.length === 0) lines.delete(key);
     if (lines.size > 0) return;
     stopChecks?.();
     stopChecks = undefined;
@@ -66,13 +80,18 @@
 
   return {
     add(key, waiter) {
-      const line = [...(lines.get(key) ?? []), waiter].sort(compareWaiters);
+      const line = lines.get(key) ?? [];
       lines.set(key, line);
+      line.splice(
+        findPlace(line, (one) => compareWaiters(one, waiter) > 0),
+        0,
+        waiter,
+      );
       stopChecks ??= timers.subscribe(CHECK_PERIOD_MS, check);
       return () => remove(key, waiter);
     },
     countAhead: (key, waiter) =>
-      (lines.get(key) ?? []).filter((one) => compareWaiters(one, waiter) <= 0).length,
+      findPlace(lines.get(key) ?? [], (one) => compareWaiters(one, waiter) > 0),
     serve,
     countWaiting,
   };
