Forget the sends to cold targets and the queries of engines that are gone

What was seen: the chooser kept the times of its sends to each cold target for good, and the leader when it has asked each engine. Change: entries older than the time for which they count are removed.

--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -250,6 +250,9 @@
     const due = members.filter(
       ({ id }) => now - (lastQueryMs.get(id) ?? -Infinity) > RESPONSE_CHECK_PERIOD_MS,
     );
+    for (const [id, queryMs] of lastQueryMs) {
+      if (now - queryMs > RESPONSE_CHECK_PERIOD_MS) lastQueryMs.delete(id);
+    }
     due.forEach(({ id }) => lastQueryMs.set(id, now));
     const reachability = await Promise.all(
       due.map((member) => groupOperations.isReachable(member)),
--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -125,11 +125,21 @@
     return Math.floor(requestLimit / count) + (turn < requestLimit % count ? 1 : 0);
   };
 
+  /** Removes the sends before the window, and the targets without any in it; most are gone. */
+  const removeOldColdSends = (now: number): void => {
+    for (const [targetId, sends] of coldSends) {
+      const recent = sends.findIndex((atMs) => now - atMs < COLD_WINDOW_MS);
+      if (recent < 0) coldSends.delete(targetId);
+      else if (recent > 0) sends.splice(0, recent);
+    }
+  };
+
   /** Reserves one of a cold target's requests of this second; false if none is left. */
   const reserveColdRequest = (target: Target, service: ServiceSpec): boolean => {
     if (service.coldRequestsPerSecond <= 0 || !isCold(target)) return true;
     const now = timers.getMonotonicMs();
-    const sends = (coldSends.get(target.id) ?? []).filter((atMs) => now - atMs < COLD_WINDOW_MS);
+    removeOldColdSends(now);
+    const sends = coldSends.get(target.id) ?? [];
     coldSends.set(target.id, sends);
     if (sends.length >= computeColdLimitShare(target, service)) return false;
     sends.push(now);
