Bound the answers of the object API at the entry daemon and the controller

What was seen: an answer whose body does not end was read whole until the call timed out, 2 s and more. Change: a body has 32 MB at most, the size of the largest message between daemons, as a list has all allocations and no pages; the error names the limit. A status line without end is still bounded by the time of the call only.

--- a/src/core/object-api/http.ts
+++ b/src/core/object-api/http.ts
@@ -1,12 +1,20 @@
 import { isIPv6 } from 'node:net';
 import { Pool } from 'undici';
 import { formatProblem } from '../errors/index.ts';
+import { MAX_MESSAGE_BYTES } from '../rpc/consts.ts';
 import type { TimerService } from '../timers/index.ts';
 
 /** Maximum number of connections to the platform; each pending watch occupies one. */
 const MAX_CONNECTIONS = 32;
 const CONNECT_TIMEOUT_MS = 2_000;
 
+/**
+ * Limit on the body of one answer; a list holds all allocations, like the largest message between
+ * daemons.
+ */
+const MAX_ANSWER_BYTES = MAX_MESSAGE_BYTES;
+const TOO_LONG_CODE = 'UND_ERR_RES_EXCEEDED_MAX_SIZE';
+
 /** Error codes of failures that occur before any byte of the request is sent. */
 const NOT_SENT_CODES: ReadonlySet<unknown> = new Set([
   'ECONNREFUSED',
@@ -70,6 +78,7 @@
     // Deadlines are enforced with the timer service instead.
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAX_ANSWER_BYTES,
   });
 
   const sendWithSignal = async (call: HttpCall, signal: AbortSignal): Promise<HttpResult> => {
@@ -96,7 +105,9 @@
       } catch (error) {
         const isNotSent = NOT_SENT_CODES.has(getErrorCode(error));
         const kind = isNotSent ? HttpResultKind.NotSent : HttpResultKind.Lost;
-        return { kind, problem: formatProblem(error) };
+        const isTooLong = getErrorCode(error) === TOO_LONG_CODE;
+        const tooLong = `the answer exceeds the limit of ${MAX_ANSWER_BYTES} bytes`;
+        return { kind, problem: isTooLong ? tooLong : formatProblem(error) };
       } finally {
         cancel();
       }
--- a/src/platform/endless-answers.test.ts
+++ b/src/platform/endless-answers.test.ts
@@ -7,8 +7,8 @@
 import { Consistency, StoreFailure, StoreKind } from '../core/store/index.ts';
 import { createTimerService } from '../core/timers/index.ts';
 import { createEngineControl } from './engine-control.ts';
-import type { EndlessServer } from './fixtures/endless-server.ts';
-import { EndlessPart, startEndlessServer } from './fixtures/endless-server.ts';
+import type { EndlessServer } from '../core/http/fixtures/endless-server.ts';
+import { EndlessPart, startEndlessServer } from '../core/http/fixtures/endless-server.ts';
 import { createStoreClient } from './store-client.ts';
 
 const HOST = '127.0.0.1';
