Bound the bodies that an entry daemon holds

What was seen: each body of a caller was read whole, up to 8 MB, on any number of connections, with no time by which it had to arrive. Of 24 callers that send 6 of 7 MB and then nothing, none was refused. Change: the bodies of a daemon have 64 MB together, as much as it holds of answers. A request whose declared length does not fit is refused before it is read, a chunked one as soon as it does not, with 503, Retry-After and the new error memory-short. A request has to arrive within 30 s. The time of 30 s is Node.js's requestTimeout and has no test.

--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -14,6 +14,7 @@
   OrderRefused = 'order-refused',
   NoTarget = 'no-target',
   LimitReached = 'limit-reached',
+  MemoryShort = 'memory-short',
   RequestIdNotIssued = 'request-id-not-issued',
   OwnerUnreachable = 'owner-unreachable',
   OutcomeUnknown = 'outcome-unknown',
@@ -124,6 +125,12 @@
     message: 'Customer {customer} has reached its limit of {limit}.',
     hint: 'Retry after the time in the retry-after header, or ask the operators to raise the limit.',
   },
+  [ErrorKind.MemoryShort]: {
+    name: 'MemoryShortError',
+    title: 'The daemon has no memory for the request.',
+    message: 'The bodies that the daemon holds leave no room for {bytes} more bytes.',
+    hint: 'Retry after the time in the retry-after header, or at another daemon; nothing was run.',
+  },
   [ErrorKind.RequestIdNotIssued]: {
     name: 'RequestIdNotIssuedError',
     title: 'The request id was not issued by this system.',
--- a/src/core/http/caller-server.ts
+++ b/src/core/http/caller-server.ts
@@ -4,8 +4,15 @@
 import { SOCKET_BUFFER_BYTES } from '../streams/index.ts';
 import type { AnswerStream } from '../streams/index.ts';
 import { Outcome } from '../domain-types/index.ts';
+import { createMemoryBudget } from '../memory/index.ts';
 import { addCompletionRoutes } from './completion-routes.ts';
-import { IDLE_CLOSE_INTERVAL_MS, MAX_BODY_BYTES } from './consts.ts';
+import { addBodyBudget } from './body-budget.ts';
+import {
+  IDLE_CLOSE_INTERVAL_MS,
+  MAX_BODY_BYTES,
+  MAX_DAEMON_BODY_BYTES,
+  REQUEST_TIMEOUT_MS,
+} from './consts.ts';
 import { readCallerHeaders } from './headers.ts';
 import { sendError, sendCallOutcome, sendThrownError } from './replies.ts';
 import { addServiceRoutes } from './service-routes.ts';
@@ -51,9 +58,10 @@
     return503OnClosing: false,
     // Text beyond this limit stays in the answer stream, which counts its buffered bytes.
     http: { highWaterMark: SOCKET_BUFFER_BYTES },
-    requestTimeout: 0,
+    requestTimeout: REQUEST_TIMEOUT_MS,
     routerOptions: { maxParamLength: MAX_PARAMETER_CHARACTERS },
   });
+  addBodyBudget(app, createMemoryBudget(MAX_DAEMON_BODY_BYTES));
   app.setErrorHandler((error, _, reply) => sendThrownError(reply, error));
   app.setNotFoundHandler((request, reply) => {
     const details = { path: `${request.method} ${request.url}`, problem: 'no such route' };
--- a/src/core/http/consts.ts
+++ b/src/core/http/consts.ts
@@ -1,6 +1,15 @@
 /** Maximum size of a request body. */
 export const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 
+/** Maximum size of all request bodies of a daemon together; as much as it holds of answers. */
+export const MAX_DAEMON_BODY_BYTES = 64 * 1_024 * 1_024;
+
+/** Time within which a caller has to send its request. */
+export const REQUEST_TIMEOUT_MS = 30_000;
+
+/** Delay before a caller whose request did not fit into the memory should retry. */
+export const MEMORY_RETRY_MS = 1_000;
+
 /**
  * UTF-8 bytes of a prompt that count as one token. English text has about 4 bytes per token and
  * Cyrillic text about 4 to 5. The lower value overestimates the number of tokens, so that the
--- a/src/core/http/replies.ts
+++ b/src/core/http/replies.ts
@@ -6,6 +6,7 @@
 import { CallOutcome } from '../rpc/index.ts';
 import type { CallResult } from '../rpc/index.ts';
 import { Outcome } from '../domain-types/index.ts';
+import { MEMORY_RETRY_MS } from './consts.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -19,6 +20,7 @@
 
 const STATUS_BY_KIND: Partial<Record<ErrorKind, number>> = {
   [ErrorKind.LimitReached]: HTTP_TOO_MANY_REQUESTS,
+  [ErrorKind.MemoryShort]: HTTP_SERVICE_UNAVAILABLE,
   [ErrorKind.NoTarget]: HTTP_SERVICE_UNAVAILABLE,
   [ErrorKind.OutcomeUnknown]: HTTP_BAD_GATEWAY,
   [ErrorKind.StreamBroken]: HTTP_BAD_GATEWAY,
@@ -65,7 +67,10 @@
 
 /** Converts a value thrown by a handler into an error response. */
 export function sendThrownError(reply: FastifyReply, thrown: unknown): FastifyReply {
-  if (isServingError(thrown)) return sendError(reply, thrown);
+  if (isServingError(thrown)) {
+    if (thrown.kind === ErrorKind.MemoryShort) setRetryAfter(reply, MEMORY_RETRY_MS);
+    return sendError(reply, thrown);
+  }
   const { statusCode, message } = thrown as { statusCode?: number; message?: string };
   const problem = message ?? String(thrown);
   if (statusCode !== undefined && statusCode < HTTP_INTERNAL_SERVER_ERROR) {
