Keep packets between gateways within a datagram

What was seen: the changes of the store have up to 40,000 bytes of a packet, whatever else is in it. With 1,000 loads and evidence of 400 parts, a packet exceeds 65,507 bytes; the system refuses it, and the failed send was taken for a lost datagram, so that the gateway falls silent for the others and nothing tells why. Change: everything but the changes is encoded first, and the changes get what is left, at most 40,000 bytes as before; receivers that miss them read the store. A packet that is too large even without changes is reported as an error that names both sizes. Evidence: the new case of packets.test.ts, failing before.

--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -8,7 +8,7 @@
 import type { Position } from '../placement/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { parseAddress } from './address.ts';
-import { MAX_GATEWAYS } from './consts.ts';
+import { MAX_DATAGRAM_BYTES, MAX_GATEWAYS } from './consts.ts';
 import { createAddressBook } from './address-book.ts';
 import { createDigestAggregator } from './digests.ts';
 import type { FleetClock } from './fleet-clock.ts';
@@ -160,6 +160,11 @@
   const sendTo = (peerAddresses: readonly string[], packet: PeerPacket): void => {
     if (peerAddresses.length === 0) return;
     const bytes = encodePacket(packet);
+    if (bytes.length > MAX_DATAGRAM_BYTES) {
+      const problem = `a packet of ${bytes.length} bytes exceeds the limit of ${MAX_DATAGRAM_BYTES}`;
+      errorReporter.report(ErrorOrigin.Packet, new RangeError(problem));
+      return;
+    }
     for (const address of peerAddresses) {
       const peerAddress = parseAddress(address);
       if (peerAddress === undefined) continue;
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -69,7 +69,45 @@
   ],
 };
 
+/** Largest payload of an IPv4 datagram. */
+const DATAGRAM_LIMIT_BYTES = 65_507;
+
 describe('packets between gateways', () => {
+  // Guards against a gateway that is lost to the others because the system refuses its packets: the
+  // changes of the store filled a datagram that had little room left.
+  it('fit into a datagram with many loads, much evidence and changes that do not compress', () => {
+    const loads = Array.from({ length: 1_000 }, (_, index) => ({
+      targetId: `i-${String(index).padStart(10, '0')}`,
+      inFlight: 300,
+    }));
+    const parts = Array.from({ length: 400 }, () => `service/${randomBytes(16).toString('hex')}`);
+    const [change] = PACKET.progress[0]!.changes;
+    const changes = Array.from({ length: 100 }, (_, index) => ({
+      ...change!,
+      object: {
+        name: `i-${index}`,
+        revision: 17,
+        spec: randomBytes(280).toString('hex'),
+        status: undefined,
+      },
+    }));
+    const bytes = encodePacket({
+      ...PACKET,
+      loadReport: { ...PACKET.loadReport, loads },
+      evidence: {
+        crashes: [],
+        notices: [],
+        begins: parts.map((part) => ({ part, ageMs: 5 })),
+      },
+      progress: [{ ...PACKET.progress[0]!, changes }],
+    });
+    expect(bytes.length <= DATAGRAM_LIMIT_BYTES).toEqual(true);
+    const decoded = decodePacket(bytes);
+    expect(decoded.loadReport.loads.length).toEqual(1_000);
+    // The followers learn that changes are missing, and read the store.
+    expect(decoded.progress[0]?.sinceRevision).toEqual(18);
+  });
+
   it('are decoded as they were encoded', () => {
     const decoded = decodePacket(encodePacket(PACKET));
     const [change] = decoded.progress[0]?.changes ?? [];
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -17,7 +17,7 @@
 import { decodeLimit, encodeLimit } from './limit-codec.ts';
 import { decodeEvidence, encodeEvidence } from './evidence-codec.ts';
 import { parseAddress } from './address.ts';
-import { MAX_NAME_LENGTH } from './consts.ts';
+import { MAX_DATAGRAM_BYTES, MAX_NAME_LENGTH } from './consts.ts';
 import { toUint32, toUint53 } from './uint32.ts';
 import type { PeerDigest, PeerPacket, PeerStatus, RelayedPeer } from './types.ts';
 import { PeerState } from './types.ts';
@@ -28,8 +28,10 @@
   [PeerState.Leaving]: GatewayState.LEAVING,
 };
 
-/** Maximum bytes of the changes of all kinds in a packet, whose limit is 64 KB. */
+/** Maximum bytes of the changes of all kinds in a packet. */
 const MAX_CHANGES_BYTES = 40_000;
+/** Bytes of the progress of all kinds without changes. */
+const PROGRESS_HEAD_BYTES = 500;
 
 const STORE_KINDS: ReadonlySet<string> = new Set(Object.values(StoreKind));
 
@@ -70,16 +72,21 @@
   };
 }
 
-/** Encodes a packet as a datagram. */
-export function encodePacket(packet: PeerPacket): Uint8Array {
-  const { sender, loadReport, digest, evidence, advisories, fleetMs, progress } = packet;
+/** Encodes the progress of all kinds, with changes as far as they fit into `maxBytes`. */
+function encodeAllProgress(progress: readonly FeedProgress[], maxBytes: number): Uint8Array {
   let changeBytes = 0;
   const encodedProgress = progress.map((one) => {
-    const encoded = encodeProgress(one, MAX_CHANGES_BYTES - changeBytes);
+    const encoded = encodeProgress(one, maxBytes - changeBytes);
     changeBytes += encoded.compressedChanges.length;
     return encoded;
   });
-  return toBinary(
+  return toBinary(GatewayPacketSchema, create(GatewayPacketSchema, { progress: encodedProgress }));
+}
+
+/** Encodes a packet as a datagram. Changes of the store give way to everything else. */
+export function encodePacket(packet: PeerPacket): Uint8Array {
+  const { sender, loadReport, digest, evidence, advisories, fleetMs, progress } = packet;
+  const state = toBinary(
     GatewayPacketSchema,
     create(GatewayPacketSchema, {
       sender: toWirePeer(sender),
@@ -99,9 +106,14 @@
       fleetMs: toUint53(fleetMs),
       limits: advisories.limits.map(encodeLimit),
       leavingTargetKeys: [...advisories.leavingKeys],
-      progress: encodedProgress,
     }),
   );
+  const restBytes = MAX_DATAGRAM_BYTES - state.length - PROGRESS_HEAD_BYTES;
+  // The encodings of two parts of a message, one after the other, are that of the whole message.
+  return Buffer.concat([
+    state,
+    encodeAllProgress(progress, Math.min(MAX_CHANGES_BYTES, restBytes)),
+  ]);
 }
 
 function decodeStatus(member: GatewayMember): PeerStatus {
