Copy small chunks of a body together

What was seen: each chunk of a body of unknown length was kept as it came. A body of 500,000 bytes in chunks of one byte held 97.5 MB, of which the memory budget counted 0.5 MB; with less than 1 MB, one caller fills the heap of 160 MB. Cause: a chunk takes some hundred bytes of the heap, and keeps the whole buffer that the system read it into. Change: chunks below 4 KB are copied into blocks of 16 KB (core/memory/byte-collector.ts).

--- a/src/core/gateway/request-body.ts
+++ b/src/core/gateway/request-body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { MemoryAccount } from '../memory/index.ts';
+import { createByteCollector } from '../memory/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 
 /** How the reading of a body ended. */
@@ -56,19 +57,18 @@
     finish({ end: BodyEnd.Complete, body: EMPTY_BODY });
     return;
   }
-  /** Chunks of a body of unknown length. */
-  const chunks: Buffer[] = [];
+  /** Chunks of a body of unknown length, or the only one of a body. */
+  const chunks = createByteCollector();
   /** Buffer for a body of known length that arrives in several chunks. */
   let whole: Buffer | undefined;
   let receivedBytes = 0;
   let cancelLimit: Unsubscribe | undefined;
 
-  const buildBody = (): Buffer =>
-    whole ?? (chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+  const buildBody = (): Buffer => whole ?? chunks.takeBytes();
 
   const storeChunk = (chunk: Buffer): void => {
     if (declaredBytes === undefined || chunk.length === declaredBytes) {
-      chunks.push(chunk);
+      chunks.addChunk(chunk);
       return;
     }
     whole ??= Buffer.allocUnsafeSlow(declaredBytes);
--- a/src/core/memory/index.ts
+++ b/src/core/memory/index.ts
@@ -1,3 +1,5 @@
+export { createByteCollector } from './byte-collector.ts';
+export type { ByteCollector } from './byte-collector.ts';
 export { BYTES_PER_MB } from './consts.ts';
 export { measureMemory } from './measure-memory.ts';
 export { computeBudgetBytes, createMemoryBudget } from './memory-budget.ts';
