Hand over the chunks of an answer that were read together as one

What was seen: each chunk of an answer is kept on its own while the answer is buffered. Change: the client of targets collects the chunks that one read of the socket brings, and hands them over as one before anything else happens. An error of the listener ends the exchange, as before. Evidence: the new case of target-client.test.ts (100,000 chunks), failing before. What remains: a target that sends each byte in a segment of its own is read one byte at a time.

--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -43,6 +43,7 @@
 async function runExchangeWith(
   handleRequest: (socket: Socket) => void,
   path = '/',
+  handlePart: () => void = () => undefined,
 ): Promise<ExchangeResult> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -75,6 +76,7 @@
         handleHead: () => undefined,
         handleData: (chunk) => {
           result.body += chunk.toString();
+          handlePart();
         },
         handleEnd: () => end('complete'),
         handleError: (failure) => end(failure === SendFailure.Sent ? 'broken' : failure),
@@ -242,4 +244,24 @@
     expect(await client.probeListener(address)).toEqual(false);
     await client.close();
   });
+
+  // Guards against an answer in chunks of one byte, each of which takes some hundred bytes while the
+  // answer is buffered.
+  it('hands over the chunks that were read together as one', async () => {
+    const chunks = 100_000;
+    let parts = 0;
+    const result = await runExchangeWith(
+      (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+        socket.write('1\r\nx\r\n'.repeat(chunks));
+        socket.write('0\r\n\r\n');
+      },
+      '/',
+      () => {
+        parts++;
+      },
+    );
+    expect(result).toEqual({ outcome: 'complete', body: 'x'.repeat(chunks), calls: 1 });
+    expect(parts < chunks / 100).toEqual(true);
+  });
 });
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -170,6 +170,17 @@
       const complete = (): void => {
         if (finish()) listener.handleEnd(state.isFramed);
       };
+      let unhandledChunks: Buffer[] = [];
+      const deliverChunks = (): void => {
+        const chunks = unhandledChunks;
+        unhandledChunks = [];
+        if (isDone || chunks.length === 0) return;
+        try {
+          listener.handleData(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+        } catch (error) {
+          fail(formatProblem(error));
+        }
+      };
       cancelConnectTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => {
         if (!wasSent) fail('no connection in time');
       });
@@ -200,9 +211,14 @@
             listener.handleHead(wire.parseResponseHead(status, fields));
           },
           onResponseData(_controller, chunk) {
-            if (!isDone) listener.handleData(chunk);
+            if (isDone) return;
+            // Chunks that were read together are handed over as one: of an answer in chunks of a byte,
+            // each would take some hundred bytes.
+            if (unhandledChunks.length === 0) queueMicrotask(deliverChunks);
+            unhandledChunks.push(chunk);
           },
           onResponseEnd() {
+            deliverChunks();
             // On a connection that closes, undici reports a reset as the end of the response.
             if (state.failure !== undefined) fail(formatProblem(state.failure));
             else if (state.isFramed || state.socket === undefined) complete();
@@ -214,6 +230,7 @@
             }
           },
           onResponseError(_controller, error) {
+            deliverChunks();
             if (error instanceof errors.InvalidArgumentError) rejectLater(error);
             else fail(formatProblem(error));
           },
