Blame no target for descriptors that the gateway lacks

Callers saw requests refused or moved away from sound targets, at all gateways, while one gateway had no file descriptors left: a send that failed with EMFILE marked its target as suspect, and the gateway told the others. The probe that confirms a crash took EMFILE for a process that does not listen.

A send that fails for lack of own resources (descriptors, local ports, memory) is now reported as such. It marks no target, counts as no failure, and the request waits for a connection as for a place; if none becomes free, it is refused as not run with Retry-After and the reason no-connection. Sends that are in progress may be limited.

Two more ways to hold descriptors or to blame targets end with it: the socket of a connection attempt is closed as soon as its send has ended (undici kept it for up to 2 s), and the time limit of a connection is checked after the connections that have come meanwhile, as a gateway that is late sees the timer first.

--- /dev/null
+++ b/src/core/connections/index.ts
@@ -0,0 +1,1 @@
+export { isLocalFault } from './is-local-fault.ts';
--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -26,6 +26,8 @@
   [FailureReason.RetryBudget]: 'the retry budget, which all gateways share, was exhausted',
   [FailureReason.AttemptsUsed]: 'the request used all attempts that its route allows',
   [FailureReason.TimeLimit]: 'its deadline or the time limit of its route passed',
+  [FailureReason.NoConnection]:
+    'the gateway had no connection left for a send; the request was not executed',
   [FailureReason.Stopping]: 'the gateway was stopping; the request was not executed',
   [FailureReason.TargetFailed]: 'its target failed, and the request must not be retried',
   [FailureReason.Unsendable]: 'the request cannot be written as HTTP, so no target got it',
--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -403,3 +403,52 @@
     expect(state.lost).toEqual([true]);
   });
 });
+
+describe('forwarding without connections', () => {
+  // Guards against a target that all gateways avoid because one gateway lacks descriptors.
+  it('sends again after a send that found no descriptor, and suspects no target', async () => {
+    let isFree = true;
+    const harness = startTestForwarding({
+      kind: RequestKind.NonIdempotent,
+      targetCount: 1,
+      hasFreeConnection: () => isFree,
+    });
+    isFree = false;
+    getSend(harness, 0).listener.handleError(SendFailure.NoResources, 'EMFILE');
+    expect(harness.listSuspects()).toEqual([]);
+    isFree = true;
+    await harness.timers.runForAsync(20);
+    const { listener } = acceptSend(harness, 1);
+    listener.handleHead(RESPONSE_HEAD);
+    listener.handleEnd(true);
+    expect(harness.caller.status).toEqual(200);
+    expect(harness.getResult()?.targetIds.length).toEqual(1);
+  });
+
+  it('refuses a request as not run with a time to retry if no connection becomes free', async () => {
+    const harness = startTestForwarding({
+      kind: RequestKind.NonIdempotent,
+      hasFreeConnection: () => false,
+    });
+    await harness.timers.runForAsync(200);
+    expect(harness.sends.length).toEqual(0);
+    expect(harness.caller.status).toEqual(503);
+    expect(harness.getResult()?.outcome).toEqual(Outcome.NotRun);
+    expect(harness.getResult()?.reason).toEqual(FailureReason.NoConnection);
+    expect(harness.listSuspects()).toEqual([]);
+  });
+
+  it('answers 502 if the request may have run and no connection becomes free for a retry', async () => {
+    let isFree = true;
+    const harness = startTestForwarding({
+      kind: RequestKind.Idempotent,
+      hasFreeConnection: () => isFree,
+    });
+    const send = acceptSend(harness, 0);
+    isFree = false;
+    send.listener.handleError(SendFailure.Sent, 'reset');
+    await harness.timers.runForAsync(1_600);
+    expect(harness.caller.status).toEqual(502);
+    expect(harness.sends.length).toEqual(1);
+  });
+});
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -275,15 +275,17 @@
   /** Waits for a place at a target, or refuses the request at once if none will be free in time. */
   function waitForPlace(query: TargetQuery): void {
     const { giveUpMs, reason } = placement.planWait(query);
+    const giveUp = (): void =>
+      endWithoutResponse(client.hasFreeConnection() ? reason : FailureReason.NoConnection);
     if (giveUpMs === undefined) {
-      endWithoutResponse(reason);
+      giveUp();
       return;
     }
     cancelWait = lines.add(placement.key, {
       priority: route.priority,
       giveUpMs,
       tryStart: () => tryStartAttempt(placement.buildQuery(mayHaveRun, triedIds)),
-      giveUp: () => endWithoutResponse(reason),
+      giveUp,
     });
   }
 
@@ -303,7 +305,7 @@
       endWithoutResponse(FailureReason.Quarantined);
       return true;
     }
-    const target = chooser.chooseTarget(query);
+    const target = client.hasFreeConnection() ? chooser.chooseTarget(query) : undefined;
     if (target === undefined) return false;
     if (targetIds.length > 0) {
       if (!budget.takeRetry(service.name)) {
@@ -602,6 +604,13 @@
       reportResult(Outcome.Rejected, HTTP_BAD_REQUEST, FailureReason.Unsendable);
       return;
     }
+    if (failure === SendFailure.NoResources) {
+      endAttempt(false);
+      triedIds.delete(attempt.target.id);
+      lastFailure = problem;
+      startAttempt();
+      return;
+    }
     if (failure === SendFailure.Sent) {
       failLostAttempt(attempt, problem);
       return;
--- a/src/core/forwarding/target-client.test.ts
+++ b/src/core/forwarding/target-client.test.ts
@@ -1,3 +1,4 @@
+import { readdirSync } from 'node:fs';
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { describe, it } from 'node:test';
@@ -5,6 +6,7 @@
 import { NO_ADVICE } from '../advisories/index.ts';
 import type { Target } from '../fleet/index.ts';
 import { createTimerService } from '../timers/index.ts';
+import type { ExchangeListener, TargetClient, TargetExchange } from './target-client.ts';
 import { createTargetClient, SendFailure } from './target-client.ts';
 import type { ResponseHead, CallerRequest, WireFormat } from './types.ts';
 
@@ -243,3 +245,70 @@
     await client.close();
   });
 });
+
+const IGNORE: ExchangeListener = {
+  handleSent: () => undefined,
+  handleHead: () => undefined,
+  handleData: () => undefined,
+  handleEnd: () => undefined,
+  handleError: () => undefined,
+};
+
+function startSend(client: TargetClient, port: number): TargetExchange {
+  const request = {
+    request: { method: 'GET', path: '/' } as CallerRequest,
+    body: Buffer.alloc(0),
+    target: { id: 'i-1', address: `127.0.0.1:${port}` } as Target,
+    remainingMs: 1_000,
+    customer: undefined,
+    lastEventId: undefined,
+    isUrgent: false,
+  };
+  return client.send(request, IGNORE);
+}
+
+/** Lets the attempt open its socket; that it ends needs the event loop, which does not run yet. */
+async function waitForTick(): Promise<void> {
+  for (let count = 0; count < 2; count++) {
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+  }
+}
+
+function countDescriptors(): number {
+  return readdirSync('/proc/self/fd').length;
+}
+
+describe('connections to targets', () => {
+  // Guards against descriptors that the store and the engines need.
+  it('finds no free connection while as many sends as allowed are in progress', async () => {
+    const server = createServer((socket) => socket.on('error', () => undefined));
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const client = createTargetClient(WIRE, timers, { maxConnections: 2 });
+    const first = startSend(client, port);
+    expect(client.hasFreeConnection()).toEqual(true);
+    startSend(client, port);
+    expect(client.hasFreeConnection()).toEqual(false);
+    expect(client.countConnections()).toEqual(2);
+    first.cancel();
+    expect(client.hasFreeConnection()).toEqual(true);
+    await client.close();
+    server.close();
+  });
+
+  // Guards against connection attempts that hold a descriptor after their send has ended.
+  it('gives back the descriptor of a connection attempt as soon as its send is cancelled', async () => {
+    const client = createTargetClient(WIRE, timers);
+    const before = countDescriptors();
+    const exchange = startSend(client, 1);
+    await waitForTick();
+    expect(countDescriptors()).toEqual(before + 1);
+    exchange.cancel();
+    expect(countDescriptors()).toEqual(before);
+    await client.close();
+  });
+});
--- a/src/core/forwarding/target-client.ts
+++ b/src/core/forwarding/target-client.ts
@@ -1,7 +1,10 @@
 import { createConnection as openSocket } from 'node:net';
+import type { Socket, TcpNetConnectOpts } from 'node:net';
 import type { Writable } from 'node:stream';
-import { buildConnector, Client, errors } from 'undici';
+import { Client, errors } from 'undici';
+
 import type { Dispatcher } from 'undici';
+import { isLocalFault } from '../connections/index.ts';
 import { formatProblem } from '../errors/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import type { ResponseHead, TargetRequest, WireFormat } from './types.ts';
@@ -23,6 +26,8 @@
   NotSent = 'not-sent',
   /** The target may have received the request. */
   Sent = 'sent',
+  /** This gateway has no descriptor or port for a connection; no target is at fault. */
+  NoResources = 'no-resources',
   /** The request cannot be written as HTTP; no target is at fault. */
   Unsendable = 'unsendable',
 }
@@ -40,24 +45,37 @@
 export interface TargetClient {
   /** Starts a send; the listener is called only after `send` has returned. */
   send(request: TargetRequest, listener: ExchangeListener): TargetExchange;
-  /** Resolves to whether a process accepts connections at an address; never rejects. */
+  /** Whether a send may open a connection now. */
+  hasFreeConnection(): boolean;
+  /** Returns the number of connections of sends, those that are being established included. */
+  countConnections(): number;
+  /**
+   * Resolves to whether a process accepts connections at an address; never rejects. If this gateway
+   * has no descriptor for the question, the process is assumed to accept them.
+   */
   probeListener(address: string): Promise<boolean>;
   close(): Promise<void>;
 }
 
+/** Options of `createTargetClient`. */
+export interface TargetClientOptions {
+  /** Most connections at once; default: no limit. */
+  maxConnections?: number;
+}
+
 /** A send fails if it has no connection after this time; a round trip takes 1 to 3 ms. */
 export const CONNECT_TIMEOUT_MS = 120;
-/**
- * Time after which the connection attempt of a send that has already failed or been cancelled ends
- * and its socket is closed.
- */
-const SOCKET_CONNECT_TIMEOUT_MS = 2_000;
+/** After a send without resources, no other send is started for this long. */
+const NO_RESOURCES_PAUSE_MS = 50;
+/** Bytes of a response that are read from its socket at once; the default of undici. */
+const SOCKET_BUFFER_BYTES = 64 * 1024;
 
 /** State of one connection, needed to tell whether a response is complete. */
 interface ConnectionState {
   /** Set if the connection failed; a response without a length then does not count as complete. */
   failure: Error | undefined;
-  socket: Writable | undefined;
+  socket: Socket | undefined;
+  isConnected: boolean;
   /** Whether the head of the final response has arrived. */
   hasHead: boolean;
   /** Whether the response has a length or is chunked, so that its end is unambiguous. */
@@ -73,6 +91,11 @@
 /** Lowest status of a final response; lower ones are interim. */
 const FINAL_STATUS_MIN = 200;
 
+/** Time without data after which the operating system asks whether the peer is still there. */
+const KEEP_ALIVE_DELAY_MS = 60_000;
+/** Port of an address that names none. */
+const HTTP_PORT = 80;
+
 const FRAMING_FIELDS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
 
 function hasFraming(rawHeaders: readonly string[]): boolean {
@@ -89,22 +112,34 @@
   socket.write('', (error) => report(error ?? undefined));
 }
 
-/** Creates a client for one request that records how its connection ended. */
+/**
+ * Creates a client for one request that records how its connection ended. The connection attempt has
+ * no time limit of its own: the send destroys its socket.
+ */
 function createConnection(address: string, state: ConnectionState): Client {
-  const connect = buildConnector({ timeout: SOCKET_CONNECT_TIMEOUT_MS });
   return new Client(`http://${address}`, {
-    connect: (options, callback) => {
-      connect(options, (...result) => {
-        const [, socket] = result;
-        state.socket = socket ?? undefined;
-        socket?.on('error', (error: Error) => {
-          state.failure = error;
-        });
-        socket?.on('readable', () => {
-          if (state.hasHead || socket.bytesRead <= MAX_BYTES_BEFORE_HEAD) return;
-          socket.destroy(new Error('the head of the response does not end'));
-        });
-        callback(...result);
+    connect: ({ hostname, port }, callback) => {
+      const socketOptions: TcpNetConnectOpts & { highWaterMark: number } = {
+        host: hostname,
+        port: Number(port || HTTP_PORT),
+        noDelay: true,
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
+        highWaterMark: SOCKET_BUFFER_BYTES,
+      };
+      const socket = openSocket(socketOptions);
+      state.socket = socket;
+      socket.on('error', (error: Error) => {
+        state.failure = error;
+        if (!state.isConnected) callback(error, null);
+      });
+      socket.on('readable', () => {
+        if (state.hasHead || socket.bytesRead <= MAX_BYTES_BEFORE_HEAD) return;
+        socket.destroy(new Error('the head of the response does not end'));
+      });
+      socket.once('connect', () => {
+        state.isConnected = true;
+        callback(null, socket);
       });
     },
     headersTimeout: 0,
@@ -118,9 +153,11 @@
  */
 export function createTargetClient(
   wire: WireFormat,
-  timers: Pick<TimerService, 'scheduleOnce'>,
+  timers: Pick<TimerService, 'getMonotonicMs' | 'scheduleOnce'>,
+  { maxConnections = Infinity }: TargetClientOptions = {},
 ): TargetClient {
   const openClients = new Set<Client>();
+  let pausedUntilMs = -Infinity;
 
   /** Reports after `send` has returned that no connection could be created. */
   const failBeforeSend = (listener: ExchangeListener, error: unknown): TargetExchange => {
@@ -137,6 +174,7 @@
         socket: undefined,
         hasHead: false,
         isFramed: false,
+        isConnected: false,
       };
       let client: Client;
       try {
@@ -155,12 +193,18 @@
         cancelConnectTimeout?.();
         openClients.delete(client);
         void client.destroy();
+        // Closes the socket of an attempt that has not been established, which undici would keep.
+        state.socket?.destroy();
         return true;
       };
       const fail = (problem: string): void => {
         const failure = wasSent ? SendFailure.Sent : SendFailure.NotSent;
         if (finish()) listener.handleError(failure, problem);
       };
+      const failWithoutResources = (problem: string): void => {
+        pausedUntilMs = timers.getMonotonicMs() + NO_RESOURCES_PAUSE_MS;
+        if (finish()) listener.handleError(SendFailure.NoResources, problem);
+      };
       /** Reports after `send` has returned that undici has rejected the request itself. */
       const rejectLater = (error: unknown): void => {
         timers.scheduleOnce(0, () => {
@@ -171,7 +215,10 @@
         if (finish()) listener.handleEnd(state.isFramed);
       };
       cancelConnectTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => {
-        if (!wasSent) fail('no connection in time');
+        // A process that is late sees the timeout before the connection that came in time.
+        cancelConnectTimeout = timers.scheduleOnce(0, () => {
+          if (!wasSent) fail('no connection in time');
+        });
       });
       client.dispatch(
         {
@@ -215,6 +262,7 @@
           },
           onResponseError(_controller, error) {
             if (error instanceof errors.InvalidArgumentError) rejectLater(error);
+            else if (!wasSent && isLocalFault(error)) failWithoutResources(formatProblem(error));
             else fail(formatProblem(error));
           },
         },
@@ -227,6 +275,9 @@
         resume: () => active?.resume(),
       };
     },
+    hasFreeConnection: () =>
+      openClients.size < maxConnections && timers.getMonotonicMs() >= pausedUntilMs,
+    countConnections: () => openClients.size,
     probeListener(address) {
       const { hostname, port } = new URL(`http://${address}`);
       return new Promise((resolve) => {
@@ -238,7 +289,7 @@
         const cancelTimeout = timers.scheduleOnce(CONNECT_TIMEOUT_MS, () => end(false));
         socket.on('connect', () => end(true));
         // A refused connection is an answer to the question, not a problem of its own.
-        socket.on('error', () => end(false));
+        socket.on('error', (error) => end(isLocalFault(error)));
         socket.on('close', cancelTimeout);
       });
     },
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -112,6 +112,8 @@
   AttemptsUsed = 'attempts-used',
   /** The time limit of the request passed. */
   TimeLimit = 'time-limit',
+  /** This gateway has no connection left to send the request to a target. */
+  NoConnection = 'no-connection',
   /** This gateway is stopping. */
   Stopping = 'stopping',
   /** A target failed the request, which may not be sent to another one. */
