Limit the connections of callers and checks by the file descriptors

Callers that held more connections than the gateway has descriptors made it unusable for all: with a limit of 3,900 descriptors and 4,500 connections without a request, with half a head, half a body or kept alive, each new connection of callers, of readiness checks and to the directory was closed at once, and sends to targets failed with EMFILE.

Nothing read limits.max_fds of the settings. Its descriptors are now divided into shares for callers, targets, the directory, readiness and metrics; the rest is for the store, engines and the process. Near its limit, a server closes the connections that have been idle longest, then those that have been sending their request longest, and drops a new one only if all others have a request to be answered. Gauges, a counter and a log line show it.

--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -1,4 +1,4 @@
-import type { ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import fastify from 'fastify';
 import type { FastifyInstance, FastifyReply } from 'fastify';
@@ -34,6 +34,8 @@
   unreadLimitMs?: number;
   /** Whether the gateway is stopping; responses then carry `Connection: close`. */
   isLeaving(): boolean;
+  /** Limits the connections that the server accepts; default: no limit. */
+  limitConnections?(server: Server): void;
 }
 
 /** HTTP server that callers connect to. */
@@ -128,6 +130,7 @@
     done();
   });
   app.all('*', () => undefined);
+  options.limitConnections?.(app.server);
   await app.listen({ host, port });
   const { port: boundPort } = app.server.address() as AddressInfo;
   return {
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -1,4 +1,9 @@
 import { createAdvisories } from '../advisories/index.ts';
+import {
+  computeConnectionLimits,
+  ConnectionKind,
+  createConnections,
+} from '../connections/index.ts';
 import { createLeaderElection } from '../leader-election/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { Feed, FeedListener } from '../store-feed/index.ts';
@@ -163,7 +168,17 @@
     getNoPauseMs,
   );
 
-  const client = createTargetClient(wire, timers);
+  const connectionLimits = computeConnectionLimits(settings.maxDescriptors);
+  const connections = createConnections({
+    limits: connectionLimits,
+    timers,
+    logger,
+    handleRemoval: metrics.countConnectionRemoval,
+  });
+  const client = createTargetClient(wire, timers, {
+    maxConnections: connectionLimits[ConnectionKind.Targets],
+  });
+  connections.setCounter(ConnectionKind.Targets, client.countConnections);
   const { countGateways } = peerExchange;
   const { isZoneEvacuated } = storeView;
   const { getPosition } = peerExchange;
@@ -379,12 +394,14 @@
     memory: measureMemory(),
     memoryLimitBytes: settings.memoryLimitBytes,
     heldMemory: memoryBudget,
+    connections: connections.listCounts(),
     configurationVersion: storeView.getRoutingTable()?.version ?? 0,
   });
 
   const auxiliaryServers = await dependencies.startAuxiliaryServers({
     getDirectoryResponse,
     isReady: () => getState() === PeerState.Ready,
+    limitConnections: connections.limitServer,
     renderMetrics: () => metrics.renderMetrics(getGaugeValues()),
   });
   const server = await dependencies.waitForPort(callersAddress, () =>
@@ -397,6 +414,7 @@
       errorReporter,
       timers,
       isLeaving: () => stopRequestedMs !== undefined,
+      limitConnections: (one) => connections.limitServer(ConnectionKind.Callers, one),
     }),
   );
   storeView.onConfiguration(({ limits }) => server.setLimits(limits));
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -1,5 +1,6 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ConnectionCount, ConnectionKind, ConnectionRemoval } from '../connections/index.ts';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
@@ -27,6 +28,7 @@
   memoryLimitBytes: number;
   /** Memory held for callers and targets, and its limit. */
   heldMemory: Pick<MemoryBudget, 'getHeldBytes' | 'getLimitBytes'>;
+  connections: readonly ConnectionCount[];
 }
 
 /** Counters, histograms and gauges of one gateway. */
@@ -37,6 +39,8 @@
   countCrash(service: string): void;
   recordLatency(input: RoutedRequest, result: ForwardingResult): void;
   countStoreCall(call: StoreCallResult): void;
+  /** Counts a connection that was closed or dropped because its kind is at its limit. */
+  countConnectionRemoval(kind: ConnectionKind, removal: ConnectionRemoval): void;
   countUnexpectedError(origin: ErrorOrigin): void;
   /** Sets the gauges to the given values and renders all metrics in the Prometheus text format. */
   renderMetrics(values: GaugeValues): Promise<string>;
@@ -114,6 +118,12 @@
     labelNames: ['origin'],
     registers,
   });
+  const connectionRemovals = new Counter({
+    name: `${PREFIX}connections_removed_total`,
+    help: 'Connections that were closed or dropped because their kind is at its limit.',
+    labelNames: ['kind', 'removal'],
+    registers,
+  });
 
   const createGauge = <Label extends string>(
     name: string,
@@ -138,6 +148,8 @@
     'limited_targets',
     'Targets that limit the requests of all gateways together.',
   );
+  const openConnections = createGauge('connections', 'Open connections.', ['kind']);
+  const connectionLimits = createGauge('connections_limit', 'Most open connections.', ['kind']);
   const residentMemory = createGauge('resident_memory_bytes', 'Resident memory of the process.');
   const heapMemory = createGauge('heap_memory_bytes', 'JavaScript objects in use.');
   const externalMemory = createGauge(
@@ -179,6 +191,10 @@
     memoryLimit.set(values.memoryLimitBytes);
     heldMemory.set(values.heldMemory.getHeldBytes());
     heldMemoryLimit.set(values.heldMemory.getLimitBytes());
+    values.connections.forEach(({ kind, open, limit }) => {
+      openConnections.set({ kind }, open);
+      connectionLimits.set({ kind }, limit);
+    });
     eventLoopDelay.set(loopDelay.percentile(99) / NS_PER_SECOND);
     loopDelay.reset();
   };
@@ -193,6 +209,7 @@
       if (longestGapMs > 0) longestPause.observe(longestGapMs / MS_PER_SECOND);
     },
     countStoreCall: ({ operation, kind, result }) => storeCalls.inc({ operation, kind, result }),
+    countConnectionRemoval: (kind, removal) => connectionRemovals.inc({ kind, removal }),
     countUnexpectedError: (origin) => unexpectedErrors.inc({ origin }),
     renderMetrics(values) {
       updateGauges(values);
--- a/src/core/gateway/plan-reload.test.ts
+++ b/src/core/gateway/plan-reload.test.ts
@@ -6,6 +6,7 @@
 const SETTINGS: GatewayParameters = {
   vmName: 'vm-1',
   availabilityZone: 'a',
+  maxDescriptors: 4_100,
   capacity: 675,
   callers: { host: '10.0.0.1', port: 80 },
   peerPort: 7_000,
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -1,3 +1,4 @@
+import type { LimitConnections } from '../connections/index.ts';
 import type { ErrorReporter } from '../errors/index.ts';
 import type { EngineControl } from '../formation/index.ts';
 import type { Target } from '../fleet/index.ts';
@@ -22,6 +23,8 @@
   capacity: number;
   /** Memory above which the platform kills the process. */
   memoryLimitBytes: number;
+  /** Limit on the file descriptors of the process. */
+  maxDescriptors: number;
   /** Address that callers connect to. */
   callers: ListenAddress;
   /** UDP port of the packets between gateways. */
@@ -59,6 +62,7 @@
   getDirectoryResponse(): DirectoryResponse | undefined;
   isReady(): boolean;
   renderMetrics(): Promise<string>;
+  limitConnections: LimitConnections;
 }
 
 /** Dependencies of a gateway; the platform adapter in `src/platform` implements most of them. */
--- a/src/demo/processes.ts
+++ b/src/demo/processes.ts
@@ -13,6 +13,8 @@
   settings: unknown;
   /** Options of Node.js; default: none. */
   nodeOptions?: readonly string[];
+  /** Limit of the operating system on the file descriptors of the process; default: none of its own. */
+  maxDescriptors?: number;
 }
 
 /** Handle of a started process. */
@@ -52,17 +54,26 @@
 /** Controllers stop first, because they release their leases on the platform when they stop. */
 const STOP_ORDER: readonly string[] = ['clementinefork-controller', 'clementinefork-entry'];
 
+/** Builds a command that sets both limits on descriptors, as Node.js raises the soft one. */
+function buildCommand(command: readonly string[], maxDescriptors?: number): readonly string[] {
+  if (maxDescriptors === undefined) return command;
+  return ['sh', '-c', 'ulimit -n "$0" && exec "$@"', String(maxDescriptors), ...command];
+}
+
 /** Creates a process runner for development scripts and tests. Daemons never start processes. */
 export function createProcessRunner(options: ProcessRunnerOptions): ProcessRunner {
   const running = new Set<RunningProcess>();
 
-  const start = ({ name, binary, settings, nodeOptions = [] }: ProcessSpec): RunningProcess => {
+  const start = (spec: ProcessSpec): RunningProcess => {
+    const { name, binary, settings, nodeOptions = [] } = spec;
     const settingsFile = join(options.workFolder, `${name}.yaml`);
     const logFile = join(options.workFolder, `${name}.log`);
     writeFileSync(settingsFile, stringify(settings));
     const log = openSync(logFile, 'a');
     const bundle = join(options.buildFolder, `${binary}.js`);
-    const child = spawn(process.execPath, [...nodeOptions, bundle, '--settings', settingsFile], {
+    const command = [process.execPath, ...nodeOptions, bundle, '--settings', settingsFile];
+    const [program = '', ...parameters] = buildCommand(command, spec.maxDescriptors);
+    const child = spawn(program, parameters, {
       stdio: ['ignore', log, log],
       env: { ...process.env, ROARR_LOG: 'true' },
     });
--- a/src/platform/auxiliary-servers.ts
+++ b/src/platform/auxiliary-servers.ts
@@ -1,5 +1,7 @@
 import fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
+import type { LimitConnections } from '../core/connections/index.ts';
+import { ConnectionKind } from '../core/connections/index.ts';
 import { formatProblem } from '../core/errors/index.ts';
 import type { WaitForPort } from '../core/process/port-waiter.ts';
 import type { SocketAddress } from './settings.ts';
@@ -20,17 +22,20 @@
   getDirectoryResponse(): DirectoryResponse | undefined;
   isReady(): boolean;
   renderMetrics(): Promise<string>;
+  /** Limits the connections that each server accepts. */
+  limitConnections: LimitConnections;
   /** Called with the error if the metrics server cannot listen; the other servers still start. */
   handleProblem(problem: string): void;
 }
 
 /**
  * Limits of all three servers; their requests are small and have no body. Without them, one that
- * never ends keeps its connection for minutes.
+ * never ends keeps its connection for minutes. An idle connection is closed after 20 s.
  */
 const SERVER_OPTIONS = {
   bodyLimit: 1_024,
   requestTimeout: 5_000,
+  keepAliveTimeout: 20_000,
   http: { headersTimeout: 3_000, connectionsCheckingInterval: 1_000 },
 } as const;
 
@@ -59,6 +64,9 @@
   metrics.get('/metrics', async (_request, reply) =>
     reply.type('text/plain; version=0.0.4').send(await options.renderMetrics()),
   );
+  options.limitConnections(ConnectionKind.Directory, directory.server);
+  options.limitConnections(ConnectionKind.Readiness, readiness.server);
+  options.limitConnections(ConnectionKind.Metrics, metrics.server);
   const servers: [FastifyInstance, SocketAddress][] = [
     [directory, options.directory],
     [readiness, options.readiness],
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -9,6 +9,9 @@
 
 const socketSchema = z.string().regex(/^[^:]+:\d+$/);
 
+/** File descriptors of the process if the settings state no usable limit. */
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
+
 /** Fields of the platform's settings file that the gateway reads; others are ignored. */
 const settingsFileSchema = z.object({
   node: z.string(),
@@ -21,6 +24,7 @@
     cpu_share: z.number(),
     cores: z.number(),
     memory_mb: z.number().positive().default(DEFAULT_MEMORY_MB),
+    max_fds: z.int().positive().catch(DEFAULT_MAX_DESCRIPTORS),
   }),
   bounds: z.object({
     drain_ms: z.number(),
@@ -53,6 +57,8 @@
   capacity: number;
   /** Memory above which the platform kills the process. */
   memoryLimitBytes: number;
+  /** Limit on the file descriptors of the process. */
+  maxDescriptors: number;
   /** Address that callers connect to. */
   callers: SocketAddress;
   /** Address that the platform's readiness checks connect to. */
@@ -104,6 +110,7 @@
   availabilityZone: file.zone,
   capacity: Math.round(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
   memoryLimitBytes: file.limits.memory_mb * BYTES_PER_MB,
+  maxDescriptors: file.limits.max_fds,
   callers: parseSocket(file.listen.front),
   readiness: parseSocket(file.listen.ready),
   directory: parseSocket(file.listen.directory),
--- a/src/stand-ins/soak/gateway-settings.ts
+++ b/src/stand-ins/soak/gateway-settings.ts
@@ -11,6 +11,8 @@
   storeAddress: string;
   /** Whether the gateway starts for the first time; becomes `bootstrap` in the settings. */
   isFirstStart: boolean;
+  /** Descriptors of the process that the settings state; default: none stated. */
+  maxDescriptors?: number;
 }
 
 /** Limits from the platform's specification that a gateway reads from its settings. */
@@ -42,7 +44,7 @@
     },
     internal_port_range: [peerPort, peerPort],
     bootstrap: options.isFirstStart,
-    limits: { cpu_share: 0.675, cores: 1 },
+    limits: { cpu_share: 0.675, cores: 1, max_fds: options.maxDescriptors },
     bounds: BOUNDS,
     platform: { address: options.storeAddress },
   };
--- a/test/processes/gateway-session.ts
+++ b/test/processes/gateway-session.ts
@@ -35,6 +35,9 @@
   gateway: RunningProcess;
   /** Address that callers connect to. */
   callers: { host: string; port: number };
+  /** Addresses of the readiness and directory servers. */
+  readiness: { host: string; port: number };
+  directory: { host: string; port: number };
   /** Requests that the target has received, oldest first. */
   calls: TargetCall[];
   /** Sets the time that the target takes to answer, in milliseconds. */
@@ -60,6 +63,10 @@
   host?: string;
   /** Options of Node.js for the gateway. */
   nodeOptions?: readonly string[];
+  /** Descriptors that the settings state. */
+  maxDescriptors?: number;
+  /** Limit of the operating system on the descriptors of the gateway. */
+  descriptorLimit?: number;
   /** Largest body that callers may send. */
   maxBodyBytes?: number;
   /** Time limit of the route. */
@@ -102,6 +109,7 @@
   options: GatewaySessionOptions = {},
 ): Promise<GatewaySession> {
   const gatewayHost = options.host ?? DEFAULT_GATEWAY_HOST;
+  const { maxDescriptors, descriptorLimit } = options;
   const timers = createTimerService();
   const store = await createStandInStore();
   const calls: TargetCall[] = [];
@@ -142,6 +150,7 @@
     name: 'gateway-1',
     binary: 'clementinefork-gateway',
     nodeOptions: options.nodeOptions ?? [],
+    ...(descriptorLimit === undefined ? {} : { maxDescriptors: descriptorLimit }),
     settings: buildGatewaySettings({
       name: 'gateway-1',
       host: gatewayHost,
@@ -152,6 +161,7 @@
       peerPort: peer,
       storeAddress: `${HOST}:${store.port}`,
       isFirstStart: true,
+      ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
     }),
   });
 
@@ -183,6 +193,8 @@
     store,
     gateway,
     callers: { host: gatewayHost, port: callers },
+    readiness: { host: gatewayHost, port: ready },
+    directory: { host: gatewayHost, port: directory },
     calls,
     setWorkMs: (value) => {
       workMs = value;
