--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -30,7 +30,7 @@
   BYTES_PER_MB,
   computeBudgetBytes,
   createMemoryBudget,
-  measureMemory,
+  createMemoryMeter,
   startMemoryMonitor,
 } from '../memory/index.ts';
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
@@ -89,6 +89,7 @@
     storeView.getRoutingTable()?.configuration.services ?? [];
   const feeds = new Map<StoreKind, Feed>();
   const metrics = createGatewayMetrics();
+  const measureMemory = createMemoryMeter();
   const eras = createEraTracker(logger);
   const store = createInstrumentedStore(dependencies.store, metrics.countStoreCall, eras.observe);
 
