Keep daemons running after signals that mean nothing to them

Operators saw a gateway end by SIGUSR2, SIGQUIT, SIGXCPU, SIGALRM, SIGVTALRM, SIGPROF, SIGIO and SIGPWR (one trial each with a real gateway), and SIGUSR1 opened the inspector of Node.js on port 9229.

Cause: only SIGHUP, SIGTERM and SIGINT were handled; the others keep the effect that the system or Node.js gives them.

Change: the signal inbox takes all signals that would end a process from outside. Those that mean nothing to a daemon are logged once a kind, and SIGQUIT stops it gracefully. Signals of faults of the program, such as SIGABRT, keep their effect.

Evidence: three new cases of test/processes/early-signals.test.ts failed before (the daemon ended by the signals, or had an inspector) and pass. Real-time signals cannot be handled in Node.js.

--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -10,7 +10,7 @@
 import { startLogWriter } from '../logs/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { ExitStatus } from './exit-status.ts';
-import type { SignalInbox } from './signal-inbox.ts';
+import type { DaemonSignal, SignalInbox } from './signal-inbox.ts';
 import { createSignalInbox } from './signal-inbox.ts';
 
 const EXIT_STATUS_BY_ERROR_KIND: Partial<Record<ErrorKind, ExitStatus>> = {
@@ -47,6 +47,8 @@
   reload?(): void;
 }
 
+const STOP_SIGNALS: ReadonlySet<DaemonSignal> = new Set(['SIGTERM', 'SIGINT', 'SIGQUIT']);
+
 /** Maximum time to write the last log lines when a daemon exits. */
 const LOG_DRAIN_MS = 200;
 
@@ -62,8 +64,8 @@
 }
 
 /**
- * Starts a daemon, and stops it gracefully on the first SIGTERM or SIGINT. Signals that arrive while
- * it starts take effect afterwards.
+ * Starts a daemon, and stops it gracefully on the first SIGTERM, SIGINT or SIGQUIT. Signals that
+ * arrive while it starts take effect afterwards; those that mean nothing to a daemon are logged once.
  */
 export async function runDaemon(options: DaemonOptions): Promise<void> {
   const { logger, start, errorReporter, signals = createSignalInbox() } = options;
@@ -77,6 +79,7 @@
   let daemon: Daemon | undefined;
   let isStopping = false;
   let needsReload = false;
+  const ignoredSignals = new Set<DaemonSignal>();
 
   const exit = async (status: ExitStatus): Promise<void> => {
     await logWriter
@@ -112,6 +115,11 @@
       else reload();
       return;
     }
+    if (!STOP_SIGNALS.has(signal)) {
+      if (!ignoredSignals.has(signal)) logger.warn('a signal has no effect', { signal });
+      ignoredSignals.add(signal);
+      return;
+    }
     isStopping = true;
     logger.info('stopping', { signal, isStarted: daemon !== undefined });
     startAbort.abort();
--- a/src/core/process/signal-inbox.ts
+++ b/src/core/process/signal-inbox.ts
@@ -3,9 +3,29 @@
  * there is a handler ends the process.
  */
 
-const DAEMON_SIGNALS = ['SIGHUP', 'SIGINT', 'SIGTERM'] as const;
+/**
+ * All signals that would end a process or open the inspector of Node.js, but for those that tell of a
+ * fault of the program and SIGKILL. The first ones are the most likely during a start.
+ */
+const DAEMON_SIGNALS = [
+  'SIGHUP',
+  'SIGTERM',
+  'SIGINT',
+  'SIGQUIT',
+  'SIGUSR1',
+  'SIGUSR2',
+  'SIGALRM',
+  'SIGVTALRM',
+  'SIGPROF',
+  'SIGIO',
+  'SIGPWR',
+  'SIGXCPU',
+] as const;
 
-/** A signal that daemons handle: SIGHUP reloads the settings, the others stop the daemon. */
+/**
+ * A signal that daemons handle: SIGHUP reloads the settings, SIGTERM, SIGINT and SIGQUIT stop the
+ * daemon, and the others have no effect.
+ */
 export type DaemonSignal = (typeof DAEMON_SIGNALS)[number];
 
 /** Receives the signals of the process, and keeps those that arrive before there is a listener. */
--- a/test/processes/early-signals.test.ts
+++ b/test/processes/early-signals.test.ts
@@ -21,6 +21,19 @@
   end: number | string | undefined;
 }
 
+const MEANINGLESS_SIGNALS: NodeJS.Signals[] = [
+  'SIGUSR1',
+  'SIGUSR2',
+  'SIGALRM',
+  'SIGVTALRM',
+  'SIGPROF',
+  'SIGIO',
+  'SIGPWR',
+  'SIGXCPU',
+  'SIGPIPE',
+  'SIGWINCH',
+];
+
 const cases: Case[] = [
   {
     name: 'reloads its settings once after SIGHUPs while it is loaded',
@@ -52,6 +65,29 @@
     steps: ['loading', 'starting', 'started', 'stopped'],
     end: 0,
   },
+  {
+    name: 'keeps running after signals that mean nothing to it while it is loaded',
+    at: 'loading',
+    signals: [...MEANINGLESS_SIGNALS, 'SIGHUP'],
+    until: 'reloaded',
+    steps: ['loading', 'starting', 'started', 'reloaded'],
+    end: undefined,
+  },
+  {
+    name: 'keeps running after signals that mean nothing to it, and opens no inspector',
+    at: 'started',
+    signals: [...MEANINGLESS_SIGNALS, 'SIGHUP'],
+    until: 'reloaded',
+    steps: ['loading', 'starting', 'started', 'reloaded'],
+    end: undefined,
+  },
+  {
+    name: 'stops gracefully after a SIGQUIT',
+    at: 'started',
+    signals: ['SIGQUIT'],
+    steps: ['loading', 'starting', 'started', 'stopped'],
+    end: 0,
+  },
   {
     name: 'ends with status 0 if a start fails that was to be stopped',
     at: 'starting',
