Start with settings that come late or lack figures

Cause: a missing file was waited for as briefly as one that is being written, and fields were required that have a usual value, two of them read by nothing.

Only names and addresses are required. Fields that nothing reads are no longer checked.

A file that stays invalid still ends the process with status 2, and a file cut off in its middle is still read again, as the address of the store comes last.

--- a/src/core/process/port-waiter.ts
+++ b/src/core/process/port-waiter.ts
@@ -23,9 +23,14 @@
   return (address, open) =>
     retryWhileTransient(open, {
       ...waiting,
-      isTransient: isAddressInUse,
+      getLimitMs: (error) => (isAddressInUse(error) ? LIMIT_MS : 0),
       pauseMs: RETRY_MS,
-      limitMs: LIMIT_MS,
-      handleFirstFailure: () => logger.warn('the port is in use; waiting for it', { address }),
+      handleFailure: (_error, waitedMs) =>
+        logger.warn('the port is in use; waiting for it', {
+          address,
+          waitedMs: Math.round(waitedMs),
+        }),
+      handleSuccess: (waitedMs) =>
+        logger.info('the port is free', { address, waitedMs: Math.round(waitedMs) }),
     });
 }
--- a/src/core/process/read-at-start.ts
+++ b/src/core/process/read-at-start.ts
@@ -10,18 +10,17 @@
 
 const RETRY_MS = 100;
 /** Writing a file of some kilobytes takes far less, also on a machine under load. */
-const LIMIT_MS = 2_000;
+const INVALID_LIMIT_MS = 2_000;
 
-function isSettingsError(error: unknown): boolean {
-  return (
-    isServingError(error, ErrorKind.SettingsInvalid) ||
-    isServingError(error, ErrorKind.SettingsUnreadable)
-  );
+/** A file that cannot be read yet may come at any time: the process has nothing to do before. */
+function getLimitMs(error: unknown): number {
+  if (isServingError(error, ErrorKind.SettingsUnreadable)) return Infinity;
+  return isServingError(error, ErrorKind.SettingsInvalid) ? INVALID_LIMIT_MS : 0;
 }
 
 /**
  * Reads the settings of a process that starts. The file may be in the middle of a change, so that one
- * that is missing or invalid is read again for a while.
+ * that is invalid is read again for a while, and one that is missing until it is there.
  */
 export function readSettingsAtStart<Settings>(
   read: () => Settings,
@@ -29,10 +28,14 @@
 ): Promise<Settings> {
   return retryWhileTransient(read, {
     ...waiting,
-    isTransient: isSettingsError,
+    getLimitMs,
     pauseMs: RETRY_MS,
-    limitMs: LIMIT_MS,
-    handleFirstFailure: (error) =>
-      logger.warn('the settings cannot be read; trying again', { problem: formatProblem(error) }),
+    handleFailure: (error, waitedMs) =>
+      logger.warn('the settings cannot be read; trying again', {
+        problem: formatProblem(error),
+        waitedMs: Math.round(waitedMs),
+      }),
+    handleSuccess: (waitedMs) =>
+      logger.info('the settings can be read', { waitedMs: Math.round(waitedMs) }),
   });
 }
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -9,32 +9,39 @@
 
 const socketSchema = z.string().regex(/^[^:]+:\d+$/);
 
-/** Fields of the platform's settings file that the gateway reads; others are ignored. */
+const figureSchema = (fallback: number): z.ZodCatch<z.ZodNumber> => z.number().catch(fallback);
+
+/** The platform's usual limits; they hold for what a settings file does not state as a number. */
+const limitsSchema = z.object({
+  cpu_share: figureSchema(1),
+  cores: figureSchema(1),
+  memory_mb: z.number().positive().catch(DEFAULT_MEMORY_MB),
+});
+const boundsSchema = z.object({
+  drain_ms: figureSchema(2_000),
+  config_apply_ms: figureSchema(2_000),
+  evacuation_ms: figureSchema(5_000),
+  grace_s: figureSchema(8),
+  retry_budget_ratio: figureSchema(0.2),
+  budget_window_s: figureSchema(10),
+  retry_budget_slack: figureSchema(0),
+  stall_ms: figureSchema(5_000),
+  ttl_max_s: figureSchema(5),
+});
+
+/**
+ * Fields of the platform's settings file that the gateway reads; others are ignored. Only names and
+ * addresses are required, as a gateway without them could serve nobody.
+ */
 const settingsFileSchema = z.object({
   node: z.string(),
   ip: z.string(),
   zone: z.string(),
   listen: z.object({ front: socketSchema, ready: socketSchema, directory: socketSchema }),
-  internal_port_range: z.tuple([z.number(), z.number()]),
-  bootstrap: z.boolean().default(false),
-  limits: z.object({
-    cpu_share: z.number(),
-    cores: z.number(),
-    memory_mb: z.number().positive().default(DEFAULT_MEMORY_MB),
-  }),
-  bounds: z.object({
-    drain_ms: z.number(),
-    config_apply_ms: z.number(),
-    evacuation_ms: z.number(),
-    grace_s: z.number(),
-    retry_budget_ratio: z.number(),
-    budget_window_s: z.number(),
-    retry_budget_slack: z.number(),
-    cold_overage: z.number(),
-    stall_ms: z.number(),
-    ceiling_window_s: z.number(),
-    ttl_max_s: z.number(),
-  }),
+  internal_port_range: z.tuple([z.number()]).rest(z.unknown()),
+  bootstrap: z.boolean().catch(false),
+  limits: limitsSchema.catch(limitsSchema.parse({})),
+  bounds: boundsSchema.catch(boundsSchema.parse({})),
   platform: z.object({ address: socketSchema }),
 });
 
