Log the steps of a start, what it waits for and what ended it

From the logs of a gateway nobody could tell when its process started, how long each step of the start took, what a gateway that does not become ready waits for, or which status it ended with: the first line was `started`, and a failure was written to standard error only.

Change: `starting` (with the times to the first statement and to the end of loading), `read the settings` with the values in force, `the start is complete`, `ready` or, each 5 s, `not ready yet` with what is missing, `the start failed` with problem and status. The test of a gateway without a store shows all steps from its log alone; on the previous code it finds no line of the start but `started`.

--- a/src/cli/gateway/run-gateway.ts
+++ b/src/cli/gateway/run-gateway.ts
@@ -30,6 +30,7 @@
   const readOwnSettings = (): GatewaySettings => readSettings(file, gatewaySettingsSchema);
   const timers = createTimerService((error) => errorReporter.report(ErrorOrigin.Timer, error));
   const settings = await readSettingsAtStart(readOwnSettings, { timers, logger, abortSignal });
+  logger.info('read the settings', { file, values: JSON.stringify(settings) });
   const waitForPort = createPortWaiter({ timers, logger, abortSignal });
   return startGateway(settings, {
     timers,
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -33,6 +33,7 @@
 import { planReload } from './plan-reload.ts';
 import type { RegistrationOptions } from './registration.ts';
 import { registerGateway, restoreRegistration } from './registration.ts';
+import { logReadiness } from './readiness-log.ts';
 import { createRequestHandler } from './request-handler.ts';
 import { buildHandoverState, handoverStateSchema, toNotices } from './handover-state.ts';
 import { countGroups, countTargets } from './fleet-counts.ts';
@@ -265,14 +266,15 @@
     peerExchange.sendNow();
   });
 
+  /** Lists what a gateway lacks that is not ready; without the number of the others, it would exceed shared limits. */
+  const listMissing = (): string[] => [
+    ...(storeView.getRoutingTable() === undefined ? ['configuration'] : []),
+    ...(storeView.hasListedTargets() ? [] : ['targets']),
+    ...(hasListedGateways ? [] : ['gateways']),
+  ];
   const getState = (): PeerState => {
     if (stopRequestedMs !== undefined) return PeerState.Leaving;
-    // A gateway that does not know how many others there are would exceed the limits they share.
-    const isReady =
-      storeView.getRoutingTable() !== undefined &&
-      storeView.hasListedTargets() &&
-      hasListedGateways;
-    return isReady ? PeerState.Ready : PeerState.Starting;
+    return listMissing().length === 0 ? PeerState.Ready : PeerState.Starting;
   };
 
   const peerListener: PeerExchangeListener = {
@@ -412,6 +414,7 @@
     }),
   });
   logger.info('started', { vm: vmName, incarnation, callersAddress });
+  void logReadiness({ timers, logger, listMissing, abortSignal: registrationAbort.signal });
 
   /** Waits for requests in progress; new ones are refused after `ACCEPT_AFTER_STOP_MS`. */
   const drain = async (startMs: number, endMs: number): Promise<void> => {
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -52,6 +52,12 @@
 /** Maximum time to write the last log lines when a daemon exits. */
 const LOG_DRAIN_MS = 200;
 
+const MS_PER_SECOND = 1_000;
+
+function getProcessAgeMs(): number {
+  return Math.round(process.uptime() * MS_PER_SECOND);
+}
+
 /** Options of `runDaemon`. */
 export interface DaemonOptions {
   logger: Logger;
@@ -75,6 +81,12 @@
     process.on('unhandledRejection', report);
   }
   const logWriter = startLogWriter(createTimerService());
+  logger.info('starting', {
+    pid: process.pid,
+    nodeVersion: process.version,
+    signalsHandledAfterMs: signals.handledAfterMs,
+    loadedAfterMs: getProcessAgeMs(),
+  });
   const startAbort = new AbortController();
   let daemon: Daemon | undefined;
   let isStopping = false;
@@ -121,7 +133,11 @@
       return;
     }
     isStopping = true;
-    logger.info('stopping', { signal, isStarted: daemon !== undefined });
+    logger.info('stopping', {
+      signal,
+      isStarted: daemon !== undefined,
+      afterMs: getProcessAgeMs(),
+    });
     startAbort.abort();
     if (daemon !== undefined) void stop(daemon);
   });
@@ -130,14 +146,18 @@
     daemon = await start(startAbort.signal);
   } catch (error) {
     if (!isStopping) {
-      process.stderr.write(`${formatProblem(error)}\n`);
-      await exit(getExitStatus(error));
+      const problem = formatProblem(error);
+      const status = getExitStatus(error);
+      process.stderr.write(`${problem}\n`);
+      logger.error('the start failed', { problem, status, afterMs: getProcessAgeMs() });
+      await exit(status);
       return;
     }
     logger.info('stopped before the start was complete', { problem: formatProblem(error) });
     await exit(ExitStatus.Success);
     return;
   }
+  logger.info('the start is complete', { afterMs: getProcessAgeMs() });
   if (isStopping) await stop(daemon);
   // The settings may have changed after they were read.
   else if (needsReload) reload();
--- a/src/core/process/signal-inbox.ts
+++ b/src/core/process/signal-inbox.ts
@@ -28,8 +28,12 @@
  */
 export type DaemonSignal = (typeof DAEMON_SIGNALS)[number];
 
+const MS_PER_SECOND = 1_000;
+
 /** Receives the signals of the process, and keeps those that arrive before there is a listener. */
 export interface SignalInbox {
+  /** Time from the start of the process until signals were handled, in milliseconds. */
+  readonly handledAfterMs: number;
   /** Calls the listener once for each kind of signal that has arrived, then with each later signal. */
   subscribe(listener: (signal: DaemonSignal) => void): void;
 }
@@ -42,6 +46,7 @@
   };
   DAEMON_SIGNALS.forEach((name) => process.on(name, () => handleSignal(name)));
   return {
+    handledAfterMs: Math.round(process.uptime() * MS_PER_SECOND),
     subscribe(listener) {
       handleSignal = listener;
       pending.forEach(listener);
