Wait for an address that the VM does not have yet

A gateway that starts before the address of its VM is up ended with status 1 after 0.4 s (trial with a real gateway and an address that the machine does not have).

Cause: only EADDRINUSE was waited for.

That it starts once the address comes has not been played with a real interface, as that needs privileges.

--- a/src/core/process/port-waiter.test.ts
+++ b/src/core/process/port-waiter.test.ts
@@ -45,6 +45,12 @@
     abortedAfterMs: 1_000,
     expected: 'EADDRINUSE',
   },
+  {
+    name: 'waits for an address that the VM does not have yet',
+    error: 'EADDRNOTAVAIL',
+    freeAfterMs: 8_000,
+    expected: 'open',
+  },
   {
     name: 'does not wait after another error',
     error: 'EACCES',
