--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -10,7 +10,7 @@
 import { startLogWriter } from '../logs/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { ExitStatus } from './exit-status.ts';
-import type { SignalInbox } from './signal-inbox.ts';
+import type { DaemonSignal, SignalInbox } from './signal-inbox.ts';
 import { createSignalInbox } from './signal-inbox.ts';
 
 const EXIT_STATUS_BY_ERROR_KIND: Partial<Record<ErrorKind, ExitStatus>> = {
@@ -47,9 +47,17 @@
   reload?(): void;
 }
 
+const STOP_SIGNALS: ReadonlySet<DaemonSignal> = new Set(['SIGTERM', 'SIGINT', 'SIGQUIT']);
+
 /** Maximum time to write the last log lines when a daemon exits. */
 const LOG_DRAIN_MS = 200;
 
+const MS_PER_SECOND = 1_000;
+
+function getProcessAgeMs(): number {
+  return Math.round(process.uptime() * MS_PER_SECOND);
+}
+
 /** Options of `runDaemon`. */
 export interface DaemonOptions {
   logger: Logger;
@@ -62,8 +70,8 @@
 }
 
 /**
- * Starts a daemon, and stops it gracefully on the first SIGTERM or SIGINT. Signals that arrive while
- * it starts take effect afterwards.
+ * Starts a daemon, and stops it gracefully on the first SIGTERM, SIGINT or SIGQUIT. Signals that
+ * arrive while it starts take effect afterwards; those that mean nothing to a daemon are logged once.
  */
 export async function runDaemon(options: DaemonOptions): Promise<void> {
   const { logger, start, errorReporter, signals = createSignalInbox() } = options;
@@ -73,10 +81,17 @@
     process.on('unhandledRejection', report);
   }
   const logWriter = startLogWriter(createTimerService());
+  logger.info('starting', {
+    pid: process.pid,
+    nodeVersion: process.version,
+    signalsHandledAfterMs: signals.handledAfterMs,
+    loadedAfterMs: getProcessAgeMs(),
+  });
   const startAbort = new AbortController();
   let daemon: Daemon | undefined;
   let isStopping = false;
   let needsReload = false;
+  const ignoredSignals = new Set<DaemonSignal>();
 
   const exit = async (status: ExitStatus): Promise<void> => {
     await logWriter
@@ -112,8 +127,17 @@
       else reload();
       return;
     }
+    if (!STOP_SIGNALS.has(signal)) {
+      if (!ignoredSignals.has(signal)) logger.warn('a signal has no effect', { signal });
+      ignoredSignals.add(signal);
+      return;
+    }
     isStopping = true;
-    logger.info('stopping', { signal, isStarted: daemon !== undefined });
+    logger.info('stopping', {
+      signal,
+      isStarted: daemon !== undefined,
+      afterMs: getProcessAgeMs(),
+    });
     startAbort.abort();
     if (daemon !== undefined) void stop(daemon);
   });
@@ -122,14 +146,18 @@
     daemon = await start(startAbort.signal);
   } catch (error) {
     if (!isStopping) {
-      process.stderr.write(`${formatProblem(error)}\n`);
-      await exit(getExitStatus(error));
+      const problem = formatProblem(error);
+      const status = getExitStatus(error);
+      process.stderr.write(`${problem}\n`);
+      logger.error('the start failed', { problem, status, afterMs: getProcessAgeMs() });
+      await exit(status);
       return;
     }
     logger.info('stopped before the start was complete', { problem: formatProblem(error) });
     await exit(ExitStatus.Success);
     return;
   }
+  logger.info('the start is complete', { afterMs: getProcessAgeMs() });
   if (isStopping) await stop(daemon);
   // The settings may have changed after they were read.
   else if (needsReload) reload();
