Let the soak meet slow peers and the limits of a VM

The soak did not: its callers and targets read at once, its bodies are small, its gateways had the settings of a stub, and memory over the limit was reported once at the end.

A gateway over memory_mb is now killed and started again, and counted with its time, memory and last log line; processes have 4,100 descriptors, and settings have the full limits. Callers that are not slow have to be answered within their deadline. In runs without other faults they have to be served: at most 60 % refused or failed, and no class a quarter as often as all, which are bounds of the platform.

--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -61,6 +61,14 @@
         long: 'fault-free',
         description: 'inject no faults, and check the bounds on deadly prompts and request limits',
       }),
+      hasSlowPeers: flag({
+        long: 'slow-peers',
+        description: 'let callers and targets read and send slowly, and send signals in series',
+      }),
+      areEarlySignalsSent: flag({
+        long: 'early-signals',
+        description: 'with slow peers: send SIGHUP also before a program has set its handler',
+      }),
     },
     handler: ({ seed: givenSeed, count, ...size }) =>
       runAndReportErrors(async () => {
@@ -69,11 +77,11 @@
         const timers = createTimerService();
         for (let seed = firstSeed; seed < firstSeed + count; seed++) {
           const result = await runSoak({ ...size, seed, timers, buildFolder: BUILD_FOLDER });
-          const { violations, requests, answered, engineCrashes, peakMemoryMb, workFolder } =
-            result;
+          const { violations, requests, answered, engineCrashes, workFolder } = result;
+          const [peakMb, lateMs] = [result.peakMemoryMb, result.maxLoopDelayMs].map(Math.round);
           const outcome = violations.length === 0 ? 'no rule violated' : 'RULES VIOLATED';
           process.stdout.write(
-            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${Math.round(peakMemoryMb)} MB at most, ${workFolder}\n`,
+            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${peakMb} MB at most, soak late by ${lateMs} ms at most, ${workFolder}\n`,
           );
           if (violations.length === 0) continue;
           process.exitCode = ExitStatus.Failure;
--- a/src/demo/processes.ts
+++ b/src/demo/processes.ts
@@ -13,6 +13,8 @@
   settings: unknown;
   /** Options of Node.js; default: none. */
   nodeOptions?: readonly string[];
+  /** Maximum number of open descriptors; default: that of this process. */
+  maxDescriptors?: number;
 }
 
 /** Handle of a started process. */
@@ -52,17 +54,26 @@
 /** Controllers stop first, because they release their leases on the platform when they stop. */
 const STOP_ORDER: readonly string[] = ['clementinefork-controller', 'clementinefork-entry'];
 
+/** Builds the command that runs a program under a descriptor limit; the program takes over the pid. */
+function buildLimitedCommand(maxDescriptors: number, command: readonly string[]): string[] {
+  return ['sh', '-c', `ulimit -n ${maxDescriptors} && exec "$0" "$@"`, ...command];
+}
+
 /** Creates a process runner for development scripts and tests. Daemons never start processes. */
 export function createProcessRunner(options: ProcessRunnerOptions): ProcessRunner {
   const running = new Set<RunningProcess>();
 
-  const start = ({ name, binary, settings, nodeOptions = [] }: ProcessSpec): RunningProcess => {
+  const start = (spec: ProcessSpec): RunningProcess => {
+    const { name, binary, settings, nodeOptions = [], maxDescriptors } = spec;
     const settingsFile = join(options.workFolder, `${name}.yaml`);
     const logFile = join(options.workFolder, `${name}.log`);
     writeFileSync(settingsFile, stringify(settings));
     const log = openSync(logFile, 'a');
     const bundle = join(options.buildFolder, `${binary}.js`);
-    const child = spawn(process.execPath, [...nodeOptions, bundle, '--settings', settingsFile], {
+    const node = [process.execPath, ...nodeOptions, bundle, '--settings', settingsFile];
+    const [file = '', ...args] =
+      maxDescriptors === undefined ? node : buildLimitedCommand(maxDescriptors, node);
+    const child = spawn(file, args, {
       stdio: ['ignore', log, log],
       env: { ...process.env, ROARR_LOG: 'true' },
     });
--- a/src/stand-ins/soak/callers.ts
+++ b/src/stand-ins/soak/callers.ts
@@ -1,4 +1,4 @@
-import { Client, request } from 'undici';
+import { Client, errors, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { TimerService } from '../../core/timers/index.ts';
 import type { Observations, ObservedResponse, SentRequest } from './observations.ts';
@@ -40,8 +40,13 @@
   [RequestClass.Stream]: '/stream/answer',
   [RequestClass.Order]: '/orders/new',
   [RequestClass.Read]: '/read/stock',
+  [RequestClass.Bulk]: '/bulk/new',
 };
-const CLASSES: readonly RequestClass[] = Object.values(RequestClass);
+const CLASSES: readonly RequestClass[] = [
+  RequestClass.Stream,
+  RequestClass.Order,
+  RequestClass.Read,
+];
 const EVENT_PATTERN = /^id: \d+\ndata: (?<json>.+)\n\n/;
 
 /** Parses the complete events at the start of the text; `rest` is the incomplete remainder. */
@@ -178,7 +183,13 @@
           sentMs: timers.getMonotonicMs(),
         };
         observations.requests.set(sent.attemptId, sent);
-        const isReusable = await sendRequest(client, sent).catch(() => false);
+        const isReusable = await sendRequest(client, sent).catch((error: unknown) => {
+          if (error instanceof errors.HeadersTimeoutError) {
+            const waitedMs = timers.getMonotonicMs() - sent.sentMs;
+            observations.hangingRequests.push({ attemptId: sent.attemptId, waitedMs });
+          }
+          return false;
+        });
         if (!isReusable) closeClient(address);
       }
       await timers.waitFor(MAX_PAUSE_MS * random());
--- a/src/stand-ins/soak/checks.test.ts
+++ b/src/stand-ins/soak/checks.test.ts
@@ -8,6 +8,7 @@
   MAX_STOP_MS,
 } from './checks.ts';
 import type { Observations, ObservedResponse, TargetRun } from './observations.ts';
+import { findHangingViolations, findStarvationViolations } from './peer-checks.ts';
 import { ResponseEnd, createObservations, RequestClass } from './observations.ts';
 
 const GATEWAY = '127.0.0.1:80';
@@ -55,8 +56,15 @@
     rule: Rule.KeepsRunning,
     name: 'ends by a signal that does not stop it',
     fill(observations) {
-      const lastLine = 'started';
-      observations.unplannedEnds.push({ gateway: GATEWAY, end: 'SIGHUP', ranMs: 40, lastLine });
+      observations.unplannedEnds.push({
+        gateway: GATEWAY,
+        end: 'SIGHUP',
+        isOverMemory: false,
+        memoryMb: 40,
+        atMs: 900,
+        ranMs: 40,
+        lastLine: 'started',
+      });
     },
   },
   {
@@ -74,6 +82,32 @@
       addResponse(observations, 'a', { bodyAttemptId: 'b' });
     },
   },
+  {
+    rule: Rule.CompleteAnswer,
+    name: 'returns a part of a large answer as if it were complete',
+    fill(observations) {
+      addRequest(observations, 'a', RequestClass.Bulk);
+      addResponse(observations, 'a', { missingBytes: 1 });
+    },
+  },
+  {
+    rule: Rule.RunOnce,
+    name: 'sends a large order to two targets',
+    fill(observations) {
+      addRequest(observations, 'a', RequestClass.Bulk);
+      addRun(observations, 'a');
+      addRun(observations, 'a', { targetId: 'u' });
+    },
+  },
+  {
+    rule: Rule.RefusedNotExecuted,
+    name: 'refuses a large order that was executed',
+    fill(observations) {
+      addRequest(observations, 'a', RequestClass.Bulk);
+      addRun(observations, 'a');
+      addResponse(observations, 'a', { status: 429 });
+    },
+  },
   {
     rule: Rule.OwnResponse,
     name: 'responds with success and without a body',
@@ -232,6 +266,72 @@
   { requestsPerSecond: 0, count: 6, everyMs: 100, expected: [Rule.KeptLimits] },
 ];
 
+/** Observations of callers that are not slow, beside slow ones; `served` of 40 requests of a class. */
+const PEER_CASES: {
+  name: string;
+  rules: Rule[];
+  served: Record<RequestClass.Stream | RequestClass.Order | RequestClass.Read, number>;
+  hangingAtMs?: number;
+}[] = [
+  {
+    name: 'allows refusals of up to 60 % of the requests',
+    rules: [],
+    served: { [RequestClass.Stream]: 16, [RequestClass.Order]: 16, [RequestClass.Read]: 16 },
+  },
+  {
+    name: 'finds a system that refuses more',
+    rules: [Rule.SoundCallersServed],
+    served: { [RequestClass.Stream]: 16, [RequestClass.Order]: 16, [RequestClass.Read]: 15 },
+  },
+  {
+    name: 'finds a class that is served less than a quarter as often as all',
+    rules: [Rule.SoundCallersServed],
+    served: { [RequestClass.Stream]: 6, [RequestClass.Order]: 40, [RequestClass.Read]: 40 },
+  },
+  {
+    name: 'finds a caller that is left waiting',
+    rules: [Rule.AnsweredInTime],
+    served: { [RequestClass.Stream]: 40, [RequestClass.Order]: 40, [RequestClass.Read]: 40 },
+    hangingAtMs: 0,
+  },
+  {
+    name: 'allows a paused process to answer nobody',
+    rules: [],
+    served: { [RequestClass.Stream]: 40, [RequestClass.Order]: 40, [RequestClass.Read]: 40 },
+    hangingAtMs: 20_000,
+  },
+];
+
+describe('checks of callers beside slow peers', () => {
+  for (const { name, rules, served, hangingAtMs } of PEER_CASES) {
+    it(name, () => {
+      const observations = createObservations();
+      const classes = [RequestClass.Stream, RequestClass.Order, RequestClass.Read] as const;
+      for (const requestClass of classes) {
+        for (let index = 0; index < 40; index++) {
+          const attemptId = `${requestClass}${index}`;
+          addRequest(observations, attemptId, requestClass);
+          if (index < served[requestClass]) addResponse(observations, attemptId);
+        }
+      }
+      // Requests of slow callers do not count.
+      for (let index = 0; index < 400; index++) {
+        addRequest(observations, `b${index}`, RequestClass.Bulk);
+      }
+      observations.pauses.push({ gateway: GATEWAY, fromMs: 21_000, toMs: 22_000 });
+      if (hangingAtMs !== undefined) {
+        addRequest(observations, 'hanging', RequestClass.Read, hangingAtMs);
+        observations.hangingRequests.push({ attemptId: 'hanging', waitedMs: 6_000 });
+      }
+      const found = [
+        ...findHangingViolations(observations),
+        ...findStarvationViolations(observations),
+      ];
+      expect(found.map(({ rule }) => rule)).toEqual(rules);
+    });
+  }
+});
+
 describe('findViolations', () => {
   for (const { rule, name, fill } of VIOLATING) {
     // A check that never reports a violation would let every soak test pass.
@@ -255,6 +355,7 @@
       ...VIOLATING.map(({ rule }) => rule),
       ...DEADLY_CASES.flatMap((one) => one.rules),
       ...LIMIT_CASES.flatMap((one) => one.expected),
+      ...PEER_CASES.flatMap((one) => one.rules),
     ];
     expect(new Set(violated)).toEqual(new Set(Object.values(Rule)));
   });
--- a/src/stand-ins/soak/checks.ts
+++ b/src/stand-ins/soak/checks.ts
@@ -1,10 +1,13 @@
 import type { LimitedArrival, Observations, ObservedResponse, TargetRun } from './observations.ts';
+import { LIMITS } from './gateway-settings.ts';
 import { ResponseEnd, RequestClass } from './observations.ts';
 
 /** Rules that a soak test checks. */
 export enum Rule {
   /** A caller receives the response to its own request. */
   OwnResponse = 'own-answer',
+  /** A large answer that looks complete has all bytes that its target sent. */
+  CompleteAnswer = 'whole-answer',
   /** A complete stream contains each event exactly once and in order. */
   CompleteStream = 'whole-stream',
   /** A non-idempotent request is executed at most once. */
@@ -29,6 +32,10 @@
   KeepsRunning = 'keeps-running',
   /** The resident memory of a gateway keeps to the limit of its VM. */
   MemoryLimit = 'memory-limit',
+  /** Callers that read and send at once are answered or refused until their deadline. */
+  AnsweredInTime = 'answered-in-time',
+  /** Requests of callers that read and send at once are served beside those of slow ones. */
+  SoundCallersServed = 'sound-callers-served',
   /** Prompts that share other parts with the deadly ones are served meanwhile. */
   SoundPromptsServed = 'sound-prompts-served',
 }
@@ -43,8 +50,11 @@
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time after SIGTERM within which a gateway must exit; the platform kills it after 8 s. */
 export const MAX_STOP_MS = 8_000;
-/** Memory of an entry VM in the small deployments (`memory_mb` of the settings). */
-const MEMORY_LIMIT_MB = 350;
+/** Classes whose requests run at most once. */
+const RUN_ONCE_CLASSES: ReadonlySet<RequestClass> = new Set([
+  RequestClass.Order,
+  RequestClass.Bulk,
+]);
 
 function getAttemptId({ attemptId }: ObservedResponse): string {
   return attemptId;
@@ -96,7 +106,7 @@
         rule: Rule.OnlySentRequests,
         detail: `${attemptId} was executed, but no caller sent it`,
       });
-    } else if (request.requestClass === RequestClass.Order && runs.length > 1) {
+    } else if (RUN_ONCE_CLASSES.has(request.requestClass) && runs.length > 1) {
       const targets = runs.map(({ targetId }) => targetId).join(' ');
       violations.push({
         rule: Rule.RunOnce,
@@ -120,9 +130,10 @@
   return observations.responses
     .filter(({ status }) => REFUSAL_STATUSES.has(status))
     .filter(({ attemptId }) => {
-      const isRepeatable =
-        observations.requests.get(attemptId)?.requestClass !== RequestClass.Order;
-      return !isRepeatable && runs.has(attemptId);
+      const requestClass = observations.requests.get(attemptId)?.requestClass;
+      return (
+        requestClass !== undefined && RUN_ONCE_CLASSES.has(requestClass) && runs.has(attemptId)
+      );
     })
     .map(({ attemptId, status }) => ({
       rule: Rule.RefusedNotExecuted,
@@ -155,7 +166,10 @@
   for (const { gateway, atMs, endedMs, isDisrupted } of observations.plannedStops) {
     const tookMs = (endedMs ?? Infinity) - atMs;
     if (tookMs > MAX_STOP_MS) {
-      violations.push({ rule: Rule.GracefulStop, detail: `${gateway} took ${tookMs} ms to stop` });
+      violations.push({
+        rule: Rule.GracefulStop,
+        detail: `${gateway} took ${Math.round(tookMs)} ms to stop`,
+      });
     }
     if (isDisrupted) continue;
     for (const response of observations.responses) {
@@ -171,16 +185,18 @@
   return violations;
 }
 
-function checkUnplannedEnds({ unplannedEnds }: Observations): Violation[] {
-  return unplannedEnds.map(({ gateway, end, ranMs, lastLine }) => ({
-    rule: Rule.KeepsRunning,
-    detail: `${gateway} ended by itself with ${end}, ${Math.round(ranMs)} ms after its start; last line: ${lastLine}`,
-  }));
+function checkUnplannedEnds({ unplannedEnds, startMs }: Observations): Violation[] {
+  return unplannedEnds.map(({ gateway, end, isOverMemory, memoryMb, ranMs, atMs, lastLine }) => {
+    const cause = isOverMemory ? `${end} of the platform, over its memory` : end;
+    const times = `${Math.round(ranMs)} ms after its start, ${Math.round(atMs - startMs)} ms after the first fault could begin`;
+    const detail = `${gateway} ended by itself with ${cause}, ${times}, with ${Math.round(memoryMb)} MB; last line: ${lastLine}`;
+    return { rule: Rule.KeepsRunning, detail };
+  });
 }
 
 function checkMemory({ peakMemoryMb }: Observations): Violation[] {
   return [...peakMemoryMb]
-    .filter(([, peakMb]) => peakMb > MEMORY_LIMIT_MB)
+    .filter(([, peakMb]) => peakMb > LIMITS.memory_mb)
     .map(([gateway, peakMb]) => ({
       rule: Rule.MemoryLimit,
       detail: `${gateway} held ${Math.round(peakMb)} MB`,
@@ -251,10 +267,21 @@
   });
 }
 
+function checkAnswers({ responses }: Observations): Violation[] {
+  return responses
+    .filter((one) => isSuccess(one) && one.end === ResponseEnd.Complete)
+    .filter(({ missingBytes = 0 }) => missingBytes !== 0)
+    .map(({ attemptId, missingBytes }) => ({
+      rule: Rule.CompleteAnswer,
+      detail: `${attemptId} looked complete, but ${missingBytes} bytes were missing`,
+    }));
+}
+
 /** Checks the observations of a run against all rules and returns the violations. */
 export function findViolations(observations: Observations): Violation[] {
   const checks = [
     checkResponses,
+    checkAnswers,
     checkStreams,
     checkRuns,
     checkRefusals,
--- a/src/stand-ins/soak/gateway-settings.ts
+++ b/src/stand-ins/soak/gateway-settings.ts
@@ -28,6 +28,16 @@
   ttl_max_s: 5,
 };
 
+/** Limits of an entry VM in the small deployments. */
+export const LIMITS = {
+  cpu_share: 0.675,
+  cores: 1,
+  memory_mb: 350,
+  max_fds: 4100,
+  link_mbps: 1000,
+  disk_mb: 0,
+};
+
 /** Builds the content of the settings file that the platform would write for a gateway. */
 export function buildGatewaySettings(options: GatewaySettingsOptions): object {
   const { name, host, zone, peerPort } = options;
@@ -42,7 +52,7 @@
     },
     internal_port_range: [peerPort, peerPort],
     bootstrap: options.isFirstStart,
-    limits: { cpu_share: 0.675, cores: 1 },
+    limits: LIMITS,
     bounds: BOUNDS,
     platform: { address: options.storeAddress },
   };
--- a/src/stand-ins/soak/gateways.ts
+++ b/src/stand-ins/soak/gateways.ts
@@ -3,9 +3,9 @@
 import type { TimerService } from '../../core/timers/index.ts';
 import { findFreePorts } from '../../demo/free-ports.ts';
 import type { ProcessRunner, RunningProcess } from '../../demo/processes.ts';
-import { readResidentMb } from '../../demo/resident-memory.ts';
 import { waitUntil } from '../../demo/wait-until.ts';
-import { buildGatewaySettings } from './gateway-settings.ts';
+import { buildGatewaySettings, LIMITS } from './gateway-settings.ts';
+import { watchMemory } from './memory-limit.ts';
 import type { Observations } from './observations.ts';
 import type { TcpProxy } from './tcp-proxy.ts';
 import { startTcpProxy } from './tcp-proxy.ts';
@@ -46,9 +46,10 @@
 
 /** Options of deploy/system.toml. */
 export const NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
-const MEMORY_PERIOD_MS = 200;
 /** Delay before a process that ended is restarted, as on the platform. */
 export const RESTART_DELAY_MS = 300;
+/** How a process may end after a signal has told it to; SIGTERM only before the program runs. */
+const PLANNED_ENDS: ReadonlySet<number | string> = new Set([0, 'SIGTERM', 'SIGKILL']);
 
 function readLastLine(file: string): string {
   return readFileSync(file, 'utf8').trimEnd().split('\n').at(-1) ?? '';
@@ -71,6 +72,7 @@
       name,
       binary: 'clementinefork-gateway',
       nodeOptions: NODE_OPTIONS,
+      maxDescriptors: LIMITS.max_fds,
       settings: buildGatewaySettings({
         name,
         host,
@@ -83,14 +85,30 @@
         isFirstStart,
       }),
     });
-    const stopSampling = timers.subscribe(MEMORY_PERIOD_MS, () => {
-      peakMemoryMb.set(name, Math.max(peakMemoryMb.get(name) ?? 0, readResidentMb(started.pid)));
+    const memory = watchMemory({
+      timers,
+      process: started,
+      limitMb: LIMITS.memory_mb,
+      handleReading: (memoryMb) =>
+        peakMemoryMb.set(name, Math.max(peakMemoryMb.get(name) ?? 0, memoryMb)),
+      kill: () => process.kill(started.pid, 'SIGKILL'),
     });
     void started.exited.then((end) => {
-      stopSampling();
-      if (started.wasToldToEnd() || isOver) return;
-      const ranMs = timers.getMonotonicMs() - startedMs;
-      unplannedEnds.push({ gateway: name, end, ranMs, lastLine: readLastLine(started.logFile) });
+      memory.stop();
+      const isPlanned = started.wasToldToEnd() && PLANNED_ENDS.has(end) && !memory.wasKilled();
+      if (isPlanned || isOver) return;
+      const atMs = timers.getMonotonicMs();
+      unplannedEnds.push({
+        gateway: name,
+        end,
+        isOverMemory: memory.wasKilled(),
+        memoryMb: memory.getLastMb(),
+        atMs,
+        ranMs: atMs - startedMs,
+        lastLine: readLastLine(started.logFile),
+      });
+      // The fault that told the process to end starts it again.
+      if (started.wasToldToEnd()) return;
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- Set when a process ends.
       timers.scheduleOnce(RESTART_DELAY_MS, () => gateway.restart());
     });
--- a/src/stand-ins/soak/inject-faults.ts
+++ b/src/stand-ins/soak/inject-faults.ts
@@ -2,10 +2,10 @@
 import type { StandInStore } from '../store/index.ts';
 import { StoreFault } from '../store/index.ts';
 import type { SoakGateway } from './gateways.ts';
-import { RESTART_DELAY_MS } from './gateways.ts';
 import type { Observations, PlannedStop } from './observations.ts';
 import type { PlannedFault } from './plan-faults.ts';
 import { FaultKind } from './plan-faults.ts';
+import { restartGateway } from './restart-gateway.ts';
 import type { SoakEnvironment } from './soak-environment.ts';
 import { ProxyMode } from './tcp-proxy.ts';
 
@@ -17,6 +17,8 @@
   environment: SoakEnvironment;
   gateways: readonly SoakGateway[];
   observations: Observations;
+  /** Sends SIGHUP to a gateway; default: at any time of its process. */
+  reload?(gateway: SoakGateway): void;
 }
 
 /** Handle for the faults of a run. */
@@ -25,6 +27,15 @@
   finish(): Promise<void>;
 }
 
+/** Handle for the faults of a run that stop gateways, or are told to by other faults. */
+export interface InjectedGatewayFaults extends InjectedFaults {
+  /** Runs a fault on a gateway, unless another one pauses, stops or kills it at the time. */
+  runOnGateway(
+    gateway: SoakGateway | undefined,
+    run: (gateway: SoakGateway) => Promise<void>,
+  ): Promise<void>;
+}
+
 const STORE_FAULTS = Object.values(StoreFault).filter((fault) => fault !== StoreFault.None);
 const LINK_FAULTS = Object.values(ProxyMode).filter((mode) => mode !== ProxyMode.Pass);
 /** Faults that can break a response themselves, so that a planned stop may not be the cause. */
@@ -43,8 +54,9 @@
 }
 
 /** Injects each fault at its planned time. */
-export function injectFaults(options: FaultInjectionOptions): InjectedFaults {
+export function injectFaults(options: FaultInjectionOptions): InjectedGatewayFaults {
   const { faults, timers, store, environment, gateways, observations } = options;
+  const reload = options.reload ?? ((gateway) => gateway.process.sendSignal('SIGHUP'));
   const startMs = timers.getMonotonicMs();
   /** Gateways that a fault is pausing, stopping or killing; further such faults are skipped. */
   const busyGateways = new Set<SoakGateway>();
@@ -57,12 +69,6 @@
       );
     });
 
-  const restart = async (gateway: SoakGateway): Promise<void> => {
-    await gateway.process.exited;
-    await timers.waitFor(RESTART_DELAY_MS);
-    gateway.restart();
-  };
-
   const stopGateway = async (gateway: SoakGateway): Promise<void> => {
     const atMs = timers.getMonotonicMs();
     const stop: PlannedStop = {
@@ -73,10 +79,11 @@
     };
     observations.plannedStops.push(stop);
     gateway.process.sendSignal('SIGTERM');
-    await gateway.process.exited;
-    stop.endedMs = timers.getMonotonicMs();
-    stop.isDisrupted = isDisrupted(atMs, stop.endedMs);
-    await restart(gateway);
+    void gateway.process.exited.then(() => {
+      stop.endedMs = timers.getMonotonicMs();
+      stop.isDisrupted = isDisrupted(atMs, stop.endedMs);
+    });
+    await restartGateway(timers, gateway);
   };
 
   const runOnGateway = async (
@@ -95,19 +102,22 @@
     switch (kind) {
       case FaultKind.PauseGateway:
         return runOnGateway(gateway, async (one) => {
+          const fromMs = timers.getMonotonicMs();
           one.process.sendSignal('SIGSTOP');
           await timers.waitFor(forMs);
           one.process.sendSignal('SIGCONT');
+          const toMs = timers.getMonotonicMs();
+          observations.pauses.push({ gateway: one.callersAddress, fromMs, toMs });
         });
       case FaultKind.KillGateway:
         return runOnGateway(gateway, async (one) => {
           one.process.sendSignal('SIGKILL');
-          await restart(one);
+          await restartGateway(timers, one);
         });
       case FaultKind.StopGateway:
         return runOnGateway(gateway, stopGateway);
       case FaultKind.ReloadGateway:
-        gateway?.process.sendSignal('SIGHUP');
+        if (gateway !== undefined) reload(gateway);
         return undefined;
       case FaultKind.BreakStore:
         store.setFault(pickFrom(STORE_FAULTS, variant) ?? StoreFault.Silent);
@@ -139,6 +149,7 @@
     await runFault(fault);
   });
   return {
+    runOnGateway,
     async finish() {
       await Promise.all(running);
     },
--- a/src/stand-ins/soak/observations.ts
+++ b/src/stand-ins/soak/observations.ts
@@ -3,6 +3,8 @@
   Stream = 'stream',
   Order = 'order',
   Read = 'read',
+  /** Non-idempotent, with a large body or answer, or sent by a caller that is slow. */
+  Bulk = 'bulk',
 }
 
 /** How a response ended, as observed by its caller. */
@@ -38,6 +40,8 @@
   /** Version of the configuration under which the request was routed; only set for reads. */
   version: number | undefined;
   endedMs: number;
+  /** Bytes of the announced body that did not arrive; only set for bulk answers. */
+  missingBytes?: number;
 }
 
 /** One execution of a request at a target. */
@@ -82,11 +86,29 @@
   isDisrupted: boolean;
 }
 
+/** A time in which a gateway was paused with SIGSTOP. */
+export interface GatewayPause {
+  gateway: string;
+  fromMs: number;
+  toMs: number;
+}
+
+/** A request whose caller got no answer until its deadline, while the connection stayed open. */
+export interface HangingRequest {
+  attemptId: string;
+  waitedMs: number;
+}
+
 /** A gateway process that ended although no signal told it to. */
 export interface UnplannedEnd {
   gateway: string;
   /** Exit status, or the signal that ended the process. */
   end: number | string;
+  /** Whether it was killed because it held more memory than its VM has. */
+  isOverMemory: boolean;
+  /** Resident memory when it was read last. */
+  memoryMb: number;
+  atMs: number;
   /** Time that the process ran. */
   ranMs: number;
   /** Last line of its log. */
@@ -95,6 +117,8 @@
 
 /** Everything that callers, targets and the soak test itself observed during a run. */
 export interface Observations {
+  /** When the faults began. */
+  startMs: number;
   requests: Map<string, SentRequest>;
   responses: ObservedResponse[];
   runs: TargetRun[];
@@ -104,6 +128,8 @@
   limitedArrivals: LimitedArrival[];
   /** Times at which a request crashed its engine. */
   engineCrashesMs: number[];
+  pauses: GatewayPause[];
+  hangingRequests: HangingRequest[];
   unplannedEnds: UnplannedEnd[];
   /** Largest resident memory of each gateway's processes, in MB. */
   peakMemoryMb: Map<string, number>;
@@ -112,6 +138,7 @@
 /** Creates empty observations. */
 export function createObservations(): Observations {
   return {
+    startMs: 0,
     requests: new Map(),
     responses: [],
     runs: [],
@@ -120,6 +147,8 @@
     deadlyArrivals: [],
     limitedArrivals: [],
     engineCrashesMs: [],
+    pauses: [],
+    hangingRequests: [],
     unplannedEnds: [],
     peakMemoryMb: new Map(),
   };
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -1,5 +1,6 @@
 import { mkdirSync, mkdtempSync } from 'node:fs';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { TimerService } from '../../core/timers/index.ts';
@@ -15,8 +16,13 @@
 import { injectFaults } from './inject-faults.ts';
 import type { SoakGateway } from './gateways.ts';
 import { startSoakGateway } from './gateways.ts';
-import { ResponseEnd, createObservations } from './observations.ts';
+import { RequestClass, ResponseEnd, createObservations } from './observations.ts';
+import { injectPeerFaults } from './inject-peer-faults.ts';
+import { findHangingViolations, findStarvationViolations } from './peer-checks.ts';
 import { planFaults } from './plan-faults.ts';
+import { planPeerFaults } from './plan-peer-faults.ts';
+import { sendHangup, sendSignalSeries } from './signal-series.ts';
+import { createSlowCallers } from './slow-callers.ts';
 
 /** Options of one run. */
 export interface SoakOptions {
@@ -32,6 +38,10 @@
   isStoreRestored?: boolean;
   /** Whether the run injects no faults besides. */
   isFaultFree?: boolean;
+  /** Whether callers and targets read and send slowly besides, and signals come in series. */
+  hasSlowPeers?: boolean;
+  /** Whether runs with slow peers send SIGHUP also before a program has set its handler. */
+  areEarlySignalsSent?: boolean;
   timers: TimerService;
   /** Folder with the built programs. */
   buildFolder: string;
@@ -40,8 +50,9 @@
 /** Result of one run. */
 export interface SoakResult {
   violations: Violation[];
+  /** Requests of callers that read and send at once. */
   requests: number;
-  /** Requests whose callers received a complete, successful response of a target. */
+  /** Of these requests, those whose callers received a complete, successful response of a target. */
   answered: number;
   /** Engines that crashed on a deadly request. */
   engineCrashes: number;
@@ -49,15 +60,20 @@
   limitedArrivals: number;
   /** Largest resident memory of a gateway, in MB. */
   peakMemoryMb: number;
+  /** Longest time for which this process itself was late, in milliseconds. */
+  maxLoopDelayMs: number;
   faults: string[];
   /** Folder with the settings and logs of the gateways. */
   workFolder: string;
 }
 
+/** Odd factor that spreads consecutive seeds, whose generators would begin alike. */
+const PEER_SEED_FACTOR = 0x9e3779b1;
 const OUTPUT_FOLDER = 'out';
 const ZONES = ['a', 'b', 'c'];
 const GROUPS_TIMEOUT_MS = 20_000;
 const MS_PER_SECOND = 1_000;
+const NS_PER_MS = 1_000_000;
 
 /** Shares of a run at which the store comes back from the copy that was taken before. */
 const RESTORED_AT = [0.4, 0.7];
@@ -85,10 +101,16 @@
 
 /** Runs gateways under the faults of one seed and checks what callers and targets observed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, durationMs, timers } = options;
+  const { seed, durationMs, timers, hasSlowPeers = false, areEarlySignalsSent = false } = options;
   const generator = xoroshiro128plus(seed);
   const random = (): number => uniformFloat64(generator);
   const faults = options.isFaultFree === true ? [] : planFaults(durationMs, random);
+  // Loads of slow peers have a generator of their own, so that seeds keep their other faults.
+  const peerGenerator = xoroshiro128plus(Math.imul(seed, PEER_SEED_FACTOR));
+  const peerFaults = hasSlowPeers
+    ? planPeerFaults(durationMs, () => uniformFloat64(peerGenerator))
+    : [];
+  const loopDelay = monitorEventLoopDelay();
   const observations = createObservations();
   const store = await createStandInStore();
   mkdirSync(OUTPUT_FOLDER, { recursive: true });
@@ -100,11 +122,12 @@
     observations,
     random,
     limitedShare: options.limitedShare ?? 0,
+    hasBulkTargets: hasSlowPeers,
     zones: ZONES,
   });
   let gateways: SoakGateway[] = [];
   try {
-    store.putObject('config', 'main', buildSoakConfiguration(0));
+    store.putObject('config', 'main', buildSoakConfiguration(0, hasSlowPeers));
     gateways = await Promise.all(
       Array.from({ length: options.gateways }, (_, index) =>
         startSoakGateway({
@@ -134,6 +157,7 @@
       attemptPrefix: `s${seed}`,
       deadlyShare: options.deadlyShare ?? 0,
     });
+    observations.startMs = timers.getMonotonicMs();
     const injected = injectFaults({
       faults,
       timers,
@@ -141,13 +165,33 @@
       environment,
       gateways,
       observations,
+      ...(hasSlowPeers && { reload: (gateway) => sendHangup(gateway, areEarlySignalsSent) }),
+    });
+    const injectedPeerFaults = injectPeerFaults({
+      faults: peerFaults,
+      timers,
+      gateways,
+      callers: createSlowCallers({
+        timers,
+        observations,
+        apiKey: environment.apiKey,
+        host: environment.host,
+        attemptPrefix: `p${seed}`,
+      }),
+      sendSignals: (gateway, variant) =>
+        injected.runOnGateway(gateway, (one) =>
+          sendSignalSeries({ timers, observations, areEarlySignalsSent }, one, variant),
+        ),
     });
     if (options.isStoreRestored === true) {
       scheduleRestorations({ timers, store, environment, durationMs });
     }
+    loopDelay.enable();
     await timers.waitFor(durationMs);
     await injected.finish();
+    await injectedPeerFaults.finish();
     await callers.stop();
+    loopDelay.disable();
   } finally {
     gateways.forEach(({ stopRestarting }) => stopRestarting());
     await runner.stopAll();
@@ -155,23 +199,30 @@
     await environment.close();
     await store.close();
   }
+  const isSound = (attemptId: string): boolean =>
+    observations.requests.get(attemptId)?.requestClass !== RequestClass.Bulk;
   const answered = observations.responses.filter(
-    ({ status, end }) => status < 300 && end === ResponseEnd.Complete,
+    ({ attemptId, status, end }) =>
+      isSound(attemptId) && status < 300 && end === ResponseEnd.Complete,
   );
   return {
     violations: [
       ...findViolations(observations),
+      ...(hasSlowPeers ? findHangingViolations(observations) : []),
+      ...(hasSlowPeers && faults.length === 0 ? findStarvationViolations(observations) : []),
       ...(faults.length === 0 ? findDeadlyPromptViolations(observations) : []),
       ...(faults.length === 0 ? findLimitViolations(observations) : []),
     ],
     engineCrashes: observations.engineCrashesMs.length,
     limitedArrivals: observations.limitedArrivals.length,
-    requests: observations.requests.size,
+    requests: [...observations.requests.keys()].filter(isSound).length,
     answered: answered.length,
     peakMemoryMb: Math.max(...observations.peakMemoryMb.values()),
-    faults: faults.map(({ kind, atMs, forMs }) => {
+    maxLoopDelayMs: loopDelay.max / NS_PER_MS,
+    faults: [...faults, ...peerFaults].map(({ kind, atMs, forMs, selector }) => {
       const [from, length] = [atMs, forMs].map((ms) => (ms / MS_PER_SECOND).toFixed(1));
-      return `${from} s ${kind} for ${length} s`;
+      const gateway = Math.floor(selector * gateways.length);
+      return `${from} s ${kind} for ${length} s (gateway-${gateway}, if on a gateway)`;
     }),
     workFolder,
   };
--- a/src/stand-ins/soak/soak-environment.ts
+++ b/src/stand-ins/soak/soak-environment.ts
@@ -2,6 +2,8 @@
 import type { StandInStore } from '../store/index.ts';
 import type { Observations } from './observations.ts';
 import type { TargetEnvironment, SoakTarget } from './soak-targets.ts';
+import type { BulkTarget } from './bulk-targets.ts';
+import { BULK_SERVICE, startBulkTarget } from './bulk-targets.ts';
 import { createEngineFleet } from './soak-engines.ts';
 import { startPlainTarget } from './soak-targets.ts';
 
@@ -32,6 +34,8 @@
   /** Share of the engines that limit their requests. */
   limitedShare: number;
   zones: readonly string[];
+  /** Whether there are targets for large bodies and answers. */
+  hasBulkTargets: boolean;
 }
 
 const HOST = '127.0.0.1';
@@ -43,6 +47,9 @@
 const VERSION_COUNT = 12;
 const ENGINES_PER_DOMAIN = 7;
 const ORDER_TARGET_COUNT = 2;
+const MAX_BODY_BYTES = 65_536;
+const MAX_BULK_BODY_BYTES = 4_194_304;
+const BULK_TARGET_COUNT = 3;
 const LARGE_MODEL = { name: 'large', size: 3, share: 0.5, load_s: 0.3, warm_s: 0.1 };
 const SMALL_MODEL = { name: 'small', size: 2, share: 0.5, load_s: 0.3, warm_s: 0.1 };
 
@@ -56,7 +63,7 @@
 }
 
 /** Builds the configuration at an index. Each one routes reads to a different service. */
-export function buildSoakConfiguration(index: number): object {
+export function buildSoakConfiguration(index: number, hasBulkTargets = false): object {
   const route = (name: string, prefix: string, kind: string, service: string) => ({
     name,
     host: ROUTE_HOST,
@@ -74,6 +81,12 @@
       route('stream', '/stream/', 'streaming', ENGINE_SERVICE),
       route('orders', '/orders/', 'non_idempotent', ORDER_SERVICE),
       route('read', '/read/', 'idempotent', formatReadService(index)),
+      ...(hasBulkTargets
+        ? [
+            route('bulk', '/bulk/', 'non_idempotent', BULK_SERVICE),
+            { ...route('flood', '/flood/', 'streaming', BULK_SERVICE), stream_resume: false },
+          ]
+        : []),
     ],
     services: [
       {
@@ -88,11 +101,12 @@
         },
       },
       { name: ORDER_SERVICE },
+      ...(hasBulkTargets ? [{ name: BULK_SERVICE }] : []),
       ...Array.from({ length: VERSION_COUNT }, (_, each) => ({ name: formatReadService(each) })),
     ],
     limits: {
       max_header_bytes: 16384,
-      max_body_bytes: 65536,
+      max_body_bytes: hasBulkTargets ? MAX_BULK_BODY_BYTES : MAX_BODY_BYTES,
       header_timeout_ms: 3000,
       idle_timeout_ms: 15000,
     },
@@ -104,7 +118,7 @@
 export async function createSoakEnvironment(
   options: SoakEnvironmentOptions,
 ): Promise<SoakEnvironment> {
-  const { store, zones } = options;
+  const { store, zones, hasBulkTargets } = options;
   const targetEnvironment: TargetEnvironment = { host: HOST, ...options };
   const starters = new Map<SoakTarget, () => Promise<SoakTarget>>();
   const start = async (starter: () => Promise<SoakTarget>): Promise<void> => {
@@ -140,6 +154,12 @@
     await start(startPlain(formatReadService(index), zones[0] ?? '', getVersion(index)));
   }
 
+  const bulkTargets: BulkTarget[] = [];
+  for (let count = 0; hasBulkTargets && count < BULK_TARGET_COUNT; count++) {
+    const zone = zones[count % zones.length] ?? '';
+    bulkTargets.push(await startBulkTarget(targetEnvironment, `bulk-${count}`, zone));
+  }
+
   return {
     models: [LARGE_MODEL.name, SMALL_MODEL.name],
     apiKey: API_KEY,
@@ -148,15 +168,16 @@
     listTargets: () => [...starters.keys()],
     replaceTarget,
     rewriteStore() {
-      store.putObject('config', 'main', buildSoakConfiguration(configurationIndex));
+      store.putObject('config', 'main', buildSoakConfiguration(configurationIndex, hasBulkTargets));
       engineFleet.publishAll();
     },
     changeConfiguration() {
       if (configurationIndex + 1 >= VERSION_COUNT) return;
       configurationIndex++;
-      store.putObject('config', 'main', buildSoakConfiguration(configurationIndex));
+      store.putObject('config', 'main', buildSoakConfiguration(configurationIndex, hasBulkTargets));
     },
     async close() {
+      bulkTargets.forEach((target) => target.close());
       await Promise.all([...starters.keys()].map((target) => target.close()));
     },
   };
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -52,6 +52,26 @@
   }
 });
 
+/** Runs with slow peers: one without other faults and one with all of them. */
+const SLOW_PEER_RUNS = [
+  { seed: 500_003, isFaultFree: true, gateways: 3 },
+  { seed: 500_005, isFaultFree: false, gateways: 4 },
+];
+
+describe('slow peers of real processes', () => {
+  // Guards against gateways that end by what slow or talkative peers make them hold.
+  for (const { seed, isFaultFree, gateways } of SLOW_PEER_RUNS) {
+    it(`break no rule ${isFaultFree ? 'by themselves' : 'among other faults'}, with seed ${seed}`, async () => {
+      const timers = createTimerService();
+      const size = { durationMs: 10_000, gateways, callers: 20, buildFolder: 'dist' };
+      const result = await runSoak({ ...size, seed, isFaultFree, hasSlowPeers: true, timers });
+      expect(result.violations).toEqual([]);
+      // Guards against a system that serves no requests, which would break no rule either.
+      expect(result.answered > 0).toEqual(true);
+    });
+  }
+});
+
 describe('soak of real processes', () => {
   for (const { seed, cause } of SEEDS) {
     it(`breaks no rule under the faults of seed ${seed} (${cause})`, async () => {
