Join no second answer to one that was passed on in part

On a streaming route, an answer without events that was passed on for want of memory could be followed by the answer of another target when the first one failed: only requests of other routes were kept from being sent again. Found by reading; the new case of forward-request.test.ts made two sends before and makes one now. A target that is silent while its answer is passed on is not given up either, as the request cannot go elsewhere.

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -81,6 +81,20 @@
     });
   }
 
+  // Guards against pieces of two answers that are joined (ORDER).
+  it('sends no request of a stream again whose answer without events was passed on in part', () => {
+    const budget = createMemoryBudget(MEMORY_BYTES);
+    const account = budget.openAccount(0)!;
+    const harness = startTestForwarding({ kind: RequestKind.Streaming, account });
+    const { listener } = acceptSend(harness, 0);
+    listener.handleHead(RESPONSE_HEAD);
+    budget.openAccount(MEMORY_BYTES);
+    listener.handleData(Buffer.from('first'));
+    listener.handleError(SendFailure.Sent, 'reset');
+    expect(harness.sends.length).toEqual(1);
+    expect(harness.caller.isAborted).toEqual(true);
+  });
+
   it('holds nothing of a failure that another target may still turn into an answer', () => {
     const budget = createMemoryBudget(MEMORY_BYTES);
     const account = budget.openAccount(0)!;
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -111,8 +111,6 @@
   /** Body of a response that is buffered until it is complete. */
   collected: ByteCollector;
   bufferedBytes: number;
-  /** Whether parts of the body go to the caller as they arrive, for want of memory to buffer it. */
-  isPassedOn: boolean;
   /** Buffered bytes when the attempt timeout was last started. */
   checkedBytes: number;
   sentMs: number;
@@ -173,6 +171,8 @@
   const targetIds: string[] = [];
   let { lastEventId } = request;
   let isBodyStarted = false;
+  /** Whether parts of a body go to the caller as they arrive, for want of memory to buffer it. */
+  let isPassedOn = false;
   let isDone = false;
   let mayHaveRun = false;
   /** Attempts whose target may have run the request: sent and not refused. */
@@ -320,7 +320,7 @@
   function retry(reason: string, failure: FailureReason): void {
     if (isDone) return;
     lastFailure = reason;
-    const isAllowed = (isRetryable || !mayHaveRun) && !(isBodyStarted && !isStreaming);
+    const isAllowed = (isRetryable || !mayHaveRun) && !isPassedOn;
     if (!isAllowed || possiblyRunAttempts >= route.maxAttempts || targetIds.length >= MAX_SENDS) {
       endWithoutResponse(isAllowed ? FailureReason.AttemptsUsed : failure);
       return;
@@ -340,7 +340,6 @@
       parser: undefined,
       collected: createByteCollector(),
       bufferedBytes: 0,
-      isPassedOn: false,
       checkedBytes: 0,
       sentMs: timers.getMonotonicMs(),
       wasSent: false,
@@ -392,7 +391,7 @@
    * otherwise the request goes on waiting for the silent target.
    */
   function handleSilence(attempt: Attempt): void {
-    if (isDone || attempt !== current || !attempt.wasSent) return;
+    if (isDone || attempt !== current || !attempt.wasSent || isPassedOn) return;
     const canRetryElsewhere =
       isRetryable && possiblyRunAttempts < route.maxAttempts && budget.hasRetry(service.name);
     if (!canRetryElsewhere) return;
@@ -453,7 +452,7 @@
       failAttempt(attempt, 'too-large');
       return;
     }
-    if (attempt.isPassedOn) {
+    if (isPassedOn) {
       writePart(attempt, chunk);
       return;
     }
@@ -474,7 +473,7 @@
   function passOn(attempt: Attempt, chunk: Buffer): void {
     attempt.cancelAttemptTimeout?.();
     startBody(attempt);
-    attempt.isPassedOn = true;
+    isPassedOn = true;
     writePart(attempt, Buffer.concat([takeCollected(attempt), chunk]));
   }
 
@@ -543,14 +542,14 @@
       endStream(attempt, attempt.parser, isFramed);
       return;
     }
-    if ((isBodyStarted && !attempt.isPassedOn) || canRetryStatus(head)) {
+    if ((isBodyStarted && !isPassedOn) || canRetryStatus(head)) {
       failAttempt(attempt, `status ${head.status}`);
       return;
     }
     current = undefined;
     attempt.cancelAttemptTimeout?.();
     attempt.handle.recordEnd(head.status >= HTTP_SERVER_ERROR);
-    if (attempt.isPassedOn) sink.endBody();
+    if (isPassedOn) sink.endBody();
     else sendBuffered(attempt, head);
     reportResult(Outcome.Answered, head.status);
   }
