--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -68,6 +68,7 @@
   },
   {
     files: ['**/*.mjs'],
+    ignores: ['review/**'],
     rules: {
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
       'import-x/prefer-default-export': 'off',
