Join no answer without events to the events of another target

With little memory, a stream whose target failed could go on with an answer that is no stream of another target, and end as complete. Found and shown by a review; the new case of forward-request.test.ts has it. Only that test file and the types were run on this commit.

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -95,6 +95,24 @@
     expect(harness.caller.isAborted).toEqual(true);
   });
 
+  // Guards against an answer without events that is joined to the events of another target (ORDER).
+  it('passes no answer without events on after the events of another target', () => {
+    const budget = createMemoryBudget(MEMORY_BYTES);
+    const account = budget.openAccount(0)!;
+    const harness = startTestForwarding({ kind: RequestKind.Streaming, account });
+    const first = acceptSend(harness, 0);
+    first.listener.handleHead(STREAM_HEAD);
+    first.listener.handleData(buildEvent(1));
+    first.listener.handleError(SendFailure.Sent, 'reset');
+    const second = acceptSend(harness, 1);
+    budget.openAccount(MEMORY_BYTES);
+    second.listener.handleHead({ ...RESPONSE_HEAD, status: 400 });
+    second.listener.handleData(Buffer.from('bad'));
+    second.listener.handleEnd(true);
+    expect(harness.caller.body).toEqual(buildEvent(1).toString());
+    expect(harness.caller.isEnded).toEqual(false);
+  });
+
   it('holds nothing of a failure that another target may still turn into an answer', () => {
     const budget = createMemoryBudget(MEMORY_BYTES);
     const account = budget.openAccount(0)!;
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -471,6 +471,10 @@
    * can't be sent to another target from then on.
    */
   function passOn(attempt: Attempt, chunk: Buffer): void {
+    if (isBodyStarted) {
+      failAttempt(attempt, `status ${attempt.head?.status ?? 0}`);
+      return;
+    }
     attempt.cancelAttemptTimeout?.();
     startBody(attempt);
     isPassedOn = true;
