Send answers whole while the entry daemon stops

Callers of an entry daemon that reads an answer while the daemon drains got a part of it.

Cause: closing a Node.js server closes idle connections, and a connection counts as idle once the response has been ended, also while most of it waits in the memory of the process.

Change: the daemon waits until the responses that were ended are sent, and its periodic close of idle connections pauses while one is under way. The limit of the drain stays.

--- a/src/core/http/caller-server.ts
+++ b/src/core/http/caller-server.ts
@@ -16,6 +16,7 @@
 import { readCallerHeaders } from './headers.ts';
 import { sendError, sendCallOutcome, sendThrownError } from './replies.ts';
 import { addServiceRoutes } from './service-routes.ts';
+import { createUnsentResponses } from './unsent-responses.ts';
 import type { CallerServer, CallerServerOptions } from './types.ts';
 
 const HTTP_NOT_FOUND = 404;
@@ -75,7 +76,12 @@
 export function createCallerServer(options: CallerServerOptions): CallerServer {
   const { timers } = options;
   const running = new Set<AnswerStream>();
+  const unsentResponses = createUnsentResponses();
   const app = createApp();
+  app.addHook('onRequest', (_, reply, done) => {
+    unsentResponses.track(reply.raw);
+    done();
+  });
 
   addLookupRoutes(app, options);
   addCompletionRoutes(app, options, {
@@ -96,11 +102,12 @@
       return typeof address === 'object' && address !== null ? address.port : options.port;
     },
     async close() {
+      await unsentResponses.waitUntilEndedSent();
       // A keep-alive connection becomes idle only after its last response, so idle connections are
-      // closed periodically.
-      const stopPolling = timers.subscribe(IDLE_CLOSE_INTERVAL_MS, () =>
-        app.server.closeIdleConnections(),
-      );
+      // closed periodically, unless a response is on its way on one that Node.js counts as idle.
+      const stopPolling = timers.subscribe(IDLE_CLOSE_INTERVAL_MS, () => {
+        if (unsentResponses.count() === 0) app.server.closeIdleConnections();
+      });
       await app.close();
       await Promise.all([...running].map(({ finished }) => finished));
       stopPolling();
--- a/src/core/http/unsent-responses.ts
+++ b/src/core/http/unsent-responses.ts
@@ -9,25 +9,29 @@
   count(): number;
   /** Resolves when the responses that are tracked now have been sent, or their connections closed. */
   waitUntilSent(): Promise<void>;
+  /** Resolves when the responses that are handed over now have been sent; others may still be written. */
+  waitUntilEndedSent(): Promise<void>;
 }
 
 /** Creates an empty list. */
 export function createUnsentResponses(): UnsentResponses {
   const responses = new Set<ServerResponse>();
+  const waitForAll = async (awaited: readonly ServerResponse[]): Promise<void> => {
+    const closings = awaited.map(
+      (response) =>
+        new Promise<void>((resolve) => {
+          response.once('close', resolve);
+        }),
+    );
+    await Promise.all(closings);
+  };
   return {
     track(response) {
       responses.add(response);
       response.once('close', () => responses.delete(response));
     },
     count: () => responses.size,
-    async waitUntilSent() {
-      const closings = [...responses].map(
-        (response) =>
-          new Promise<void>((resolve) => {
-            response.once('close', resolve);
-          }),
-      );
-      await Promise.all(closings);
-    },
+    waitUntilSent: () => waitForAll([...responses]),
+    waitUntilEndedSent: () => waitForAll([...responses].filter((one) => one.writableEnded)),
   };
 }
