Check a configuration of the gateways before it is sent

Operators had no way to see before a write that a route hides another one, that an objective is longer than its timeout, or that gateways would ignore a version.

Values are left out, as customers' keys are among them.

--- a/src/core/errors/error-data.ts
+++ b/src/core/errors/error-data.ts
@@ -3,6 +3,7 @@
   SettingsInvalid = 'settings-invalid',
   SettingsUnreadable = 'settings-unreadable',
   DeclarationInvalid = 'declaration-invalid',
+  ConfigurationInvalid = 'configuration-invalid',
   DeclarationConflict = 'declaration-conflict',
   DeclarationTooLarge = 'declaration-too-large',
   PlatformUnavailable = 'platform-unavailable',
@@ -58,6 +59,12 @@
     message: '{file}: {path}: {problem}',
     hint: 'Correct the declaration and run `clementinefork validate` again; nothing was applied.',
   },
+  [ErrorKind.ConfigurationInvalid]: {
+    name: 'ConfigurationInvalidError',
+    title: 'The configuration is invalid.',
+    message: '{file}: {errors} of {findings} findings are errors.',
+    hint: 'Correct the entries that are listed and run `clementinefork check` again; nothing was sent.',
+  },
   [ErrorKind.DeclarationConflict]: {
     name: 'DeclarationConflictError',
     title: 'Another change was made first.',
--- a/src/core/operator/run-operator.test.ts
+++ b/src/core/operator/run-operator.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { ExitStatus } from '../process/index.ts';
+import { RequestKind } from '../serving/index.ts';
 import { readTextFile } from '../settings/index.ts';
 import type { OperatorSession, RunResult } from './fixtures/session.ts';
 import { createOperatorSession, SETTLE_TIMEOUT_MS } from './fixtures/session.ts';
@@ -26,6 +27,26 @@
   session.writeFile(name, text.replace(from, to));
 }
 
+/** Writes a configuration of the gateways with one route; the timeout decides whether it is sound. */
+function writeServingConfiguration(name: string, version: number, timeoutMs: number): void {
+  const route = {
+    name: 'quote',
+    host: 'orders.example',
+    pathPrefix: '/quote/',
+    kind: RequestKind.Idempotent,
+    timeoutMs,
+    latencyObjectiveMs: 400,
+    priority: 1,
+    services: [{ service: 'booking', weight: 1 }],
+    maxAttempts: 2,
+    isAnonymousAllowed: true,
+    isResumable: false,
+  };
+  const limits = { maxHeaderBytes: 16_384, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
+  const services = [{ name: 'booking', coldRequestsPerSecond: 0 }];
+  session.writeFile(name, JSON.stringify({ version, routes: [route], services, limits }));
+}
+
 interface Case {
   title: string;
   lines: string[];
@@ -60,6 +81,39 @@
     status: ExitStatus.Invalid,
     error: ['"kind": "settings-unreadable"'],
   },
+  {
+    title: 'finds nothing in a sound configuration, and shows what differs from the one in force',
+    prepare: () => {
+      writeServingConfiguration('next.json', 8, 6_000);
+      writeServingConfiguration('now.json', 7, 8_000);
+    },
+    lines: ['check @next.json --in-force @now.json'],
+    status: ExitStatus.Success,
+    out: ['changed: routes/quote (timeoutMs)', '0 errors, 0 warnings'],
+  },
+  {
+    title: 'fails the check of a configuration with errors, in a form for scripts',
+    prepare: () => writeServingConfiguration('next.json', 8, 300),
+    lines: ['check @next.json --json'],
+    status: ExitStatus.Invalid,
+    out: ['"errors": 1', '"kind": "limits"', '"path": "routes/quote"'],
+    error: ['"kind": "configuration-invalid"'],
+  },
+  {
+    title: 'fails the check of a version that gateways would ignore',
+    prepare: () => writeServingConfiguration('next.json', 7, 6_000),
+    lines: ['check @next.json --in-force @next.json'],
+    status: ExitStatus.Invalid,
+    out: ['error: version: version 7 is not higher than 7'],
+    error: ['1 of 1 findings are errors'],
+  },
+  {
+    title: 'says that the store does not tell the version in force',
+    prepare: () => writeServingConfiguration('next.json', 8, 6_000),
+    lines: ['check @next.json --store 127.0.0.1:1'],
+    status: ExitStatus.Invalid,
+    error: ['cannot be read from 127.0.0.1:1', 'is silent'],
+  },
   {
     title: 'shows the changes and the version for --base',
     lines: ['diff @site.yaml'],
--- a/src/core/operator/run-operator.ts
+++ b/src/core/operator/run-operator.ts
@@ -3,6 +3,7 @@
 import { ExitStatus, getExitStatus } from '../process/index.ts';
 import { checkOptions } from './check-options.ts';
 import { createApplyCommand } from './commands/apply.ts';
+import { createCheckCommand } from './commands/check.ts';
 import { createDiffCommand } from './commands/diff.ts';
 import { createExplainCommand } from './commands/explain.ts';
 import { createGetCommand } from './commands/get.ts';
@@ -17,6 +18,7 @@
 function createCommands(io: OperatorIo) {
   return {
     validate: createValidateCommand(io),
+    check: createCheckCommand(io),
     diff: createDiffCommand(io),
     apply: createApplyCommand(io),
     get: createGetCommand(io),
--- a/src/core/process/run-daemon.ts
+++ b/src/core/process/run-daemon.ts
@@ -17,6 +17,7 @@
   [ErrorKind.SettingsInvalid]: ExitStatus.Invalid,
   [ErrorKind.SettingsUnreadable]: ExitStatus.Invalid,
   [ErrorKind.DeclarationInvalid]: ExitStatus.Invalid,
+  [ErrorKind.ConfigurationInvalid]: ExitStatus.Invalid,
   [ErrorKind.DeclarationTooLarge]: ExitStatus.Invalid,
   [ErrorKind.UsageInvalid]: ExitStatus.Invalid,
   [ErrorKind.DeclarationConflict]: ExitStatus.Conflict,
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -2,6 +2,9 @@
 import type { CustomerRoute, ServiceSpec, ServingConfiguration } from '../core/serving/index.ts';
 import { RequestKind } from '../core/serving/index.ts';
 
+/** Name of the object that holds the configuration in force. */
+export const CONFIGURATION_NAME = 'main';
+
 const MS_PER_SECOND = 1_000;
 
 /** Timeout of a route without one; equals the longest timeout of the configurations in use. */
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,8 +1,8 @@
-export { decodeConfiguration } from './decode-configuration.ts';
+export { CONFIGURATION_NAME, decodeConfiguration } from './decode-configuration.ts';
 export { decodeTarget } from './decode-target.ts';
 export { createEngineControl } from './engine-control.ts';
 export { startAuxiliaryServers } from './auxiliary-servers.ts';
-export { gatewaySettingsSchema, SETTINGS_VARIABLE } from './settings.ts';
+export { gatewaySettingsSchema, parseSocket, SETTINGS_VARIABLE } from './settings.ts';
 export type { GatewaySettings } from './settings.ts';
 export { createStoreClient } from './store-client.ts';
 export { platformWireFormat } from './wire-format.ts';
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -105,7 +105,8 @@
 /** Metrics port; same as in deploy/system.toml and outside all port ranges that may be assigned. */
 const METRICS_PORT = 9_464;
 
-function parseSocket(text: string): SocketAddress {
+/** Parses `host:port`. */
+export function parseSocket(text: string): SocketAddress {
   const separator = text.lastIndexOf(':');
   return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
 }
