--- a/src/cli/gateway/run-gateway.ts
+++ b/src/cli/gateway/run-gateway.ts
@@ -13,6 +13,7 @@
 import { createTimerService } from '../../core/timers/index.ts';
 import type { GatewaySettings } from '../../platform/index.ts';
 import {
+  createDutyClient,
   createEngineControl,
   createStoreClient,
   decodeConfiguration,
@@ -38,6 +39,7 @@
     errorReporter,
     store: createStoreClient(settings.store, timers),
     control: createEngineControl(timers),
+    dutyCalls: settings.dutyCalls && createDutyClient(settings.dutyCalls, timers),
     wire: platformWireFormat,
     decodeConfiguration,
     decodeTarget,
--- a/src/core/duties/types.ts
+++ b/src/core/duties/types.ts
@@ -15,6 +15,8 @@
   Rejected = 'rejected',
   /** No usable response: the call may have been done, or may still be done. */
   OutcomeUnknown = 'outcome-unknown',
+  /** Not sent, because this process is no longer the holder that the call was for. */
+  NotHolder = 'not-holder',
 }
 
 /** Requests of each customer that began to run in a usage window. */
@@ -37,3 +39,19 @@
   orderTargetCount(holder: DutyHolder, order: ScaleOrder): Promise<DutyCallResult>;
   close(): Promise<void>;
 }
+
+/** Settings of the duties; a deployment without them has none. */
+export interface DutySettings {
+  /** Whether the platform wants reports of the usage of each customer. */
+  isUsageReported: boolean;
+  /** Whether the number of targets is ordered from the platform. */
+  areTargetsOrdered: boolean;
+  /** Calls a second that the platform takes from all gateways together. */
+  callsPerSecond: number;
+  /** Time within which no gateway may act again after another one has acted in between. */
+  leaseMs: number;
+  /** Length of a usage window of the wall clock. */
+  usageWindowMs: number;
+  /** Time after the end of a window at which its report is due. */
+  usageLateMs: number;
+}
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -1,4 +1,5 @@
 import type { LimitConnections } from '../connections/index.ts';
+import type { DutyCalls, DutySettings } from '../duties/index.ts';
 import type { ErrorReporter } from '../errors/index.ts';
 import type { EngineControl } from '../formation/index.ts';
 import type { Target } from '../fleet/index.ts';
@@ -49,6 +50,8 @@
   maxDirectoryTtlMs: number;
   /** Whether the whole system starts for the first time. */
   isFirstStart: boolean;
+  /** Duties of this deployment; undefined without any. */
+  duties?: DutySettings | undefined;
 }
 
 /** Addresses that callers connect to, and how long they may cache them. */
@@ -72,6 +75,8 @@
   errorReporter: ErrorReporter;
   store: StoreClient;
   control: EngineControl;
+  /** Calls that one gateway makes at a time; undefined if the platform has none. */
+  dutyCalls?: DutyCalls | undefined;
   wire: WireFormat;
   decodeConfiguration(spec: unknown): { value: ServingConfiguration } | { problem: string };
   decodeTarget(object: StoreObject, nowMs: number): Target | undefined;
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -32,6 +32,10 @@
   RequestLimit = 'server-limit',
   /** `1` if the target is shutting down; its entry in the store may not say so yet. */
   Leaving = 'server-leaving',
+  /** VM that holds a duty. */
+  DutyHolder = 'x-duty-holder',
+  /** Number that rises when the holder of a duty changes. */
+  FencingToken = 'x-fencing-token',
 }
 
 /** Scheme of the `Authorization` header that carries a customer's API key. */
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,5 +1,6 @@
 export { decodeConfiguration } from './decode-configuration.ts';
 export { decodeTarget } from './decode-target.ts';
+export { createDutyClient } from './duty-client.ts';
 export { createEngineControl } from './engine-control.ts';
 export { startAuxiliaryServers } from './auxiliary-servers.ts';
 export { gatewaySettingsSchema, SETTINGS_VARIABLE } from './settings.ts';
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { DutySettings } from '../core/duties/index.ts';
 import { BYTES_PER_MB } from '../core/memory/index.ts';
 
 /** Environment variable with the path of the platform's settings file. */
@@ -31,6 +32,19 @@
   retry_budget_slack: figureSchema(0),
   stall_ms: figureSchema(5_000),
   ttl_max_s: figureSchema(5),
+  lease_ms: figureSchema(3_000),
+  usage_window_s: figureSchema(0),
+  usage_late_s: figureSchema(0),
+});
+
+const USAGE_DUTY = 'usage_report';
+const SCALING_DUTY = 'autoscale';
+
+/** Calls of one gateway at a time; without a usable address there are none. */
+const cloudSchema = z.object({
+  address: socketSchema,
+  duties: z.array(z.string()).catch([]),
+  duty_per_s: z.number().positive().catch(1),
 });
 
 /**
@@ -47,6 +61,7 @@
   limits: limitsSchema.catch(limitsSchema.parse({})),
   bounds: boundsSchema.catch(boundsSchema.parse({})),
   platform: z.object({ address: socketSchema }),
+  cloud: cloudSchema.optional().catch(undefined),
 });
 
 /** Host and port of an address to listen on or to connect to. */
@@ -77,6 +92,10 @@
   /** TCP port of the metrics server. */
   metricsPort: number;
   store: SocketAddress;
+  /** Address of the calls of duties; undefined if the platform has none. */
+  dutyCalls: SocketAddress | undefined;
+  /** Duties of this deployment; undefined without any. */
+  duties: DutySettings | undefined;
   /** Whether the whole system starts for the first time. */
   isFirstStart: boolean;
   /** Time between SIGTERM and SIGKILL. */
@@ -110,6 +129,22 @@
   return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
 }
 
+function toDutySettings({
+  cloud,
+  bounds,
+}: z.infer<typeof settingsFileSchema>): DutySettings | undefined {
+  if (cloud === undefined || cloud.duties.length === 0) return undefined;
+  return {
+    // Windows without a length have no numbers.
+    isUsageReported: cloud.duties.includes(USAGE_DUTY) && bounds.usage_window_s > 0,
+    areTargetsOrdered: cloud.duties.includes(SCALING_DUTY),
+    callsPerSecond: cloud.duty_per_s,
+    leaseMs: bounds.lease_ms,
+    usageWindowMs: bounds.usage_window_s * MS_PER_SECOND,
+    usageLateMs: bounds.usage_late_s * MS_PER_SECOND,
+  };
+}
+
 /** Decodes the platform's settings file into the settings of the gateway. */
 export const gatewaySettingsSchema = settingsFileSchema.transform((file): GatewaySettings => ({
   vmName: file.node,
@@ -124,6 +159,8 @@
   peerPort: file.internal_port_range[0],
   metricsPort: METRICS_PORT,
   store: parseSocket(file.platform.address),
+  dutyCalls: file.cloud && parseSocket(file.cloud.address),
+  duties: toDutySettings(file),
   isFirstStart: file.bootstrap,
   graceMs: file.bounds.grace_s * MS_PER_SECOND,
   leavingBoundMs: file.bounds.drain_ms,
