Count, fix and report the usage of customers

Each gateway counts the requests whose answers begin, by window of the wall clock, and tells its counts to all hubs and to the leader. The leader fixes a window in the store before it reports it; a successor reads what is fixed and sends it again. Hubs repeat the counts of lost processes. The response of the directory and the reload of the settings move to modules of their own.

--- a/src/core/duties/types.ts
+++ b/src/core/duties/types.ts
@@ -26,6 +26,15 @@
   counts: ReadonlyMap<string, number>;
 }
 
+/** Requests of each customer that began to run in a window, as one gateway counts them. */
+export interface GatewayUsage {
+  vmName: string;
+  /** Number that differs between the starts of the process on one VM. */
+  incarnation: number;
+  window: number;
+  counts: ReadonlyMap<string, number>;
+}
+
 /** Order for the number of targets of a service in an availability zone. */
 export interface ScaleOrder {
   service: string;
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -5,7 +5,7 @@
   createConnections,
 } from '../connections/index.ts';
 import { createLeaderElection } from '../leader-election/index.ts';
-import { ErrorOrigin, formatProblem } from '../errors/index.ts';
+import { ErrorOrigin } from '../errors/index.ts';
 import type { Feed, FeedListener } from '../store-feed/index.ts';
 import { computeFeedTiming, startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
@@ -34,8 +34,10 @@
   startMemoryMonitor,
 } from '../memory/index.ts';
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
+import { buildDirectoryResponse } from './directory-response.ts';
+import { startGatewayDuties } from './gateway-duties.ts';
 import { startCallerServer } from './caller-server.ts';
-import { planReload } from './plan-reload.ts';
+import { reloadSettings } from './plan-reload.ts';
 import type { RegistrationOptions } from './registration.ts';
 import { registerGateway, restoreRegistration } from './registration.ts';
 import { logReadiness } from './readiness-log.ts';
@@ -45,7 +47,7 @@
 import type { GaugeValues } from './gateway-metrics.ts';
 import { createGatewayMetrics } from './gateway-metrics.ts';
 import { createRequestLog } from './request-log.ts';
-import type { DirectoryResponse, GatewayDependencies, GatewayParameters } from './types.ts';
+import type { GatewayDependencies, GatewayParameters } from './types.ts';
 import { createStoreView } from './store-view.ts';
 
 /** Pause of the leader after a watch that returned events; short because it acts on them. */
@@ -54,10 +56,6 @@
 const WATCHER_PAUSE_SHARE = 0.1;
 /** Maximum age of the copy of the targets on which the leader still acts. */
 const MAX_TARGET_COPY_AGE_MS = 2_500;
-/** Lifetime of a directory response; some callers keep it three times as long. */
-const DIRECTORY_TTL_MS = 2_000;
-/** Maximum number of addresses in a directory response. */
-const MAX_DIRECTORY_ADDRESSES = 64;
 /**
  * How long new requests are still accepted after a stop was requested. Callers use the gateway's
  * address until their directory response expires, 2 s after it was sent.
@@ -117,6 +115,17 @@
     handoverStateSchema,
   });
 
+  const duties = startGatewayDuties({
+    ...dependencies,
+    vmName,
+    incarnation,
+    settings: settings.duties,
+    calls: dependencies.dutyCalls,
+    store,
+    getTerm: leaderElection.getTerm,
+    countWindows: metrics.countUsageWindows,
+  });
+
   errorReporter.subscribe((origin) => {
     metrics.countUnexpectedError(origin);
     // The state of the groups may be inconsistent; the next leader rebuilds it from the entries.
@@ -236,6 +245,7 @@
   const handler = createRequestHandler({
     requestLog,
     getRoutingTable: storeView.getRoutingTable,
+    recordBegin: duties.recordBegin,
     isRefusing: () =>
       stopRequestedMs !== undefined &&
       timers.getMonotonicMs() - stopRequestedMs > ACCEPT_AFTER_STOP_MS,
@@ -329,6 +339,8 @@
     },
     handleEvidence: quarantine.receiveEvidence,
     handleAdvisories: advisories.receiveNotices,
+    takeUsage: duties.takeUsage,
+    handleUsage: duties.handleUsage,
     handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
   };
   await dependencies.waitForPort(peerAddress, () => peerExchange.start(peerListener));
@@ -366,17 +378,6 @@
     void restoreRegistration(registration, registrationAbort.signal);
   });
 
-  const getDirectoryResponse = (): DirectoryResponse | undefined => {
-    const own = getState() === PeerState.Ready ? [callersAddress] : [];
-    const others = peerExchange
-      .listPeers()
-      .filter(({ status }) => status.state === PeerState.Ready)
-      .map(({ status }) => status.callersAddress);
-    const callersAddresses = [...own, ...others].slice(0, MAX_DIRECTORY_ADDRESSES);
-    if (callersAddresses.length === 0) return undefined;
-    return { callersAddresses, ttlMs: Math.min(DIRECTORY_TTL_MS, settings.maxDirectoryTtlMs) };
-  };
-
   const getGaugeValues = (): GaugeValues => ({
     targets: countTargets(fleet, isZoneEvacuated),
     groups: countGroups(
@@ -392,6 +393,7 @@
     gateways: countGateways(),
     inProgress: handler.countInProgress(),
     dutyTerm: leaderElection.getTerm(),
+    dutiesHeldMs: duties.getHeldMs(),
     quarantinedSets: quarantine.countEntries(),
     limitedTargets: advisories.countLimits(),
     memory: measureMemory(),
@@ -402,7 +404,14 @@
   });
 
   const auxiliaryServers = await dependencies.startAuxiliaryServers({
-    getDirectoryResponse,
+    getDirectoryResponse: () =>
+      buildDirectoryResponse(
+        [
+          { state: getState(), callersAddress },
+          ...peerExchange.listPeers().map(({ status }) => status),
+        ],
+        settings.maxDirectoryTtlMs,
+      ),
     isReady: () => getState() === PeerState.Ready,
     limitConnections: connections.limitServer,
     renderMetrics: () => metrics.renderMetrics(getGaugeValues()),
@@ -444,23 +453,10 @@
     }
   };
 
-  const reload = (): void => {
-    try {
-      const plan = planReload(settings, dependencies.readSettings());
-      ({ settings } = plan);
-      logger.info('read the settings again', {
-        applied: plan.appliedNames.join(' '),
-        needRestart: plan.restartNames.join(' '),
-      });
-    } catch (error) {
-      logger.error('failed to reload the settings; the previous settings stay in force', {
-        problem: formatProblem(error),
-      });
-    }
-  };
-
   return {
-    reload,
+    reload() {
+      settings = reloadSettings(settings, dependencies.readSettings, logger);
+    },
     async stop() {
       const startMs = timers.getMonotonicMs();
       stopRequestedMs = startMs;
@@ -482,7 +478,7 @@
       peerExchange.stop();
       metrics.stop();
       stopMemoryMonitor();
-      await Promise.all([auxiliaryServers.close(), client.close(), store.close()]);
+      await Promise.all([duties.stop(), auxiliaryServers.close(), client.close(), store.close()]);
     },
   };
 }
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ConnectionCount, ConnectionKind, ConnectionRemoval } from '../connections/index.ts';
+import type { WindowResult } from '../duties/index.ts';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
@@ -21,6 +22,8 @@
   gateways: number;
   inProgress: number;
   dutyTerm: number;
+  /** Time for which this process has held the duties; 0 if it does not. */
+  dutiesHeldMs: number;
   configurationVersion: number;
   quarantinedSets: number;
   limitedTargets: number;
@@ -42,6 +45,8 @@
   /** Counts a connection that was closed or dropped because its kind is at its limit. */
   countConnectionRemoval(kind: ConnectionKind, removal: ConnectionRemoval): void;
   countUnexpectedError(origin: ErrorOrigin): void;
+  /** Counts usage windows by how their report ended. */
+  countUsageWindows(result: WindowResult, count: number): void;
   /** Sets the gauges to the given values and renders all metrics in the Prometheus text format. */
   renderMetrics(values: GaugeValues): Promise<string>;
   stop(): void;
@@ -125,6 +130,13 @@
     registers,
   });
 
+  const usageWindows = new Counter({
+    name: `${PREFIX}usage_windows_total`,
+    help: 'Usage windows by how their report ended.',
+    labelNames: ['result'],
+    registers,
+  });
+
   const createGauge = <Label extends string>(
     name: string,
     help: string,
@@ -136,6 +148,10 @@
   const gateways = createGauge('gateways', 'Gateways heard of lately, this one included.');
   const inProgress = createGauge('requests_in_progress', 'Requests in progress.');
   const dutyTerm = createGauge('duty_term', 'Term of the duty to form groups; 0 if not held.');
+  const dutiesHeld = createGauge(
+    'duties_held_seconds',
+    'Time for which this gateway has held the duties; 0 if it does not.',
+  );
   const configurationVersion = createGauge(
     'configuration_version',
     'Version of the configuration in force.',
@@ -182,6 +198,7 @@
     gateways.set(values.gateways);
     inProgress.set(values.inProgress);
     dutyTerm.set(values.dutyTerm);
+    dutiesHeld.set(values.dutiesHeldMs / MS_PER_SECOND);
     configurationVersion.set(values.configurationVersion);
     quarantinedSets.set(values.quarantinedSets);
     limitedTargets.set(values.limitedTargets);
@@ -210,6 +227,7 @@
     },
     countStoreCall: ({ operation, kind, result }) => storeCalls.inc({ operation, kind, result }),
     countConnectionRemoval: (kind, removal) => connectionRemovals.inc({ kind, removal }),
+    countUsageWindows: (result, count) => usageWindows.inc({ result }, count),
     countUnexpectedError: (origin) => unexpectedErrors.inc({ origin }),
     renderMetrics(values) {
       updateGauges(values);
--- a/src/core/gateway/plan-reload.ts
+++ b/src/core/gateway/plan-reload.ts
@@ -1,3 +1,5 @@
+import { formatProblem } from '../errors/index.ts';
+import type { Logger } from '../logs/index.ts';
 import type { GatewayParameters } from './types.ts';
 
 /** Effect of a changed settings file on a running gateway. */
@@ -33,3 +35,24 @@
     restartNames: changed.filter((name) => !RELOADABLE_NAMES.has(name) && name !== 'isFirstStart'),
   };
 }
+
+/** Reads the settings again and returns those in force; if that fails, the current ones stay so. */
+export function reloadSettings(
+  current: GatewayParameters,
+  readSettings: () => GatewayParameters,
+  logger: Logger,
+): GatewayParameters {
+  try {
+    const { settings, appliedNames, restartNames } = planReload(current, readSettings());
+    logger.info('read the settings again', {
+      applied: appliedNames.join(' '),
+      needRestart: restartNames.join(' '),
+    });
+    return settings;
+  } catch (error) {
+    logger.error('failed to reload the settings; the previous settings stay in force', {
+      problem: formatProblem(error),
+    });
+    return current;
+  }
+}
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -8,6 +8,7 @@
 import type { MemoryAccount } from '../memory/index.ts';
 import type { RequestLog } from './request-log.ts';
 import type { CustomerRoute } from '../serving/index.ts';
+import { createBeginSink } from './begin-sink.ts';
 import { chooseService } from './choose-service.ts';
 import type { RoutingTable } from './routing-table.ts';
 
@@ -17,6 +18,8 @@
   requestLog: RequestLog;
   /** Routing table in force; undefined until a configuration has been read. */
   getRoutingTable(): RoutingTable | undefined;
+  /** Called when a target's answer to a request of the customer begins. */
+  recordBegin(customer: string | undefined): void;
   /** Whether the process is stopping and refuses new requests. */
   isRefusing(): boolean;
 }
@@ -184,7 +187,8 @@
         dueMs: arrivedMs + limitMs,
         configurationVersion: table.version,
       };
-      return forwardRequest(input, sink, forwardingDependencies, (result) => {
+      const beginSink = createBeginSink(sink, () => options.recordBegin(customer));
+      return forwardRequest(input, beginSink, forwardingDependencies, (result) => {
         inProgress--;
         requestLog.recordResult(input, result);
       });
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -1,10 +1,13 @@
 import { createSocket } from 'node:dgram';
 import type { AdvisoryNotices } from '../advisories/index.ts';
+import { NO_NOTICES } from '../advisories/index.ts';
+import type { GatewayUsage } from '../duties/index.ts';
 import type { ErrorReporter } from '../errors/index.ts';
 import { ErrorOrigin, formatProblem } from '../errors/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { PromptEvidence } from '../quarantine/index.ts';
+import { NO_EVIDENCE } from '../quarantine/index.ts';
 import type { Position } from '../placement/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { parseAddress } from './address.ts';
@@ -37,6 +40,11 @@
   getEvidence(): PromptEvidence;
   /** Takes what targets say for the next packet. */
   takeAdvisories(): AdvisoryNotices;
+  /**
+   * Takes the counts for the next packet; `isRelayed` selects the processes of other gateways whose
+   * counts this one sends as well.
+   */
+  takeUsage(isRelayed: (vmName: string, incarnation: number) => boolean): GatewayUsage[];
   /** Progress of the store copies, with the changes of the last `recentMs`. */
   getProgress(recentMs: number): FeedProgress[];
   /** Called for each gateway whose status was received, directly or through a hub. */
@@ -50,6 +58,8 @@
   /** Called with what targets say, as of a packet; returns whether it contains news. */
   handleAdvisories(advisories: AdvisoryNotices): boolean;
   handleProgress(progress: FeedProgress): void;
+  /** Called with the counts of a packet. */
+  handleUsage(usage: readonly GatewayUsage[]): void;
 }
 
 /** Exchanges state with the other gateways over UDP. */
@@ -105,6 +115,20 @@
   return `${gateway.availabilityZone}/${gateway.vmName}`;
 }
 
+/** Builds a packet for gateways that hear of the sender's loads through a hub. */
+function buildUsagePacket(sender: PeerStatus, fleetMs: number, usage: GatewayUsage[]): PeerPacket {
+  return {
+    sender,
+    loadReport: { loads: [], suspectIds: [], demands: [] },
+    digest: undefined,
+    evidence: NO_EVIDENCE,
+    advisories: NO_NOTICES,
+    fleetMs,
+    usage,
+    progress: [],
+  };
+}
+
 /** Creates the exchange; it sends nothing until it is started. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
   const { vmName, availabilityZone, host, port, timers, logger, errorReporter } = options;
@@ -188,6 +212,11 @@
       list.map(({ peerAddress }) => peerAddress);
     const isReporter = isMesh ? watchers.has(vmName) || sender.dutyTerm > 0 : hubs.has(vmName);
     const progress = isReporter ? listener.getProgress(CHANGE_REPEAT_PERIODS * getPeriodMs()) : [];
+    // Hubs repeat the counts of lost processes for gateways that become hubs.
+    const usage = listener.takeUsage(
+      (name, incarnation) =>
+        hubs.has(vmName) && table.findPeer(name)?.status.incarnation !== incarnation,
+    );
     const build = (digest: PeerDigest | undefined, hasProgress: boolean): PeerPacket => ({
       sender,
       loadReport,
@@ -195,19 +224,29 @@
       evidence,
       advisories,
       fleetMs,
+      usage: [],
       progress: hasProgress ? progress : [],
     });
+    const withUsage = (packet: PeerPacket): PeerPacket => ({ ...packet, usage });
     const otherHubs = peers.filter((peer) => hubs.has(peer.vmName));
     const zoneNonHubs = peers.filter((peer) => isInOwnZone(peer) && !hubs.has(peer.vmName));
     if (isMesh) {
-      sendTo(toAddresses(otherHubs), build(undefined, true));
+      sendTo(toAddresses(otherHubs), withUsage(build(undefined, true)));
     } else if (hubs.has(vmName)) {
       const zoneNonHubNames = new Set(zoneNonHubs.map((peer) => peer.vmName));
       const zoneDigest = aggregator.buildZoneDigest((name) => zoneNonHubNames.has(name));
-      sendTo(toAddresses(otherHubs), build(zoneDigest, true));
+      sendTo(toAddresses(otherHubs), withUsage(build(zoneDigest, true)));
       sendTo(toAddresses(zoneNonHubs), build(aggregator.buildCompleteDigest(loadReport), true));
     } else {
-      sendTo(toAddresses(otherHubs.filter(isInOwnZone)), build(undefined, false));
+      const ownHubs = otherHubs.filter(isInOwnZone);
+      sendTo(toAddresses(ownHubs), withUsage(build(undefined, false)));
+    }
+    if (usage.length > 0) {
+      const isServed = ({ vmName: name, availabilityZone: zone }: PeerStatus): boolean =>
+        isMesh || (hubs.has(name) && (hubs.has(vmName) || zone === availabilityZone));
+      const others = peers.filter((peer) => hubs.has(peer.vmName) || peer.dutyTerm > 0);
+      const unserved = others.filter((peer) => !isServed(peer));
+      sendTo(toAddresses(unserved), buildUsagePacket(sender, fleetMs, usage));
     }
     const heardAddresses = new Set(toAddresses(peers));
     sendTo(
@@ -259,6 +298,7 @@
       if (relayedPeer.isLost) table.markLost(relayedPeer);
       else handlePeerStatus(relayedPeer.status, relayedPeer.ageMs);
     }
+    listener?.handleUsage(packet.usage);
     packet.progress.forEach((progress) => listener?.handleProgress(progress));
     const hasNewEvidence = listener?.handleEvidence(packet.evidence) === true;
     if (suspectIds.length > 0) listener?.handleSuspects(suspectIds);
--- a/src/core/peers/digests.test.ts
+++ b/src/core/peers/digests.test.ts
@@ -60,6 +60,7 @@
         evidence: NO_EVIDENCE,
         advisories: NO_NOTICES,
         fleetMs: 0,
+        usage: [],
         progress: [],
       });
     },
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -30,6 +30,7 @@
   evidence: NO_EVIDENCE,
   advisories: NO_NOTICES,
   fleetMs: 0,
+  usage: [],
   progress: [],
 };
 
@@ -62,6 +63,7 @@
           evidence: NO_EVIDENCE,
           advisories: NO_NOTICES,
           fleetMs: 0,
+          usage: [],
           progress: [],
         };
         expect(decodePacket(encodePacket(packet)).digest?.peers.length).toEqual(1);
@@ -93,6 +95,8 @@
       handleEvidence: () => false,
       handleAdvisories: () => false,
       handleProgress: () => undefined,
+      takeUsage: () => [],
+      handleUsage: () => undefined,
     });
     const sound = encodePacket(PACKET);
     const mutation = fc.array(
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -50,6 +50,17 @@
     leavingKeys: ['i-3@7'],
   },
   fleetMs: 12_345,
+  usage: [
+    {
+      vmName: 'vm-3',
+      incarnation: 1_774_169_559_312,
+      window: 353_445_120,
+      counts: new Map([
+        ['c', 412],
+        ['ё', 1],
+      ]),
+    },
+  ],
   progress: [
     {
       kind: StoreKind.Targets,
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -1,5 +1,6 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { TargetLoad } from '../fleet/index.ts';
+import type { GatewayUsage } from '../duties/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
 import type { Demand } from '../placement/index.ts';
 import type {
@@ -16,6 +17,7 @@
 import { decodeChanges, encodeProgress } from './change-codec.ts';
 import { decodeLimit, encodeLimit } from './limit-codec.ts';
 import { decodeEvidence, encodeEvidence } from './evidence-codec.ts';
+import { decodeUsage, encodeUsage } from './usage-codec.ts';
 import { parseAddress } from './address.ts';
 import { MAX_DATAGRAM_BYTES, MAX_NAME_LENGTH } from './consts.ts';
 import { toUint32, toUint53 } from './uint32.ts';
@@ -83,9 +85,19 @@
   return toBinary(GatewayPacketSchema, create(GatewayPacketSchema, { progress: encodedProgress }));
 }
 
-/** Encodes a packet as a datagram. Changes of the store give way to everything else. */
+/** Encodes counts; leaves them out if they do not fit, as they are sent again soon. */
+function encodeAllUsage(usage: readonly GatewayUsage[], maxBytes: number): Uint8Array {
+  const message = create(GatewayPacketSchema, { usage: usage.map(encodeUsage) });
+  const bytes = toBinary(GatewayPacketSchema, message);
+  return bytes.length > maxBytes ? new Uint8Array() : bytes;
+}
+
+/**
+ * Encodes a packet as a datagram. Counts of usage and changes of the store give way to everything
+ * else.
+ */
 export function encodePacket(packet: PeerPacket): Uint8Array {
-  const { sender, loadReport, digest, evidence, advisories, fleetMs, progress } = packet;
+  const { sender, loadReport, digest, evidence, advisories, fleetMs, usage, progress } = packet;
   const state = toBinary(
     GatewayPacketSchema,
     create(GatewayPacketSchema, {
@@ -108,10 +120,13 @@
       leavingTargetKeys: [...advisories.leavingKeys],
     }),
   );
-  const restBytes = MAX_DATAGRAM_BYTES - state.length - PROGRESS_HEAD_BYTES;
-  // The encodings of two parts of a message, one after the other, are that of the whole message.
+  const freeBytes = MAX_DATAGRAM_BYTES - state.length - PROGRESS_HEAD_BYTES;
+  const encodedUsage = encodeAllUsage(usage, freeBytes);
+  const restBytes = freeBytes - encodedUsage.length;
+  // The encodings of parts of a message, one after the other, are that of the whole message.
   return Buffer.concat([
     state,
+    encodedUsage,
     encodeAllProgress(progress, Math.min(MAX_CHANGES_BYTES, restBytes)),
   ]);
 }
@@ -189,6 +204,7 @@
       leavingKeys: packet.leavingTargetKeys,
     },
     fleetMs: Number(packet.fleetMs),
+    usage: packet.usage.map(decodeUsage),
     progress: packet.progress.flatMap(decodeProgress),
   };
 }
--- a/src/core/peers/peer-table.test.ts
+++ b/src/core/peers/peer-table.test.ts
@@ -35,6 +35,7 @@
       evidence: NO_EVIDENCE,
       advisories: NO_NOTICES,
       fleetMs: 0,
+      usage: [],
       progress: [],
     };
     const bytes = encodePacket({
--- a/src/core/peers/start.test.ts
+++ b/src/core/peers/start.test.ts
@@ -37,6 +37,8 @@
   handleEvidence: () => false,
   handleAdvisories: () => false,
   handleProgress: () => undefined,
+  takeUsage: () => [],
+  handleUsage: () => undefined,
 };
 
 describe('exchange that starts', () => {
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -1,4 +1,5 @@
 import type { AdvisoryNotices } from '../advisories/index.ts';
+import type { GatewayUsage } from '../duties/index.ts';
 import type { PromptEvidence } from '../quarantine/index.ts';
 import type { Demand } from '../placement/index.ts';
 import type { FeedProgress } from '../store-feed/index.ts';
@@ -65,6 +66,8 @@
   advisories: AdvisoryNotices;
   /** Time of the sender's fleet clock. */
   fleetMs: number;
+  /** Counts of the sender, and of lost gateways that it has heard. */
+  usage: GatewayUsage[];
   progress: FeedProgress[];
 }
 
--- a/test/bounds/peers.test.ts
+++ b/test/bounds/peers.test.ts
@@ -30,6 +30,7 @@
     evidence: NO_EVIDENCE,
     advisories: NO_NOTICES,
     fleetMs: 0,
+    usage: [],
     progress: [],
     ...change,
   };
@@ -103,6 +104,8 @@
         handleEvidence: () => false,
         handleAdvisories: () => false,
         handleProgress: () => undefined,
+        takeUsage: () => [],
+        handleUsage: () => undefined,
       });
       const socket = createSocket('udp4');
       const send = (sender: PeerPacket['sender']): void =>
