Divide engines among models by the tokens to read and to write

Cause: shares of the engines came from requests times their mean duration, which counts a prompt of 6,000 tokens like one of 40 and grows with the load of the groups. Change: the configuration's step model (step_ms, per_seq_ms, context_per_k, read_per_s, stride, usual) and the bounds of autoscaling are decoded; gateways report prompt tokens, complete answers and their events beside the requests; core/work computes from these how many groups a model keeps busy. Without a step model the shares are as before.

--- a/src/core/formation/engine-shares.ts
+++ b/src/core/formation/engine-shares.ts
@@ -1,13 +1,7 @@
 import type { EngineSpec, ModelSpec } from '../serving/index.ts';
+import { computeBusyGroups } from '../work/index.ts';
+import type { ModelDemand } from '../work/index.ts';
 
-/** Requests for a model, as all gateways together receive them. */
-export interface ModelDemand {
-  requestsPerSecond: number;
-  /** Mean time for which a request takes a slot. */
-  durationMs: number;
-}
-
-const MS_PER_SECOND = 1_000;
 /** Requests per second of a service below which its configured shares apply. */
 const MIN_REQUESTS_PER_SECOND = 2;
 /** Bounds of a share, as factors of the configured one, so that a wrong estimate does little harm. */
@@ -21,11 +15,11 @@
 }
 
 /**
- * Computes how many engines a model needs: slots for the mean number of requests at once and for its
- * usual variation, which is its square root.
+ * Computes how many engines a model needs: for the work that arrives and for the usual variation of the
+ * number of requests at once, which is its square root.
  */
 function computeNeededEngines(spec: EngineSpec, model: ModelSpec, demand: ModelDemand): number {
-  const atOnce = (demand.requestsPerSecond * demand.durationMs) / MS_PER_SECOND;
+  const atOnce = computeBusyGroups(spec, model, demand) * spec.slots;
   return ((atOnce + Math.sqrt(atOnce)) / spec.slots) * model.groupSize;
 }
 
--- a/src/core/formation/index.ts
+++ b/src/core/formation/index.ts
@@ -4,4 +4,3 @@
 export type { EngineControl, EngineOrder, EngineState } from './types.ts';
 export { headLocationSchema } from './head-registry.ts';
 export type { HeadLocation } from './head-registry.ts';
-export type { ModelDemand } from './engine-shares.ts';
--- a/src/core/forwarding/event-parser.ts
+++ b/src/core/forwarding/event-parser.ts
@@ -10,6 +10,8 @@
   addChunk(chunk: Buffer): StreamEvent[];
   /** Returns the number of bytes of the last, incomplete event. */
   countPendingBytes(): number;
+  /** Returns the number of events that were complete. */
+  countEvents(): number;
 }
 
 /**
@@ -37,11 +39,24 @@
   return ID_LINE.exec(bytes.toString('latin1'))?.[1]?.replace(/\r$/, '');
 }
 
+/** Parses an event id as a number; undefined if it is not one. */
+function parseEventNumber(id: string | undefined): number | undefined {
+  return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
+}
+
+/** Whether an event is not later than the last one that was forwarded, by their numbers. */
+export function isRepeatedEvent(id: string | undefined, lastId: string | undefined): boolean {
+  const number = parseEventNumber(id);
+  const last = parseEventNumber(lastId);
+  return number !== undefined && last !== undefined && number <= last;
+}
+
 /** Creates a parser for one `text/event-stream` body. */
 export function createEventParser(): EventParser {
   let pending: Buffer = Buffer.alloc(0);
   /** Begins with the pending bytes, with room for more; undefined if these are part of a chunk. */
   let storage: Buffer | undefined;
+  let eventCount = 0;
 
   /** Appends in place, as copying all pending bytes for each chunk takes time with small chunks. */
   const append = (chunk: Buffer): Buffer => {
@@ -71,9 +86,11 @@
       }
       // The bytes of the events stay in the buffer that they arrived in.
       if (events.length > 0) storage = undefined;
+      eventCount += events.length;
       pending = pending.subarray(start);
       return events;
     },
     countPendingBytes: () => pending.length,
+    countEvents: () => eventCount,
   };
 }
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -8,7 +8,7 @@
 import type { DemandMeter } from '../placement/index.ts';
 import type { Quarantine } from '../quarantine/index.ts';
 import type { TargetQuery } from './choose-target.ts';
-import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
+import { createEventParser, isRepeatedEvent, MAX_EVENT_BYTES } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
 import type { RequestPlacementOptions } from './request-placement.ts';
 import { createRequestPlacement } from './request-placement.ts';
@@ -58,7 +58,7 @@
   client: TargetClient;
   monitor: TargetMonitor;
   budget: RetryBudget;
-  demandMeter: Pick<DemandMeter, 'recordRequest'>;
+  demandMeter: Pick<DemandMeter, 'recordRequest' | 'recordAnswer'>;
   quarantine: Pick<Quarantine, 'startRequest'>;
   advisories: Pick<Advisories, 'recordSend' | 'recordAdvice'>;
   /** Called for each retry, with its reason. */
@@ -135,11 +135,6 @@
   return head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status));
 }
 
-/** Parses an event id as a number; undefined if it is not one. */
-function parseEventNumber(id: string | undefined): number | undefined {
-  return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
-}
-
 /**
  * Forwards one request to a target and its response to the caller. Retries it on other targets as
  * far as the kind of request, the attempt limit and the shared retry budget allow. A stream resumes
@@ -511,9 +506,7 @@
       attempt.handle.recordData();
     }
     for (const event of events) {
-      const number = parseEventNumber(event.id);
-      const last = parseEventNumber(lastEventId);
-      if (number !== undefined && last !== undefined && number <= last) continue;
+      if (isRepeatedEvent(event.id, lastEventId)) continue;
       lastEventId = event.id ?? lastEventId;
       parts.push(event.bytes);
     }
@@ -578,6 +571,7 @@
     current = undefined;
     attempt.handle.recordEnd(false);
     serviceTimes.recordDuration(placement.key, timers.getMonotonicMs() - attempt.sentMs);
+    dependencies.demandMeter.recordAnswer(placement.key, parser.countEvents());
     lines.serve(placement.key);
     sink.endBody();
     reportResult(Outcome.Answered, attempt.head?.status);
@@ -621,7 +615,9 @@
     endWithoutResponse(FailureReason.TimeLimit);
   });
   budget.recordRequest(service.name);
-  if (service.engine !== undefined) dependencies.demandMeter.recordRequest(placement.key);
+  if (service.engine !== undefined) {
+    dependencies.demandMeter.recordRequest(placement.key, input.request.promptTokens);
+  }
   startAttempt();
 
   return {
--- a/src/core/forwarding/request-placement.test.ts
+++ b/src/core/forwarding/request-placement.test.ts
@@ -105,9 +105,9 @@
       const { timers, getKey } = createTestPlacement(service);
       const meter = createDemandMeter(timers);
       for (let index = 0; index < REQUESTS; index++) {
-        meter.recordRequest(getKey(String(index).padStart(NAME_LENGTH, 'x')));
+        meter.recordRequest(getKey(String(index).padStart(NAME_LENGTH, 'x')), 0);
       }
-      meter.recordRequest(getKey(known));
+      meter.recordRequest(getKey(known), 0);
       timers.runFor(WINDOW_MS);
       const bytes = meter.listDemands().reduce((sum, { key }) => sum + key.length, 0);
       expect({ keys: meter.listDemands().length, isSmall: bytes < NAME_LENGTH }).toEqual({
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -9,16 +9,13 @@
 import type { Feed, FeedListener } from '../store-feed/index.ts';
 import { computeFeedTiming, startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
-import type { ModelDemand } from '../formation/index.ts';
 import { startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
-import type { Demand } from '../placement/index.ts';
 import {
   createDemandMeter,
+  createDemandView,
   createServiceTimes,
   createWaitingLines,
-  formatPlaceKey,
-  sumDemands,
 } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
@@ -214,13 +211,7 @@
   });
   const serviceTimes = createServiceTimes();
   const demandMeter = createDemandMeter(timers);
-  let otherDemands: Demand[] = [];
-  const getDemand = (service: string, model: string): ModelDemand => {
-    const wanted = formatPlaceKey(service, model);
-    const demands = sumDemands([demandMeter.listDemands(), otherDemands]);
-    const requestsPerSecond = demands.find(({ key }) => key === wanted)?.requestsPerSecond ?? 0;
-    return { requestsPerSecond, durationMs: serviceTimes.getDurationMs(wanted) };
-  };
+  const { getDemand, setOtherDemands } = createDemandView(demandMeter, serviceTimes);
   const quarantine = createQuarantine({
     timers,
     probeListener: client.probeListener,
@@ -319,7 +310,7 @@
     },
     handleLoadReport({ loads, demands }) {
       monitor.setOtherGatewayLoads(loads);
-      otherDemands = demands;
+      setOtherDemands(demands);
     },
     handleSuspects(targetIds) {
       for (const id of targetIds) {
--- a/src/core/peers/digests.ts
+++ b/src/core/peers/digests.ts
@@ -1,5 +1,5 @@
 import type { TargetLoad } from '../fleet/index.ts';
-import { sumDemands } from '../placement/index.ts';
+import { computeRemainingDemands, sumDemands } from '../placement/index.ts';
 import type { PeerTable } from './peer-table.ts';
 import type { Peer, PeerDigest, PeerPacket, PeerLoadReport, RelayedPeer } from './types.ts';
 
@@ -163,11 +163,7 @@
         const others = inFlight - (own.get(targetId) ?? 0);
         return others > 0 ? { targetId, inFlight: others } : [];
       });
-      const ownDemands = ownReported.demands.map(({ key, requestsPerSecond }) => ({
-        key,
-        requestsPerSecond: -requestsPerSecond,
-      }));
-      const demands = sumDemands([completeDigest.demands, ownDemands]);
+      const demands = computeRemainingDemands(completeDigest.demands, ownReported.demands);
       return { loads, suspectIds: completeDigest.suspectIds, demands };
     },
     buildZoneDigest(isInZone) {
--- a/src/core/peers/packets.test.ts
+++ b/src/core/peers/packets.test.ts
@@ -18,14 +18,22 @@
   dutyTerm: 3,
 };
 
+const DEMAND = {
+  key: 's/m',
+  requestsPerSecond: 4.5,
+  promptTokensPerSecond: 3_000,
+  answersPerSecond: 4.25,
+  eventsPerSecond: 120.5,
+};
+
 const PACKET: PeerPacket = {
   sender: SENDER,
-  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'], demands: [] },
+  loadReport: { loads: [{ targetId: 't', inFlight: 4 }], suspectIds: ['s'], demands: [DEMAND] },
   digest: {
     peers: [{ status: { ...SENDER, vmName: 'vm-2' }, ageMs: 120, isLost: true }],
     loads: [{ targetId: 'u', inFlight: 1 }],
     suspectIds: [],
-    demands: [],
+    demands: [DEMAND],
     isComplete: true,
   },
   evidence: {
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -47,16 +47,22 @@
 const SECONDS_PER_KILOSECOND = 1_000;
 
 function toWireDemands(demands: readonly Demand[]) {
-  return demands.map(({ key, requestsPerSecond }) => ({
-    key,
-    perKilosecond: toUint32(requestsPerSecond * SECONDS_PER_KILOSECOND),
+  return demands.map((demand) => ({
+    key: demand.key,
+    perKilosecond: toUint32(demand.requestsPerSecond * SECONDS_PER_KILOSECOND),
+    promptTokensPerSecond: toUint32(demand.promptTokensPerSecond),
+    answersPerKilosecond: toUint32(demand.answersPerSecond * SECONDS_PER_KILOSECOND),
+    eventsPerKilosecond: toUint32(demand.eventsPerSecond * SECONDS_PER_KILOSECOND),
   }));
 }
 
 function decodeDemands(demands: readonly GatewayDemand[]): Demand[] {
-  return demands.map(({ key, perKilosecond }) => ({
-    key,
-    requestsPerSecond: perKilosecond / SECONDS_PER_KILOSECOND,
+  return demands.map((demand) => ({
+    key: demand.key,
+    requestsPerSecond: demand.perKilosecond / SECONDS_PER_KILOSECOND,
+    promptTokensPerSecond: demand.promptTokensPerSecond,
+    answersPerSecond: demand.answersPerKilosecond / SECONDS_PER_KILOSECOND,
+    eventsPerSecond: demand.eventsPerKilosecond / SECONDS_PER_KILOSECOND,
   }));
 }
 
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -11,6 +11,7 @@
 export type { PlaceKey, Waiter } from './types.ts';
 export { createWaitingLines } from './waiting-lines.ts';
 export type { WaitingLines } from './waiting-lines.ts';
-export { createDemandMeter, sumDemands } from './demand.ts';
+export { computeRemainingDemands, createDemandMeter, sumDemands } from './demand.ts';
+export { createDemandView } from './demand-view.ts';
 export type { Demand, DemandMeter } from './demand.ts';
 export { formatPlaceKey, formatRequestKey } from './place-key.ts';
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -49,6 +49,23 @@
   stagedJoinMs: number;
 }
 
+/** Published durations of the work of an engine; those of a model are multiplied by its pace. */
+export interface StepModel {
+  /** Duration of a step that writes one token for each request, without any request. */
+  stepMs: number;
+  /** Time that each request in progress adds to a step. */
+  perRequestMs: number;
+  /** Time that each 1,000 tokens of context add to a step. */
+  perKiloTokenMs: number;
+  /** Prompt tokens read per second. */
+  readTokensPerSecond: number;
+  /** Tokens in one event of a stream. */
+  tokensPerEvent: number;
+  /** Usual tokens of a prompt and of an answer of this service. */
+  usualPromptTokens: number;
+  usualAnswerTokens: number;
+}
+
 /** Properties that all engines of a service share. */
 export interface EngineSpec {
   /** Number of requests that a group can process at the same time. */
@@ -60,6 +77,16 @@
   maxUnslowedLoads: number;
   /** Time from the open order until the group serves, in ms. */
   openMs: number;
+  /** Undefined if the configuration does not publish it. */
+  stepModel?: StepModel | undefined;
+}
+
+/** Bounds on the number of targets that is ordered for each availability zone. */
+export interface TargetScaling {
+  minTargets: number;
+  maxTargets: number;
+  /** Time until a new target runs. */
+  bootMs: number;
 }
 
 /** A service that routes refer to; its targets are independent, or engines in groups. */
@@ -68,6 +95,10 @@
   /** Requests per second that a cold target tolerates; 0 if its targets are never cold. */
   coldRequestsPerSecond: number;
   engine: EngineSpec | undefined;
+  /** Undefined if the number of targets is not ordered. */
+  scaling?: TargetScaling | undefined;
+  /** Why the bounds that the configuration states are not usable. */
+  scalingProblem?: string | undefined;
 }
 
 /** A customer and the keys that its requests may carry. */
--- /dev/null
+++ b/src/core/work/index.ts
@@ -0,0 +1,2 @@
+export { computeBusyGroups } from './compute-busy-groups.ts';
+export type { ModelDemand } from './types.ts';
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 import type { CustomerRoute, ServiceSpec, ServingConfiguration } from '../core/serving/index.ts';
 import { RequestKind } from '../core/serving/index.ts';
+import { decodeScaling } from './decode-scaling.ts';
+import { stepModelFields, toStepModel } from './decode-step-model.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -74,6 +76,7 @@
   loads_per_s: z.number().default(1),
   loads_at_once: z.number().default(1),
   form_ms: z.number().default(0),
+  ...stepModelFields,
 });
 
 const serviceSchema = z
@@ -81,9 +84,11 @@
     name: z.string(),
     cold_per_s: z.number().default(0),
     engine: engineSchema.optional(),
+    autoscaling: z.unknown().optional(),
   })
   .transform((service): ServiceSpec => ({
     name: service.name,
+    ...decodeScaling(service.autoscaling),
     coldRequestsPerSecond: service.cold_per_s,
     engine: service.engine && {
       slots: service.engine.slots,
@@ -98,6 +103,7 @@
       loadsPerSecond: service.engine.loads_per_s,
       maxUnslowedLoads: service.engine.loads_at_once,
       openMs: service.engine.form_ms,
+      stepModel: toStepModel(service.engine),
     },
   }));
 
--- /dev/null
+++ b/src/platform/decode-step-model.ts
@@ -0,0 +1,31 @@
+import { z } from 'zod';
+import type { StepModel } from '../core/serving/index.ts';
+
+const figureSchema = z.number().nonnegative().optional().catch(undefined);
+
+/** Fields of an engine's properties that describe how long its work takes; all may be missing. */
+export const stepModelFields = {
+  step_ms: figureSchema,
+  per_seq_ms: figureSchema,
+  context_per_k: figureSchema,
+  read_per_s: figureSchema,
+  stride: figureSchema,
+  usual: z.object({ prompt: figureSchema, answer: figureSchema }).optional().catch(undefined),
+};
+
+const fieldsSchema = z.object(stepModelFields);
+
+/** Returns the published durations of an engine's work; undefined if the main ones are missing. */
+export function toStepModel(fields: z.infer<typeof fieldsSchema>): StepModel | undefined {
+  const { step_ms: stepMs = 0, read_per_s: readTokensPerSecond = 0 } = fields;
+  if (stepMs <= 0 || readTokensPerSecond <= 0) return undefined;
+  return {
+    stepMs,
+    perRequestMs: fields.per_seq_ms ?? 0,
+    perKiloTokenMs: fields.context_per_k ?? 0,
+    readTokensPerSecond,
+    tokensPerEvent: Math.max(1, fields.stride ?? 1),
+    usualPromptTokens: fields.usual?.prompt ?? 0,
+    usualAnswerTokens: fields.usual?.answer ?? 0,
+  };
+}
--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -55,6 +55,54 @@
     expect(decoded.value.customers).toEqual(undefined);
   });
 
+  const scalings = [
+    { stated: undefined, scaling: undefined, hasProblem: false },
+    { stated: null, scaling: undefined, hasProblem: false },
+    {
+      stated: { min: 2, max: 9, boot_s: 8 },
+      scaling: { minTargets: 2, maxTargets: 9, bootMs: 8_000 },
+      hasProblem: false,
+    },
+    {
+      stated: { min: 0, max: 0 },
+      scaling: { minTargets: 0, maxTargets: 0, bootMs: 0 },
+      hasProblem: false,
+    },
+    { stated: { min: 9, max: 2, boot_s: 8 }, scaling: undefined, hasProblem: true },
+    { stated: { min: -1, max: 2, boot_s: 8 }, scaling: undefined, hasProblem: true },
+    { stated: { min: 1, max: 2, boot_s: -8 }, scaling: undefined, hasProblem: true },
+    { stated: { min: 1, max: 1e308, boot_s: 8 }, scaling: undefined, hasProblem: true },
+    { stated: { min: '1', max: 2 }, scaling: undefined, hasProblem: true },
+    { stated: 'none', scaling: undefined, hasProblem: true },
+  ];
+  for (const { stated, scaling, hasProblem } of scalings) {
+    it(`decodes the bounds on targets ${JSON.stringify(stated)} of a service that stays in use`, () => {
+      const services = [{ name: 's1', autoscaling: stated }];
+      const decoded = decodeConfiguration({ ...CONFIGURATION, services });
+      if ('problem' in decoded) throw new Error(decoded.problem);
+      const [service] = decoded.value.services;
+      expect(service?.scaling).toEqual(scaling);
+      expect(service?.scalingProblem !== undefined).toEqual(hasProblem);
+    });
+  }
+
+  const ENGINE = { slots: 4, models: [] };
+  const stepModels = [
+    { name: 'none', fields: {}, stepMs: undefined },
+    { name: 'no reading rate', fields: { step_ms: 6 }, stepMs: undefined },
+    { name: 'a reading rate of 0', fields: { step_ms: 6, read_per_s: 0 }, stepMs: undefined },
+    { name: 'text', fields: { step_ms: '6', read_per_s: 9 }, stepMs: undefined },
+    { name: 'the main durations', fields: { step_ms: 6, read_per_s: 9, stride: 'x' }, stepMs: 6 },
+  ];
+  for (const { name, fields, stepMs } of stepModels) {
+    it(`decodes the durations of steps from ${name}`, () => {
+      const services = [{ name: 's1', engine: { ...ENGINE, ...fields } }];
+      const decoded = decodeConfiguration({ ...CONFIGURATION, services });
+      if ('problem' in decoded) throw new Error(decoded.problem);
+      expect(decoded.value.services[0]?.engine?.stepModel?.stepMs).toEqual(stepMs);
+    });
+  }
+
   // Guards against retrying a request that may run only once.
   it('treats an unknown kind as non-idempotent', () => {
     const routes = [{ ...ROUTE, kind: 'new-kind' }];
