Decide on the number of engines by their work

Cause: nobody ordered engines, so that all of them were in use and billed whatever arrived. Change: core/scaling plans whole groups for the work of each model that remain after the loss of a zone or a fabric domain, with spares, and orders the numbers that differ; not wired in yet.

--- /dev/null
+++ b/src/core/scaling/index.ts
@@ -0,0 +1,2 @@
+export { startScaling } from './start-scaling.ts';
+export type { ScalingOptions } from './start-scaling.ts';
--- /dev/null
+++ b/src/core/scaling/scaling-decisions.ts
@@ -0,0 +1,195 @@
+import type { EngineSpec, TargetScaling } from '../serving/index.ts';
+import { createNeedHistory } from './need-history.ts';
+import type { Needs } from './need-history.ts';
+import { computeSpares, isZoneLost, planTargetCounts } from './plan-target-counts.ts';
+import type { ScaleDecision, ScalingZone } from './types.ts';
+import { countUsableEngines, ScaleReason } from './types.ts';
+
+/** What is known at one time about a service whose targets are ordered. */
+export interface ScalingObservation {
+  nowMs: number;
+  spec: EngineSpec;
+  scaling: TargetScaling;
+  zones: readonly ScalingZone[];
+  /** Groups that the present work keeps busy all the time, by model. */
+  busyGroups: Needs;
+  toleratedZones: number;
+  /** Whether an earlier leader may have ordered targets. */
+  hasPredecessor: boolean;
+}
+
+/** Decides how many targets of one service to order; its state is that of one holder. */
+export interface ScalingDecisions {
+  /** Records an observation and returns the orders to send now. */
+  decide(observation: ScalingObservation): ScaleDecision[];
+  /** Records an order that was accepted. */
+  recordAccepted(decision: ScaleDecision, nowMs: number): void;
+  /** Records an order that was not accepted; the next one waits for a moment. */
+  recordFailed(decision: ScaleDecision, nowMs: number): void;
+  /** Records an order that would be rejected again; it waits until the decision differs. */
+  recordRejected(decision: ScaleDecision, nowMs: number): void;
+}
+
+/** Room above the present work for its usual swings. */
+const HEADROOM = 1.15;
+/** Time for which the demand is observed before the first reduction. */
+const FIRST_OBSERVATION_MS = 5_000;
+/** Length of a usual wave of the demand. */
+const WAVE_MS = 10_000;
+/** Minimum time between two orders for one zone. */
+const ORDER_PERIOD_MS = 2_000;
+/** Time after a reduction in which the zone forms its groups anew. */
+const SETTLE_MS = 4_000;
+/** Time beyond the boot for targets to be listed, or to leave. */
+const REACH_MARGIN_MS = 12_000;
+
+/** What is known of the orders for one zone. */
+interface ZoneRecord {
+  targetCount: number | undefined;
+  sentMs: number;
+  /** Since when the zone has had the ordered number of targets, or is given the time to reach it. */
+  reachedMs: number;
+  rejectedCount: number | undefined;
+}
+
+const NO_RECORD: ZoneRecord = {
+  targetCount: undefined,
+  sentMs: -Infinity,
+  reachedMs: -Infinity,
+  rejectedCount: undefined,
+};
+
+/** Computes the time that a new engine needs until its group serves. */
+function computeReadyMs(spec: EngineSpec, scaling: TargetScaling): number {
+  const loads = spec.models.map(({ loadMs, stagedJoinMs }) => loadMs + stagedJoinMs);
+  return scaling.bootMs + Math.max(0, ...loads) + spec.openMs;
+}
+
+function addHeadroom(needs: Needs): Needs {
+  return new Map([...needs].map(([model, need]) => [model, need * HEADROOM]));
+}
+
+/** Creates the decisions of a new holder, which has ordered nothing. */
+export function createScalingDecisions(): ScalingDecisions {
+  const history = createNeedHistory();
+  const records = new Map<string, ZoneRecord>();
+  let lastReductionMs = -Infinity;
+
+  const getRecord = (zone: string): ZoneRecord => records.get(zone) ?? NO_RECORD;
+  const updateRecord = (zone: string, change: Partial<ZoneRecord>): void => {
+    records.set(zone, { ...getRecord(zone), ...change });
+  };
+  const getBaseCount = (zone: ScalingZone): number =>
+    getRecord(zone.name).targetCount ?? countUsableEngines(zone);
+
+  const maySend = (decision: ScaleDecision, nowMs: number): boolean => {
+    const { sentMs, rejectedCount } = getRecord(decision.zone);
+    return nowMs - sentMs >= ORDER_PERIOD_MS && rejectedCount !== decision.targetCount;
+  };
+
+  const planIncreases = (
+    zones: readonly ScalingZone[],
+    counts: ReadonlyMap<string, number>,
+  ): ScaleDecision[] =>
+    zones.flatMap((zone) => {
+      const targetCount = counts.get(zone.name) ?? 0;
+      const previousCount = getBaseCount(zone);
+      if (targetCount <= previousCount) return [];
+      return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.MoreWork }];
+    });
+
+  /** Plans to order the number in force again where it has not been reached for long. */
+  const planRepetitions = ({ nowMs, scaling, spec, zones }: ScalingObservation): ScaleDecision[] =>
+    zones.flatMap((zone) => {
+      const { targetCount, reachedMs } = getRecord(zone.name);
+      if (targetCount === undefined || zone.isEvacuated) return [];
+      const usable = countUsableEngines(zone);
+      // Targets that somebody else has added are welcome as spares.
+      const isReached = usable >= targetCount && usable <= targetCount + computeSpares(spec.models);
+      if (isReached) updateRecord(zone.name, { reachedMs: nowMs });
+      if (isReached || nowMs - reachedMs < scaling.bootMs + REACH_MARGIN_MS) return [];
+      const previousCount = targetCount;
+      return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.NotReached }];
+    });
+
+  /** Whether all zones but one have what they should, so that they can carry its work for a while. */
+  const areOthersComplete = (
+    { spec, zones }: ScalingObservation,
+    counts: ReadonlyMap<string, number>,
+    except: string,
+  ): boolean =>
+    zones.every((zone) => {
+      if (zone.name === except) return true;
+      if (isZoneLost(zone)) return false;
+      const wanted = (counts.get(zone.name) ?? 0) - computeSpares(spec.models);
+      return countUsableEngines(zone) >= wanted;
+    });
+
+  /** Returns the time for which the demand must have been lower before a zone is reduced. */
+  const computeHoldMs = (observation: ScalingObservation, zone: ScalingZone): number => {
+    const { spec, scaling, hasPredecessor } = observation;
+    const isFirst = !hasPredecessor && getRecord(zone.name).targetCount === undefined;
+    return isFirst ? FIRST_OBSERVATION_MS : computeReadyMs(spec, scaling) + WAVE_MS;
+  };
+
+  /** Plans the one zone that may be reduced now, that with the most engines too many. */
+  const planReduction = (observation: ScalingObservation): ScaleDecision[] => {
+    const { nowMs, zones, spec, toleratedZones } = observation;
+    if (nowMs - lastReductionMs < SETTLE_MS) return [];
+    if (zones.some(({ leavingEngines }) => leavingEngines > 0)) return [];
+    const candidates = zones.flatMap((zone): ScaleDecision[] => {
+      const holdMs = computeHoldMs(observation, zone);
+      if (isZoneLost(zone) || history.getKnownMs(nowMs) < holdMs) return [];
+      const neededGroups = history.computePeak(nowMs, holdMs);
+      const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups });
+      if (!areOthersComplete(observation, counts, zone.name)) return [];
+      const previousCount = getBaseCount(zone);
+      // Without other zones that may take over its work, a zone loses one group at a time.
+      const isCarried = toleratedZones > 0 && zones.length > 1;
+      const leastCount = isCarried ? 0 : previousCount - computeSpares(spec.models);
+      const targetCount = Math.max(leastCount, counts.get(zone.name) ?? previousCount);
+      if (targetCount >= previousCount) return [];
+      return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.LessWork }];
+    });
+    candidates.sort(
+      (left, right) =>
+        right.previousCount - right.targetCount - (left.previousCount - left.targetCount),
+    );
+    return candidates.slice(0, 1);
+  };
+
+  return {
+    decide(observation) {
+      const { nowMs, zones, spec } = observation;
+      const needs = addHeadroom(observation.busyGroups);
+      history.addNeeds(nowMs, needs);
+      if (history.getKnownMs(nowMs) === 0) return [];
+      const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups: needs });
+      const increases = planIncreases(
+        zones.filter((zone) => !isZoneLost(zone)),
+        counts,
+      );
+      const repetitions = planRepetitions(observation).filter(
+        ({ zone }) => !increases.some((one) => one.zone === zone),
+      );
+      const others = [...increases, ...repetitions];
+      const reductions = others.length > 0 ? [] : planReduction(observation);
+      return [...others, ...reductions].filter((one) => maySend(one, nowMs));
+    },
+    recordAccepted({ zone, targetCount, reason }, nowMs) {
+      updateRecord(zone, {
+        targetCount,
+        sentMs: nowMs,
+        reachedMs: nowMs,
+        rejectedCount: undefined,
+      });
+      if (reason === ScaleReason.LessWork) lastReductionMs = nowMs;
+    },
+    recordFailed({ zone }, nowMs) {
+      updateRecord(zone, { sentMs: nowMs });
+    },
+    recordRejected({ zone, targetCount }, nowMs) {
+      updateRecord(zone, { sentMs: nowMs, rejectedCount: targetCount });
+    },
+  };
+}
--- a/src/platform/decode-step-model.ts
+++ b/src/platform/decode-step-model.ts
@@ -13,10 +13,10 @@
   usual: z.object({ prompt: figureSchema, answer: figureSchema }).optional().catch(undefined),
 };
 
-const fieldsSchema = z.object(stepModelFields);
-
 /** Returns the published durations of an engine's work; undefined if the main ones are missing. */
-export function toStepModel(fields: z.infer<typeof fieldsSchema>): StepModel | undefined {
+export function toStepModel(
+  fields: z.infer<z.ZodObject<typeof stepModelFields>>,
+): StepModel | undefined {
   const { step_ms: stepMs = 0, read_per_s: readTokensPerSecond = 0 } = fields;
   if (stepMs <= 0 || readTokensPerSecond <= 0) return undefined;
   return {
