Order the number of engines from the platform

Change: the holder of the duties orders what core/scaling decides, where the settings name the duty and the service has bounds; orders are counted and logged.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -33,6 +33,7 @@
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
 import { buildDirectoryResponse } from './directory-response.ts';
 import { startGatewayDuties } from './gateway-duties.ts';
+import { startGatewayScaling } from './gateway-scaling.ts';
 import { startCallerServer } from './caller-server.ts';
 import { reloadSettings } from './plan-reload.ts';
 import type { RegistrationOptions } from './registration.ts';
@@ -258,22 +259,32 @@
     },
   });
 
-  const formation = startFormation({
+  const leaderView = {
     timers,
     logger,
     fleet,
-    control: dependencies.control,
     listServices,
-    getTerm: leaderElection.getTerm,
     hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
       storeView.areTargetsCurrent() &&
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
+    isZoneEvacuated,
+    getDemand,
+  };
+  const stopScaling = startGatewayScaling({
+    ...leaderView,
+    duties,
+    settings: settings.duties,
+    getToleratedZones: () => settings.toleratedZones ?? 0,
+    countScaleOrder: metrics.countScaleOrder,
+  });
+  const formation = startFormation({
+    ...leaderView,
+    control: dependencies.control,
+    getTerm: leaderElection.getTerm,
     isInitialFormationOver: () =>
       !settings.isFirstStart || havePeersReceivedRequests || handler.hasReceivedRequests(),
-    isZoneEvacuated,
     countInFlight: monitor.countInFlight,
-    getDemand,
     hasRequestsOfOtherGateways: monitor.hasRequestsOfOtherGateways,
     stallMs: settings.stallMs,
   });
@@ -454,6 +465,7 @@
       peerExchange.sendNow();
       registrationAbort.abort();
       formation.stop();
+      stopScaling();
       await leaderElection.release();
       leaderElection.stop();
       const endMs = startMs + settings.graceMs - ABORT_MARGIN_MS;
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -1,7 +1,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ConnectionCount, ConnectionKind, ConnectionRemoval } from '../connections/index.ts';
-import type { WindowResult } from '../duties/index.ts';
+import type { DutyCallResult, ScaleOrder, WindowResult } from '../duties/index.ts';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
@@ -47,6 +47,8 @@
   countUnexpectedError(origin: ErrorOrigin): void;
   /** Counts usage windows by how their report ended. */
   countUsageWindows(result: WindowResult, count: number): void;
+  /** Counts an order for a number of targets, and shows the number if it was accepted. */
+  countScaleOrder(order: ScaleOrder, result: DutyCallResult, isAccepted: boolean): void;
   /** Sets the gauges to the given values and renders all metrics in the Prometheus text format. */
   renderMetrics(values: GaugeValues): Promise<string>;
   stop(): void;
@@ -137,6 +139,13 @@
     registers,
   });
 
+  const scaleOrders = new Counter({
+    name: `${PREFIX}scale_orders_total`,
+    help: 'Orders for a number of targets, by service, zone and result.',
+    labelNames: ['service', 'zone', 'result'],
+    registers,
+  });
+
   const createGauge = <Label extends string>(
     name: string,
     help: string,
@@ -164,6 +173,11 @@
     'limited_targets',
     'Targets that limit the requests of all gateways together.',
   );
+  const orderedTargets = createGauge(
+    'ordered_targets',
+    'Targets that this gateway ordered last, by service and zone.',
+    ['service', 'zone'],
+  );
   const openConnections = createGauge('connections', 'Open connections.', ['kind']);
   const connectionLimits = createGauge('connections_limit', 'Most open connections.', ['kind']);
   const residentMemory = createGauge('resident_memory_bytes', 'Resident memory of the process.');
@@ -227,6 +241,10 @@
     },
     countStoreCall: ({ operation, kind, result }) => storeCalls.inc({ operation, kind, result }),
     countConnectionRemoval: (kind, removal) => connectionRemovals.inc({ kind, removal }),
+    countScaleOrder({ service, availabilityZone: zone, targetCount }, result, isAccepted) {
+      scaleOrders.inc({ service, zone, result });
+      if (isAccepted) orderedTargets.set({ service, zone }, targetCount);
+    },
     countUsageWindows: (result, count) => usageWindows.inc({ result }, count),
     countUnexpectedError: (origin) => unexpectedErrors.inc({ origin }),
     renderMetrics(values) {
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -50,6 +50,8 @@
   maxDirectoryTtlMs: number;
   /** Whether the whole system starts for the first time. */
   isFirstStart: boolean;
+  /** Availability zones that may be lost at once without a loss of service; 0 if not stated. */
+  toleratedZones?: number | undefined;
   /** Duties of this deployment; undefined without any. */
   duties?: DutySettings | undefined;
 }
--- a/src/core/scaling/plan-target-counts.ts
+++ b/src/core/scaling/plan-target-counts.ts
@@ -34,18 +34,22 @@
   return groups - lostParts * Math.ceil(groups / partCount) >= needed;
 }
 
+/** Zones and fabric domains in use, and how many of them may be lost at once. */
+interface Losses {
+  zoneCount: number;
+  zones: number;
+  domainCount: number;
+  domains: number;
+}
+
 /** Computes how many groups a model has so that the needed ones remain after a loss. */
-function computeGroupCount(
-  needed: number,
-  zoneCount: number,
-  lostZones: number,
-  domainCount: number,
-): number {
+function computeGroupCount(needed: number, losses: Losses): number {
+  const { zoneCount, zones, domainCount, domains } = losses;
   const wanted = Math.max(1, Math.ceil(needed));
   let groups = wanted;
   while (
-    !isLossBearable(groups, wanted, zoneCount, lostZones) ||
-    !isLossBearable(groups, wanted, domainCount, 1)
+    !isLossBearable(groups, wanted, zoneCount, zones) ||
+    !isLossBearable(groups, wanted, domainCount, domains)
   ) {
     groups++;
   }
@@ -81,14 +85,13 @@
 function assignGroups(
   input: TargetCountInput,
   zones: readonly ScalingZone[],
-  lostZones: number,
+  losses: Losses,
 ): Map<string, number[]> {
   const sizesByZone = new Map(zones.map(({ name }) => [name, [] as number[]]));
-  const domainCount = zones.reduce((sum, { domainSizes }) => sum + domainSizes.length, 0);
   const models = [...input.models].sort((left, right) => right.groupSize - left.groupSize);
   for (const { name, groupSize } of models) {
     const needed = input.neededGroups.get(name) ?? 0;
-    const groups = computeGroupCount(needed, zones.length, lostZones, domainCount);
+    const groups = computeGroupCount(needed, losses);
     const groupsOfModel = new Map<string, number>();
     for (let index = 0; index < groups; index++) {
       const ranked = zones
@@ -115,10 +118,16 @@
   const zones = input.zones.filter((zone) => !isZoneLost(zone));
   if (zones.length === 0 || input.models.length === 0) return new Map();
   const alreadyLost = input.zones.length - zones.length;
-  const lostZones = Math.max(0, input.toleratedZones - alreadyLost);
+  const losses: Losses = {
+    zoneCount: zones.length,
+    zones: Math.max(0, input.toleratedZones - alreadyLost),
+    domainCount: zones.reduce((sum, { domainSizes }) => sum + domainSizes.length, 0),
+    // While a zone is lost, no further loss is prepared for: new engines would serve too late.
+    domains: alreadyLost > 0 ? 0 : 1,
+  };
   const { minTargets, maxTargets } = input.scaling;
   const spares = computeSpares(input.models);
-  const assigned = assignGroups(input, zones, lostZones);
+  const assigned = assignGroups(input, zones, losses);
   return new Map(
     zones.map(({ name, domainSizes }) => {
       const count = computeEngineCount(assigned.get(name)!, domainSizes.length) + spares;
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -37,6 +37,9 @@
   usage_late_s: figureSchema(0),
 });
 
+/** Losses that the operators expect the service to bear. */
+const toleranceSchema = z.object({ zones: z.number().nonnegative().catch(1) });
+
 const USAGE_DUTY = 'usage_report';
 const SCALING_DUTY = 'autoscale';
 
@@ -61,6 +64,7 @@
   limits: limitsSchema.catch(limitsSchema.parse({})),
   bounds: boundsSchema.catch(boundsSchema.parse({})),
   platform: z.object({ address: socketSchema }),
+  tolerate: toleranceSchema.catch(toleranceSchema.parse({})),
   cloud: cloudSchema.optional().catch(undefined),
 });
 
@@ -92,6 +96,8 @@
   /** TCP port of the metrics server. */
   metricsPort: number;
   store: SocketAddress;
+  /** Availability zones that may be lost at once without a loss of service. */
+  toleratedZones: number;
   /** Address of the calls of duties; undefined if the platform has none. */
   dutyCalls: SocketAddress | undefined;
   /** Duties of this deployment; undefined without any. */
@@ -159,6 +165,7 @@
   peerPort: file.internal_port_range[0],
   metricsPort: METRICS_PORT,
   store: parseSocket(file.platform.address),
+  toleratedZones: file.tolerate.zones,
   dutyCalls: file.cloud && parseSocket(file.cloud.address),
   duties: toDutySettings(file),
   isFirstStart: file.bootstrap,
