--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -9,16 +9,13 @@
 import type { Feed, FeedListener } from '../store-feed/index.ts';
 import { computeFeedTiming, startFeed } from '../store-feed/index.ts';
 import { createTargetMonitor } from '../fleet/index.ts';
-import type { ModelDemand } from '../formation/index.ts';
 import { startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
-import type { Demand } from '../placement/index.ts';
 import {
   createDemandMeter,
+  createDemandView,
   createServiceTimes,
   createWaitingLines,
-  formatPlaceKey,
-  sumDemands,
 } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
@@ -36,6 +33,7 @@
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
 import { buildDirectoryResponse } from './directory-response.ts';
 import { startGatewayDuties } from './gateway-duties.ts';
+import { startGatewayScaling } from './gateway-scaling.ts';
 import { startCallerServer } from './caller-server.ts';
 import { reloadSettings } from './plan-reload.ts';
 import type { RegistrationOptions } from './registration.ts';
@@ -223,13 +221,7 @@
   });
   const serviceTimes = createServiceTimes();
   const demandMeter = createDemandMeter(timers);
-  let otherDemands: Demand[] = [];
-  const getDemand = (service: string, model: string): ModelDemand => {
-    const wanted = formatPlaceKey(service, model);
-    const demands = sumDemands([demandMeter.listDemands(), otherDemands]);
-    const requestsPerSecond = demands.find(({ key }) => key === wanted)?.requestsPerSecond ?? 0;
-    return { requestsPerSecond, durationMs: serviceTimes.getDurationMs(wanted) };
-  };
+  const { getDemand, setOtherDemands } = createDemandView(demandMeter, serviceTimes);
   const quarantine = createQuarantine({
     timers,
     probeListener: client.probeListener,
@@ -267,22 +259,32 @@
     },
   });
 
-  const formation = startFormation({
+  const leaderView = {
     timers,
     logger,
     fleet,
-    control: dependencies.control,
     listServices,
-    getTerm: leaderElection.getTerm,
     hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
       storeView.areTargetsCurrent() &&
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
+    isZoneEvacuated,
+    getDemand,
+  };
+  const stopScaling = startGatewayScaling({
+    ...leaderView,
+    duties,
+    settings: settings.duties,
+    getToleratedZones: () => settings.toleratedZones ?? 0,
+    countScaleOrder: metrics.countScaleOrder,
+  });
+  const formation = startFormation({
+    ...leaderView,
+    control: dependencies.control,
+    getTerm: leaderElection.getTerm,
     isInitialFormationOver: () =>
       !settings.isFirstStart || havePeersReceivedRequests || handler.hasReceivedRequests(),
-    isZoneEvacuated,
     countInFlight: monitor.countInFlight,
-    getDemand,
     hasRequestsOfOtherGateways: monitor.hasRequestsOfOtherGateways,
     stallMs: settings.stallMs,
   });
@@ -329,7 +331,7 @@
     },
     handleLoadReport({ loads, demands }) {
       monitor.setOtherGatewayLoads(loads);
-      otherDemands = demands;
+      setOtherDemands(demands);
     },
     handleSuspects(targetIds) {
       for (const id of targetIds) {
@@ -463,6 +465,7 @@
       peerExchange.sendNow();
       registrationAbort.abort();
       formation.stop();
+      stopScaling();
       await leaderElection.release();
       leaderElection.stop();
       const endMs = startMs + settings.graceMs - ABORT_MARGIN_MS;
