Estimate the work of a request before it is sent

Cause: what waits and what is refused was decided with one mean duration for a model, although a caller tells the sizes of its request and a service publishes the times of its engines. EngineTiming holds the published times in our words. Nothing uses the estimates yet.

--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -22,6 +22,8 @@
   [FailureReason.TargetsLimited]:
     'all targets of the service limit their requests, and none would take one more in time',
   [FailureReason.TargetsFull]: 'all targets held as many requests as they can process in time',
+  [FailureReason.Displaced]:
+    'it was refused while it waited, in favour of a request that costs callers more to refuse',
   [FailureReason.RefusedByTarget]: 'every target that was tried refused the request',
   [FailureReason.RetryBudget]: 'the retry budget, which all gateways share, was exhausted',
   [FailureReason.AttemptsUsed]: 'the request used all attempts that its route allows',
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -19,7 +19,12 @@
   key: string | undefined;
   /** Model that the request asks for. */
   model: string | undefined;
+  /** Size of the prompt, as the caller says; 0 if it says none that can be read. */
   promptTokens: number;
+  /** Most tokens that the answer may have. */
+  maxAnswerTokens?: number | undefined;
+  /** Tokens of the answer that the caller expects; often far off. */
+  expectedAnswerTokens?: number | undefined;
   /** Ids of the parts of the prompt that other requests may hold too, in order. */
   sharedPartIds: readonly string[];
   /** Id of the last event that the caller had received, if it resumes a stream itself. */
@@ -102,6 +107,8 @@
   NoTarget = 'no-target',
   /** All targets hold as many requests as they can process in time. */
   TargetsFull = 'targets-full',
+  /** Refused while it waited, in favour of a request whose refusal would cost callers more. */
+  Displaced = 'displaced',
   /** All targets limit their requests or want none for a time, and none takes one more in time. */
   TargetsLimited = 'targets-limited',
   /** A target refused the request, which may not be sent to another one. */
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -49,6 +49,26 @@
   stagedJoinMs: number;
 }
 
+/**
+ * Times that a service publishes for its engines. They hold for a group whose model has a pace of 1;
+ * a service may publish some of them or none.
+ */
+export interface EngineTiming {
+  /** Time of one step, in which each request that is being answered gets a token, in ms. */
+  stepMs?: number | undefined;
+  /** Time that each request that is being answered adds to a step, in ms. */
+  perSequenceMs?: number | undefined;
+  /** Time that 1,000 tokens of context of such a request add to a step, in ms. */
+  contextMsPerThousandTokens?: number | undefined;
+  /** Prompt tokens that are read per second. */
+  readTokensPerSecond?: number | undefined;
+  /** Time for a million pairs of a prompt token and an earlier one, in ms. */
+  millionPairsMs?: number | undefined;
+  /** Mean prompt and answer of the service's requests, in tokens. */
+  usualPromptTokens?: number | undefined;
+  usualAnswerTokens?: number | undefined;
+}
+
 /** Properties that all engines of a service share. */
 export interface EngineSpec {
   /** Number of requests that a group can process at the same time. */
@@ -60,6 +80,8 @@
   maxUnslowedLoads: number;
   /** Time from the open order until the group serves, in ms. */
   openMs: number;
+  /** Undefined if the service publishes no times of its engines. */
+  timing?: EngineTiming | undefined;
 }
 
 /** A service that routes refer to; its targets are independent, or engines in groups. */
--- /dev/null
+++ b/src/core/work/index.ts
@@ -0,0 +1,3 @@
+export { createWorkEstimates } from './work-estimates.ts';
+export type { WorkEstimates } from './work-estimates.ts';
+export type { RequestSizes, Work, WorkInput } from './types.ts';
--- /dev/null
+++ b/src/core/work/types.ts
@@ -0,0 +1,30 @@
+import type { ServiceSpec } from '../serving/index.ts';
+
+/** Sizes of a request as its caller tells them; undefined if they are not told. */
+export interface RequestSizes {
+  promptTokens: number | undefined;
+  /** Most tokens that the answer may have. */
+  maxAnswerTokens: number | undefined;
+  /** Tokens of the answer that the caller expects. */
+  expectedAnswerTokens: number | undefined;
+  bodyBytes: number;
+}
+
+/** What an estimate of a request's work is made from. */
+export interface WorkInput {
+  service: ServiceSpec;
+  model: string | undefined;
+  /** Name of the route. */
+  route: string;
+  /** Name of the customer; undefined for an anonymous request. */
+  customer: string | undefined;
+  sizes: RequestSizes;
+}
+
+/** Work of a request, known before it is sent. */
+export interface Work {
+  /** Time for which it will take a slot, in ms. */
+  workMs: number;
+  /** Whether it is among the largest tenth of its route's requests. */
+  isLarge: boolean;
+}
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -1,5 +1,10 @@
 import { z } from 'zod';
-import type { CustomerRoute, ServiceSpec, ServingConfiguration } from '../core/serving/index.ts';
+import type {
+  CustomerRoute,
+  EngineTiming,
+  ServiceSpec,
+  ServingConfiguration,
+} from '../core/serving/index.ts';
 import { RequestKind } from '../core/serving/index.ts';
 
 const MS_PER_SECOND = 1_000;
@@ -59,6 +64,9 @@
   return route.service === undefined ? [] : [{ service: route.service, weight: 1 }];
 }
 
+/** A positive number; anything else is as if it were missing, as estimates do without it. */
+const optionalPositive = z.number().positive().optional().catch(undefined);
+
 const engineSchema = z.object({
   slots: z.number(),
   models: z.array(
@@ -74,8 +82,31 @@
   loads_per_s: z.number().default(1),
   loads_at_once: z.number().default(1),
   form_ms: z.number().default(0),
+  step_ms: optionalPositive,
+  per_seq_ms: optionalPositive,
+  context_per_k: optionalPositive,
+  read_per_s: optionalPositive,
+  pairs_per_m: optionalPositive,
+  usual: z
+    .object({ prompt: optionalPositive, answer: optionalPositive })
+    .optional()
+    .catch(undefined),
 });
 
+/** Returns the published times; undefined without those that every estimate needs. */
+function toEngineTiming(engine: z.infer<typeof engineSchema>): EngineTiming | undefined {
+  if (engine.step_ms === undefined || engine.read_per_s === undefined) return undefined;
+  return {
+    stepMs: engine.step_ms,
+    perSequenceMs: engine.per_seq_ms,
+    contextMsPerThousandTokens: engine.context_per_k,
+    readTokensPerSecond: engine.read_per_s,
+    millionPairsMs: engine.pairs_per_m,
+    usualPromptTokens: engine.usual?.prompt,
+    usualAnswerTokens: engine.usual?.answer,
+  };
+}
+
 const serviceSchema = z
   .object({
     name: z.string(),
@@ -98,6 +129,7 @@
       loadsPerSecond: service.engine.loads_per_s,
       maxUnslowedLoads: service.engine.loads_at_once,
       openMs: service.engine.form_ms,
+      timing: toEngineTiming(service.engine),
     },
   }));
 
--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -55,6 +55,35 @@
     expect(decoded.value.customers).toEqual(undefined);
   });
 
+  const ENGINE = { slots: 4, models: [] };
+  const timings = [
+    { name: 'no times', engine: {}, timing: undefined },
+    { name: 'a step only', engine: { step_ms: 7.8 }, timing: undefined },
+    { name: 'times that are none', engine: { step_ms: -1, read_per_s: 'x' }, timing: undefined },
+    {
+      name: 'times of which some are none',
+      engine: {
+        step_ms: 7.8,
+        read_per_s: 45_900,
+        per_seq_ms: 0,
+        usual: { prompt: 856, answer: -1 },
+      },
+      timing: { stepMs: 7.8, readTokensPerSecond: 45_900, usualPromptTokens: 856 },
+    },
+  ];
+  for (const { name, engine, timing } of timings) {
+    // Guards against a configuration that is refused, or estimates of Infinity, for a time of 0.
+    it(`decodes a service whose engines publish ${name}`, () => {
+      const services = [{ name: 's1', engine: { ...ENGINE, ...engine } }];
+      const decoded = decodeConfiguration({ ...CONFIGURATION, services });
+      if ('problem' in decoded) throw new Error(decoded.problem);
+      const found = decoded.value.services[0]?.engine?.timing;
+      expect(found && Object.fromEntries(Object.entries(found).filter(([, ms]) => ms))).toEqual(
+        timing,
+      );
+    });
+  }
+
   // Guards against retrying a request that may run only once.
   it('treats an unknown kind as non-idempotent', () => {
     const routes = [{ ...ROUTE, kind: 'new-kind' }];
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -21,6 +21,8 @@
   PromptParts = 'x-prompt-prefix',
   /** `promptTokens,maxOutputTokens`. */
   TokenUsage = 'x-token-usage',
+  /** Output tokens that the caller expects. */
+  LengthHint = 'x-length-hint',
   /** Priority from 0 to 9; 0 is admitted first. */
   Urgency = 'x-request-urgency',
   /** Id of the engine that caused its group to refuse the request. */
--- a/src/platform/wire-format.test.ts
+++ b/src/platform/wire-format.test.ts
@@ -46,6 +46,26 @@
     });
   });
 
+  // Guards against sizes that can't be, which callers and other clients send.
+  const sizes = [
+    { usage: '1460,80', hint: '64', told: [1_460, 80, 64] },
+    { usage: '1460', hint: undefined, told: [1_460, undefined, undefined] },
+    { usage: ',80', hint: '-5', told: [0, 80, undefined] },
+    { usage: 'NaN,1e308', hint: '1e308', told: [0, undefined, undefined] },
+    { usage: undefined, hint: 'Infinity', told: [0, undefined, undefined] },
+  ];
+  for (const { usage, hint, told } of sizes) {
+    it(`decodes the sizes ${usage ?? 'of none'} with the hint ${hint ?? 'of none'}`, () => {
+      const raw = [
+        ...(usage === undefined ? [] : ['X-Token-Usage', usage]),
+        ...(hint === undefined ? [] : ['X-Length-Hint', hint]),
+      ];
+      const request = platformWireFormat.parseRequest('POST', '/', raw);
+      const { promptTokens, maxAnswerTokens, expectedAnswerTokens } = request;
+      expect([promptTokens, maxAnswerTokens, expectedAnswerTokens]).toEqual(told);
+    });
+  }
+
   const prompts = [
     { text: undefined, parts: [] },
     { text: 'e4402b7d:250', parts: [] },
--- a/src/platform/wire-format.ts
+++ b/src/platform/wire-format.ts
@@ -100,7 +100,9 @@
 }
 
 function parseRequest(method: string, path: string, rawHeaders: readonly string[]): CallerRequest {
-  const [promptTokens] = (findField(rawHeaders, Header.TokenUsage) ?? '').split(',');
+  const [promptTokens, maxAnswerTokens] = (findField(rawHeaders, Header.TokenUsage) ?? '').split(
+    ',',
+  );
   return {
     method,
     path,
@@ -110,6 +112,8 @@
     key: parseKey(findField(rawHeaders, Header.Authorization)),
     model: findField(rawHeaders, Header.Model),
     promptTokens: parseNonNegativeNumber(promptTokens) ?? 0,
+    maxAnswerTokens: parseNonNegativeNumber(maxAnswerTokens),
+    expectedAnswerTokens: parseNonNegativeNumber(findField(rawHeaders, Header.LengthHint)),
     sharedPartIds: parseSharedParts(findField(rawHeaders, Header.PromptParts)),
     lastEventId: findField(rawHeaders, Header.LastEventId),
     forwardedHeaders: selectForwardedFields(
