Refuse, of what can't all be served in time, what costs callers least

Cause: a request that arrived at a full line was refused, whatever waited there; large or less urgent requests kept small or urgent ones out, and the callers of all came back at random. Change: planArrival decides which one is refused, by the class that is owed service, by priority and by work; at most one for each that arrives. While some are refused, large and less urgent requests leave as great a share of the slots to others. All of it takes effect where sizes are told and times published, or priorities differ. What to do next with a request is a decision of its own, planNextStep; a half-done stream that no target could continue before its deadline ends at once. Metrics and a log line tell of each displacement.

--- a/src/core/forwarding/event-parser.ts
+++ b/src/core/forwarding/event-parser.ts
@@ -77,3 +77,8 @@
     countPendingBytes: () => pending.length,
   };
 }
+
+/** Parses an event id as a number; undefined if it is not one. */
+export function parseEventNumber(id: string | undefined): number | undefined {
+  return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
+}
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -5,13 +5,17 @@
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
-import type { DemandMeter } from '../placement/index.ts';
+import type { DemandMeter, Waiter } from '../placement/index.ts';
+import { WaitEnd } from '../placement/index.ts';
 import type { Quarantine } from '../quarantine/index.ts';
 import type { TargetQuery } from './choose-target.ts';
-import { createEventParser, MAX_EVENT_BYTES } from './event-parser.ts';
+import { createEventParser, MAX_EVENT_BYTES, parseEventNumber } from './event-parser.ts';
 import type { EventParser } from './event-parser.ts';
+import type { RequestState } from './next-step.ts';
+import { mayRunAgain, NextStep, planNextStep, RequestEvent } from './next-step.ts';
 import type { RequestPlacementOptions } from './request-placement.ts';
 import { createRequestPlacement } from './request-placement.ts';
+import { isRefusal, isStreamHead, isSuccess } from './response-head.ts';
 import type { RetryBudget } from './retry-budget.ts';
 import type { CallerSink } from './caller-sink.ts';
 import type { TargetExchange, TargetClient } from './target-client.ts';
@@ -63,6 +67,8 @@
   advisories: Pick<Advisories, 'recordSend' | 'recordAdvice'>;
   /** Called for each retry, with its reason. */
   recordRetry(request: RoutedRequest, targetId: string, reason: string): void;
+  /** Called when a waiting request is refused in favour of one that arrives. */
+  recordDisplacement(request: RoutedRequest, displaced: Waiter): void;
 }
 
 /** A request that is being forwarded. */
@@ -72,25 +78,16 @@
 }
 
 const HTTP_SUCCESS_MIN = 200;
-const HTTP_SUCCESS_MAX = 299;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_SERVER_ERROR = 500;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
-/** Statuses with which a target refuses a request that it has not run. */
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([421, 429, HTTP_UNAVAILABLE]);
 
 /** Delay before a request that a target has begun next tries to find another one. */
 const TARGET_CHOICE_RETRY_MS = 15;
-/** Longest wait of a request that a target has begun for another target. */
-const RESUME_WAIT_MS = 1_500;
 /** An idempotent request without a response after this multiple of its objective is sent again. */
 const ATTEMPT_TIMEOUT_FACTOR = 1.5;
-/** No attempt starts with less time left than this, as a target could not complete it. */
-const MIN_REMAINING_MS = 10;
-/** Most sends of one request, including refused ones; connections that failed do not count. */
-const MAX_SENDS = 4;
 /** Largest response that is buffered until it is complete. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 /**
@@ -118,28 +115,6 @@
   cancelAttemptTimeout: Unsubscribe | undefined;
 }
 
-function isSuccess(status: number): boolean {
-  return status >= HTTP_SUCCESS_MIN && status <= HTTP_SUCCESS_MAX;
-}
-
-function isStreamHead(head: ResponseHead): boolean {
-  for (let index = 0; index < head.forwardedHeaders.length; index += 2) {
-    const isType = head.forwardedHeaders[index]?.toLowerCase() === 'content-type';
-    if (isType && head.forwardedHeaders[index + 1]?.startsWith('text/event-stream')) return true;
-  }
-  return false;
-}
-
-/** Whether a target states, or an unsigned status says, that it has refused the request. */
-function isRefusal(head: ResponseHead): boolean {
-  return head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status));
-}
-
-/** Parses an event id as a number; undefined if it is not one. */
-function parseEventNumber(id: string | undefined): number | undefined {
-  return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
-}
-
 /**
  * Forwards one request to a target and its response to the caller. Retries it on other targets as
  * far as the kind of request, the attempt limit and the shared retry budget allow. A stream resumes
@@ -181,6 +156,8 @@
   let lastPartMs: number | undefined;
   let longestGapMs = 0;
   let current: Attempt | undefined;
+  /** Monotonic time at which the request arrived, or lost its last target. */
+  let lostMs = input.arrivedMs;
   let cancelWait: Unsubscribe | undefined;
   let cancelDeadline: Unsubscribe | undefined;
   let lastFailure = '';
@@ -240,7 +217,7 @@
       const retryAfterMs =
         reason === FailureReason.Quarantined
           ? guard.getRetryAfterMs()
-          : placement.getRetryAfterMs(reason);
+          : placement.refuseRequest(reason);
       sendGatewayResponse(HTTP_UNAVAILABLE, retryAfterMs);
       reportResult(Outcome.NotRun, HTTP_UNAVAILABLE, reason);
       return;
@@ -258,43 +235,62 @@
     endWithoutResponse(FailureReason.Quarantined);
   }
 
-  /**
-   * Tries again to find another target for a request that a target has begun. It cannot be refused as
-   * not run, so it waits longer than one that can.
-   */
-  function waitToResume(sinceMs: number): void {
-    if (timers.getMonotonicMs() - sinceMs >= RESUME_WAIT_MS) {
-      endWithoutResponse(FailureReason.NoTarget);
-      return;
+  function getState(): RequestState {
+    return {
+      isRetryable,
+      isPassedOn,
+      mayHaveRun,
+      isHalfDone: isBodyStarted,
+      possiblyRunAttempts,
+      maxAttempts: route.maxAttempts,
+      sends: targetIds.length,
+      remainingMs: getRemainingMs(),
+      waitedMs: timers.getMonotonicMs() - lostMs,
+      firstEventMs: serviceTimes.getFirstEventMs(placement.key),
+    };
+  }
+
+  /** Does what follows from an event. */
+  function stepAfter(event: RequestEvent, failure?: FailureReason): void {
+    if (isDone) return;
+    const plan = planNextStep(event, getState(), failure);
+    if (plan.step === NextStep.End) endWithoutResponse(plan.reason);
+    else if (plan.step === NextStep.Try) startAttempt();
+    else if (plan.step === NextStep.WaitForPlace) waitForPlace();
+    else {
+      const tryAgain = (): void => stepAfter(RequestEvent.Due);
+      cancelWait = timers.scheduleOnce(TARGET_CHOICE_RETRY_MS, tryAgain);
     }
-    cancelWait = timers.scheduleOnce(TARGET_CHOICE_RETRY_MS, () => startAttempt(sinceMs));
   }
 
   /** Waits for a place at a target, or refuses the request at once if none will be free in time. */
-  function waitForPlace(query: TargetQuery): void {
-    const { giveUpMs, reason } = placement.planWait(query);
-    const giveUp = (): void =>
-      endWithoutResponse(client.hasFreeConnection() ? reason : FailureReason.NoConnection);
+  function waitForPlace(): void {
+    const { giveUpMs, reason, displaced } = placement.planWait(
+      placement.buildQuery(mayHaveRun, triedIds),
+    );
+    const giveUp = (end: WaitEnd): void => {
+      const refusal = end === WaitEnd.Displaced ? FailureReason.Displaced : reason;
+      endWithoutResponse(client.hasFreeConnection() ? refusal : FailureReason.NoConnection);
+    };
     if (giveUpMs === undefined) {
-      giveUp();
+      giveUp(WaitEnd.TimeIsUp);
       return;
     }
+    if (displaced !== undefined) {
+      dependencies.recordDisplacement(input, displaced);
+      lines.refuse(placement.key, displaced);
+    }
     cancelWait = lines.add(placement.key, {
-      priority: route.priority,
+      ...placement.buildRank(),
       giveUpMs,
       tryStart: () => tryStartAttempt(placement.buildQuery(mayHaveRun, triedIds)),
       giveUp,
     });
   }
 
-  function startAttempt(resumeSinceMs = timers.getMonotonicMs()): void {
-    if (isDone) return;
-    // The deadline timer ends the request when the remaining time has passed.
-    if (getRemainingMs() < MIN_REMAINING_MS) return;
-    const query = placement.buildQuery(mayHaveRun, triedIds);
-    if (tryStartAttempt(query)) return;
-    if (mayHaveRun) waitToResume(resumeSinceMs);
-    else waitForPlace(query);
+  function startAttempt(): void {
+    const hasStarted = tryStartAttempt(placement.buildQuery(mayHaveRun, triedIds));
+    if (!hasStarted) stepAfter(RequestEvent.NoPlace);
   }
 
   /** Sends the request if a target can take it; returns whether the wait for a target is over. */
@@ -318,14 +314,9 @@
 
   /** Tries another target after a failed attempt, if the request allows it. */
   function retry(reason: string, failure: FailureReason): void {
-    if (isDone) return;
     lastFailure = reason;
-    const isAllowed = (isRetryable || !mayHaveRun) && !isPassedOn;
-    if (!isAllowed || possiblyRunAttempts >= route.maxAttempts || targetIds.length >= MAX_SENDS) {
-      endWithoutResponse(isAllowed ? FailureReason.AttemptsUsed : failure);
-      return;
-    }
-    startAttempt();
+    lostMs = timers.getMonotonicMs();
+    stepAfter(RequestEvent.AttemptEnded, failure);
   }
 
   function sendTo(target: Target): void {
@@ -391,10 +382,8 @@
    * otherwise the request goes on waiting for the silent target.
    */
   function handleSilence(attempt: Attempt): void {
-    if (isDone || attempt !== current || !attempt.wasSent || isPassedOn) return;
-    const canRetryElsewhere =
-      isRetryable && possiblyRunAttempts < route.maxAttempts && budget.hasRetry(service.name);
-    if (!canRetryElsewhere) return;
+    if (isDone || attempt !== current || !attempt.wasSent) return;
+    if (!mayRunAgain(getState()) || !budget.hasRetry(service.name)) return;
     if (chooser.countReadyTargets({ service, model: request.model, triedIds }) === 0) return;
     mayHaveRun = true;
     endAttempt(true);
@@ -494,8 +483,7 @@
 
   /** Whether a target's failure leads to another attempt instead of a response to the caller. */
   function canRetryStatus(head: ResponseHead): boolean {
-    const canRetry = isRetryable && possiblyRunAttempts < route.maxAttempts;
-    return canRetry && head.status >= HTTP_SERVER_ERROR;
+    return mayRunAgain(getState()) && head.status >= HTTP_SERVER_ERROR;
   }
 
   function forwardEvents(attempt: Attempt, parser: EventParser, chunk: Buffer): void {
@@ -577,7 +565,7 @@
     startBody(attempt);
     current = undefined;
     attempt.handle.recordEnd(false);
-    serviceTimes.recordDuration(placement.key, timers.getMonotonicMs() - attempt.sentMs);
+    placement.recordDuration(timers.getMonotonicMs() - attempt.sentMs);
     lines.serve(placement.key);
     sink.endBody();
     reportResult(Outcome.Answered, attempt.head?.status);
@@ -605,7 +593,8 @@
       endAttempt(false);
       triedIds.delete(attempt.target.id);
       lastFailure = problem;
-      startAttempt();
+      lostMs = timers.getMonotonicMs();
+      stepAfter(RequestEvent.Due);
       return;
     }
     if (failure === SendFailure.Sent) {
@@ -622,7 +611,8 @@
   });
   budget.recordRequest(service.name);
   if (service.engine !== undefined) dependencies.demandMeter.recordRequest(placement.key);
-  startAttempt();
+  placement.recordArrival();
+  stepAfter(RequestEvent.Due);
 
   return {
     abandon() {
--- a/src/core/forwarding/request-placement.test.ts
+++ b/src/core/forwarding/request-placement.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { openUnboundedAccount } from '../memory/fixtures/unbounded-account.ts';
-import { createDemandMeter, createServiceTimes, createWaitingLines } from '../placement/index.ts';
+import { createDemandMeter, createPlacementState } from '../placement/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
@@ -82,8 +82,7 @@
       countReadyTargets: () => 0,
       computeCapacity: () => ({ targetCount: 0, slots: 0, pauseMs: 0, areAllLimited: false }),
     },
-    lines: createWaitingLines(timers),
-    serviceTimes: createServiceTimes(),
+    ...createPlacementState(timers),
     countGateways: () => 1,
     random: () => 0,
   };
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -15,8 +15,7 @@
 import type { Demand } from '../placement/index.ts';
 import {
   createDemandMeter,
-  createServiceTimes,
-  createWaitingLines,
+  createPlacementState,
   formatPlaceKey,
   sumDemands,
 } from '../placement/index.ts';
@@ -185,7 +184,6 @@
   const { isZoneEvacuated } = storeView;
   const { getPosition } = peerExchange;
   const requestLog = createRequestLog(logger, timers, metrics);
-  const { recordRetry } = requestLog;
   const advisories = createAdvisories({
     timers,
     fleet,
@@ -212,14 +210,14 @@
     windowMs: settings.retryWindowMs,
     countGateways,
   });
-  const serviceTimes = createServiceTimes();
+  const placement = createPlacementState(timers);
   const demandMeter = createDemandMeter(timers);
   let otherDemands: Demand[] = [];
   const getDemand = (service: string, model: string): ModelDemand => {
     const wanted = formatPlaceKey(service, model);
     const demands = sumDemands([demandMeter.listDemands(), otherDemands]);
     const requestsPerSecond = demands.find(({ key }) => key === wanted)?.requestsPerSecond ?? 0;
-    return { requestsPerSecond, durationMs: serviceTimes.getDurationMs(wanted) };
+    return { requestsPerSecond, durationMs: placement.serviceTimes.getDurationMs(wanted) };
   };
   const quarantine = createQuarantine({
     timers,
@@ -247,10 +245,10 @@
       chooser,
       random,
       budget,
-      recordRetry,
+      recordRetry: requestLog.recordRetry,
+      recordDisplacement: requestLog.recordDisplacement,
       countGateways,
-      lines: createWaitingLines(timers),
-      serviceTimes,
+      ...placement,
       demandMeter,
       quarantine,
       advisories,
@@ -391,6 +389,8 @@
     }),
     gateways: countGateways(),
     inProgress: handler.countInProgress(),
+    waiting: placement.lines.countWaiting(),
+    workRatio: placement.work.getObservedRatio(),
     dutyTerm: leaderElection.getTerm(),
     quarantinedSets: quarantine.countEntries(),
     limitedTargets: advisories.countLimits(),
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -20,6 +20,9 @@
   copyAges: readonly CopyAge[];
   gateways: number;
   inProgress: number;
+  waiting: number;
+  /** Time that requests took, as a multiple of the times that their services publish. */
+  workRatio: number;
   dutyTerm: number;
   configurationVersion: number;
   quarantinedSets: number;
@@ -35,6 +38,8 @@
 export interface GatewayMetrics {
   countRequest(outcome: string, kind: string, reason: string): void;
   countRetry(kind: string, reason: string): void;
+  /** Counts a waiting request that was refused in favour of another one. */
+  countDisplacement(route: string, isLarge: boolean): void;
   /** Counts a crash of a target that this gateway saw. */
   countCrash(service: string): void;
   recordLatency(input: RoutedRequest, result: ForwardingResult): void;
@@ -87,6 +92,12 @@
     labelNames: ['kind', 'reason'],
     registers,
   });
+  const displacements = new Counter({
+    name: `${PREFIX}displacements_total`,
+    help: 'Waiting requests that were refused in favour of others, by route and size.',
+    labelNames: ['route', 'size'],
+    registers,
+  });
   const crashes = new Counter({
     name: `${PREFIX}target_crashes_total`,
     help: 'Crashes of targets under requests whose answers had not begun, by service.',
@@ -135,6 +146,11 @@
   const copyAge = createGauge('copy_age_seconds', 'Age of copies of the object API.', ['kind']);
   const gateways = createGauge('gateways', 'Gateways heard of lately, this one included.');
   const inProgress = createGauge('requests_in_progress', 'Requests in progress.');
+  const waiting = createGauge('requests_waiting', 'Requests that wait for a place at a target.');
+  const workRatio = createGauge(
+    'work_ratio',
+    'Time that requests took at targets, as a multiple of the published times.',
+  );
   const dutyTerm = createGauge('duty_term', 'Term of the duty to form groups; 0 if not held.');
   const configurationVersion = createGauge(
     'configuration_version',
@@ -181,6 +197,8 @@
     values.copyAges.forEach(({ kind, ageMs }) => copyAge.set({ kind }, ageMs / MS_PER_SECOND));
     gateways.set(values.gateways);
     inProgress.set(values.inProgress);
+    waiting.set(values.waiting);
+    workRatio.set(values.workRatio);
     dutyTerm.set(values.dutyTerm);
     configurationVersion.set(values.configurationVersion);
     quarantinedSets.set(values.quarantinedSets);
@@ -202,6 +220,8 @@
   return {
     countRequest: (outcome, kind, reason) => requests.inc({ outcome, kind, reason }),
     countRetry: (kind, reason) => retries.inc({ kind, reason: buildReasonLabel(reason) }),
+    countDisplacement: (route, isLarge) =>
+      displacements.inc({ route, size: isLarge ? 'large' : 'usual' }),
     countCrash: (service) => crashes.inc({ service }),
     recordLatency({ route }, { firstByteMs, longestGapMs }) {
       if (firstByteMs === undefined) return;
--- a/src/core/gateway/request-log.ts
+++ b/src/core/gateway/request-log.ts
@@ -7,6 +7,7 @@
 } from '../forwarding/index.ts';
 import { Outcome } from '../forwarding/index.ts';
 import type { Logger } from '../logs/index.ts';
+import type { Waiter } from '../placement/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { QuarantineEntry, TargetCrash } from '../quarantine/index.ts';
 import { QuarantineChange } from '../quarantine/index.ts';
@@ -26,6 +27,8 @@
   ): void;
   /** Records that the gateway sends a request again, to the given target. */
   recordRetry(input: RoutedRequest, targetId: string, reason: string): void;
+  /** Records that a waiting request is refused in favour of one that arrives. */
+  recordDisplacement(input: RoutedRequest, displaced: Waiter): void;
   recordResult(input: RoutedRequest, result: ForwardingResult): void;
   /** Records that a target crashed, with the requests whose responses had not begun. */
   recordCrash(crash: TargetCrash): void;
@@ -66,7 +69,10 @@
 export function createRequestLog(
   logger: Logger,
   timers: Pick<TimerService, 'getMonotonicMs'>,
-  metrics: Pick<GatewayMetrics, 'countRequest' | 'countRetry' | 'countCrash' | 'recordLatency'>,
+  metrics: Pick<
+    GatewayMetrics,
+    'countRequest' | 'countRetry' | 'countDisplacement' | 'countCrash' | 'recordLatency'
+  >,
 ): RequestLog {
   let windowSecond = 0;
   let lineCount = 0;
@@ -106,6 +112,21 @@
         sinceMs: Math.round(timers.getMonotonicMs() - input.arrivedMs),
       });
     },
+    recordDisplacement(input, { load, priority, giveUpMs }) {
+      const requestClass = load?.requestClass;
+      metrics.countDisplacement(requestClass?.route ?? '', requestClass?.isLarge ?? false);
+      if (!reserveLine()) return;
+      logger.info('refused a waiting request in favour of another one', {
+        request: input.request.callerAttemptId ?? '',
+        route: input.route.name,
+        priority: input.route.priority,
+        refusedRoute: requestClass?.route ?? '',
+        refusedCustomer: requestClass?.customer ?? '',
+        refusedPriority: priority,
+        refusedWorkMs: Math.round(load?.workMs ?? 0),
+        leftMs: Math.round(giveUpMs - timers.getMonotonicMs()),
+      });
+    },
     recordResult(input, result) {
       metrics.countRequest(result.outcome, input.route.kind, result.reason ?? '');
       metrics.recordLatency(input, result);
--- a/src/core/placement/admission.ts
+++ b/src/core/placement/admission.ts
@@ -6,6 +6,8 @@
   slackMs: number;
   /** Mean time for which a request takes a slot, in ms. */
   durationMs: number;
+  /** Share of the slots that the request leaves free for others, from 0 to 1. */
+  reservedShare?: number;
 }
 
 /**
@@ -13,8 +15,11 @@
  * slots, and those that become free within the slack. Answers the overload that follows a loss of
  * groups or a burst: without a limit, queues at the targets grow until every response is late.
  */
-export function computeMaxInFlight({ slots, slackMs, durationMs }: AdmissionInput): number {
+export function computeMaxInFlight(input: AdmissionInput): number {
+  const { slots, slackMs, durationMs, reservedShare = 0 } = input;
   const freedSlots = Math.floor((Math.max(0, slackMs) * slots) / Math.max(1, durationMs));
+  const reservedSlots = Math.round(slots * reservedShare);
+  if (reservedSlots > 0) return Math.max(1, slots - Math.min(freedSlots, reservedSlots));
   return slots + Math.min(freedSlots, slots);
 }
 
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -4,11 +4,15 @@
   computeRetryAfterMs,
   RefusalCause,
 } from './admission.ts';
+export { planArrival } from './displacement.ts';
 export { computeBorrowableShare, computeOwnSlots } from './own-places.ts';
 export type { Position } from './own-places.ts';
+export { createPlacementState } from './placement-state.ts';
+export type { PlacementState } from './placement-state.ts';
 export { createServiceTimes } from './service-times.ts';
 export type { ServiceTimes } from './service-times.ts';
-export type { PlaceKey, Waiter } from './types.ts';
+export type { PlaceKey, RequestClass, Waiter, WaitingLoad } from './types.ts';
+export { WaitEnd } from './types.ts';
 export { createWaitingLines } from './waiting-lines.ts';
 export type { WaitingLines } from './waiting-lines.ts';
 export { createDemandMeter, sumDemands } from './demand.ts';
--- a/src/core/placement/waiting-lines.ts
+++ b/src/core/placement/waiting-lines.ts
@@ -1,12 +1,18 @@
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
-import type { PlaceKey, Waiter } from './types.ts';
+import { compareWaiters, findPlace } from './line-order.ts';
+import type { PlaceKey, Waiter, WaitingRank } from './types.ts';
+import { WaitEnd } from './types.ts';
 
 /** Requests of this gateway that wait for a place, in one line for each key. */
 export interface WaitingLines {
   /** Adds a request; the returned function removes it again. */
   add(key: PlaceKey, waiter: Waiter): Unsubscribe;
   /** Counts the requests that are served before one with these properties. */
-  countAhead(key: PlaceKey, waiter: Pick<Waiter, 'priority' | 'giveUpMs'>): number;
+  countAhead(key: PlaceKey, waiter: WaitingRank): number;
+  /** Lists the requests that wait, in the order in which they are served. */
+  listWaiting(key: PlaceKey): readonly Waiter[];
+  /** Refuses a waiting request in favour of another one. */
+  refuse(key: PlaceKey, waiter: Waiter): void;
   /** Starts waiting requests now, for example because a place became free. */
   serve(key: PlaceKey): void;
   countWaiting(): number;
@@ -17,26 +23,6 @@
 /** Requests of a line that may find no place before the rest of the line is skipped. */
 const MAX_FAILED_STARTS = 3;
 
-/** Sorts by priority, and by the time that is left; the most urgent request comes first. */
-function compareWaiters(
-  left: Pick<Waiter, 'priority' | 'giveUpMs'>,
-  right: Pick<Waiter, 'priority' | 'giveUpMs'>,
-): number {
-  return left.priority - right.priority || left.giveUpMs - right.giveUpMs;
-}
-
-/** Finds the first place in a sorted line that a test holds for; it holds for all later ones too. */
-function findPlace(line: readonly Waiter[], isBehind: (waiter: Waiter) => boolean): number {
-  let low = 0;
-  let high = line.length;
-  while (low < high) {
-    const middle = Math.floor((low + high) / 2);
-    if (isBehind(line[middle]!)) high = middle;
-    else low = middle + 1;
-  }
-  return low;
-}
-
 /** Creates empty lines; a timer runs only while a request waits. */
 export function createWaitingLines(
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe'>,
@@ -73,7 +59,7 @@
       for (const waiter of [...(lines.get(key) ?? [])]) {
         if (now < waiter.giveUpMs) continue;
         remove(key, waiter);
-        waiter.giveUp();
+        waiter.giveUp(WaitEnd.TimeIsUp);
       }
     }
   };
@@ -92,6 +78,11 @@
     },
     countAhead: (key, waiter) =>
       findPlace(lines.get(key) ?? [], (one) => compareWaiters(one, waiter) > 0),
+    listWaiting: (key) => lines.get(key) ?? [],
+    refuse(key, waiter) {
+      remove(key, waiter);
+      waiter.giveUp(WaitEnd.Displaced);
+    },
     serve,
     countWaiting,
   };
