--- a/src/core/duties/duty-holder.test.ts
+++ b/src/core/duties/duty-holder.test.ts
@@ -89,9 +89,8 @@
     );
     const report = calls.reportUsage(HOLDER, { window: 7, counts: new Map() });
     await timers.runForAsync(2_000);
-    expect(await Promise.all([...results, report])).toEqual(
-      Array.from({ length: 4 }, () => DutyCallResult.Accepted),
-    );
+    const ended: DutyCallResult[] = await Promise.all([...results, report]);
+    expect(ended).toEqual(Array.from({ length: 4 }, () => DutyCallResult.Accepted));
     expect(sent.map(({ call }) => call)).toEqual(['scale 3', 'scale 2', 'scale 1', 'usage 7']);
     const gaps = sent.slice(1).map(({ atMs }, index) => atMs - sent[index]!.atMs);
     expect(Math.min(...gaps)).toBeGreaterThanOrEqual(500);
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -11,12 +11,7 @@
 import { createTargetMonitor } from '../fleet/index.ts';
 import { startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
-import {
-  createDemandMeter,
-  createDemandView,
-  createServiceTimes,
-  createWaitingLines,
-} from '../placement/index.ts';
+import { createDemandMeter, createDemandView, createPlacementState } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
 import type { PeerExchangeListener } from '../peers/index.ts';
@@ -192,7 +187,6 @@
   const { isZoneEvacuated } = storeView;
   const { getPosition } = peerExchange;
   const requestLog = createRequestLog(logger, timers, metrics);
-  const { recordRetry } = requestLog;
   const advisories = createAdvisories({
     timers,
     fleet,
@@ -219,9 +213,9 @@
     windowMs: settings.retryWindowMs,
     countGateways,
   });
-  const serviceTimes = createServiceTimes();
+  const placement = createPlacementState(timers);
   const demandMeter = createDemandMeter(timers);
-  const { getDemand, setOtherDemands } = createDemandView(demandMeter, serviceTimes);
+  const { getDemand, setOtherDemands } = createDemandView(demandMeter, placement.serviceTimes);
   const quarantine = createQuarantine({
     timers,
     probeListener: client.probeListener,
@@ -249,10 +243,10 @@
       chooser,
       random,
       budget,
-      recordRetry,
+      recordRetry: requestLog.recordRetry,
+      recordDisplacement: requestLog.recordDisplacement,
       countGateways,
-      lines: createWaitingLines(timers),
-      serviceTimes,
+      ...placement,
       demandMeter,
       quarantine,
       advisories,
@@ -394,6 +388,8 @@
     }),
     gateways: countGateways(),
     inProgress: handler.countInProgress(),
+    waiting: placement.lines.countWaiting(),
+    workRatio: placement.work.getObservedRatio(),
     dutyTerm: leaderElection.getTerm(),
     dutiesHeldMs: duties.getHeldMs(),
     quarantinedSets: quarantine.countEntries(),
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -59,6 +59,8 @@
   perKiloTokenMs: number;
   /** Prompt tokens read per second. */
   readTokensPerSecond: number;
+  /** Time for a million pairs of a prompt token and an earlier one. */
+  millionPairsMs: number;
   /** Tokens in one event of a stream. */
   tokensPerEvent: number;
   /** Usual tokens of a prompt and of an answer of this service. */
--- a/src/core/work/compute-busy-groups.test.ts
+++ b/src/core/work/compute-busy-groups.test.ts
@@ -7,6 +7,7 @@
   perRequestMs: 0.1,
   perKiloTokenMs: 0.01,
   readTokensPerSecond: 50_000,
+  millionPairsMs: 0,
   tokensPerEvent: 5,
   usualPromptTokens: 1_000,
   usualAnswerTokens: 100,
--- a/src/core/work/index.ts
+++ b/src/core/work/index.ts
@@ -1,2 +1,4 @@
 export { computeBusyGroups } from './compute-busy-groups.ts';
-export type { ModelDemand } from './types.ts';
+export { createWorkEstimates } from './work-estimates.ts';
+export type { WorkEstimates } from './work-estimates.ts';
+export type { ModelDemand, RequestSizes, Work, WorkInput } from './types.ts';
--- a/src/platform/decode-configuration.ts
+++ b/src/platform/decode-configuration.ts
@@ -64,6 +64,8 @@
   return route.service === undefined ? [] : [{ service: route.service, weight: 1 }];
 }
 
+/** A positive number; anything else is as if it were missing, as estimates do without it. */
+
 const engineSchema = z.object({
   slots: z.number(),
   models: z.array(
--- a/src/platform/decode-step-model.ts
+++ b/src/platform/decode-step-model.ts
@@ -1,6 +1,10 @@
 import { z } from 'zod';
 import type { StepModel } from '../core/serving/index.ts';
 
+/** Usual lengths of services that do not publish them, in tokens. */
+const DEFAULT_PROMPT_TOKENS = 1_000;
+const DEFAULT_ANSWER_TOKENS = 150;
+
 const figureSchema = z.number().nonnegative().optional().catch(undefined);
 
 /** Fields of an engine's properties that describe how long its work takes; all may be missing. */
@@ -9,6 +13,7 @@
   per_seq_ms: figureSchema,
   context_per_k: figureSchema,
   read_per_s: figureSchema,
+  pairs_per_m: figureSchema,
   stride: figureSchema,
   usual: z.object({ prompt: figureSchema, answer: figureSchema }).optional().catch(undefined),
 };
@@ -24,8 +29,9 @@
     perRequestMs: fields.per_seq_ms ?? 0,
     perKiloTokenMs: fields.context_per_k ?? 0,
     readTokensPerSecond,
+    millionPairsMs: fields.pairs_per_m ?? 0,
     tokensPerEvent: Math.max(1, fields.stride ?? 1),
-    usualPromptTokens: fields.usual?.prompt ?? 0,
-    usualAnswerTokens: fields.usual?.answer ?? 0,
+    usualPromptTokens: fields.usual?.prompt || DEFAULT_PROMPT_TOKENS,
+    usualAnswerTokens: fields.usual?.answer || DEFAULT_ANSWER_TOKENS,
   };
 }
--- a/src/platform/decode.test.ts
+++ b/src/platform/decode.test.ts
@@ -92,6 +92,7 @@
     { name: 'no reading rate', fields: { step_ms: 6 }, stepMs: undefined },
     { name: 'a reading rate of 0', fields: { step_ms: 6, read_per_s: 0 }, stepMs: undefined },
     { name: 'text', fields: { step_ms: '6', read_per_s: 9 }, stepMs: undefined },
+    { name: 'figures that are none', fields: { step_ms: -1, read_per_s: 'x' }, stepMs: undefined },
     { name: 'the main durations', fields: { step_ms: 6, read_per_s: 9, stride: 'x' }, stepMs: 6 },
   ];
   for (const { name, fields, stepMs } of stepModels) {
@@ -103,6 +104,25 @@
     });
   }
 
+  // Guards against a configuration that is refused, or estimates of Infinity, for a figure that is none.
+  it('decodes the durations of steps of which some are none', () => {
+    const usual = { prompt: 856, answer: -1 };
+    const times = { step_ms: 7.8, read_per_s: 45_900, per_seq_ms: 0, pairs_per_m: 'x', usual };
+    const services = [{ name: 's1', engine: { ...ENGINE, ...times } }];
+    const decoded = decodeConfiguration({ ...CONFIGURATION, services });
+    if ('problem' in decoded) throw new Error(decoded.problem);
+    expect(decoded.value.services[0]?.engine?.stepModel).toEqual({
+      stepMs: 7.8,
+      perRequestMs: 0,
+      perKiloTokenMs: 0,
+      readTokensPerSecond: 45_900,
+      millionPairsMs: 0,
+      tokensPerEvent: 1,
+      usualPromptTokens: 856,
+      usualAnswerTokens: 150,
+    });
+  });
+
   // Guards against retrying a request that may run only once.
   it('treats an unknown kind as non-idempotent', () => {
     const routes = [{ ...ROUTE, kind: 'new-kind' }];
