--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -40,6 +40,9 @@
 const USAGE_DUTY = 'usage_report';
 const SCALING_DUTY = 'autoscale';
 
+/** Windows after which a report is due if the settings do not say it. */
+const DEFAULT_LATE_WINDOWS = 2;
+
 /** Calls of one gateway at a time; without a usable address there are none. */
 const cloudSchema = z.object({
   address: socketSchema,
@@ -141,7 +144,8 @@
     callsPerSecond: cloud.duty_per_s,
     leaseMs: bounds.lease_ms,
     usageWindowMs: bounds.usage_window_s * MS_PER_SECOND,
-    usageLateMs: bounds.usage_late_s * MS_PER_SECOND,
+    usageLateMs:
+      (bounds.usage_late_s || DEFAULT_LATE_WINDOWS * bounds.usage_window_s) * MS_PER_SECOND,
   };
 }
 
