--- a/scripts/models.mjs
+++ b/scripts/models.mjs
@@ -11,7 +11,7 @@
 const RUN_LINE = /^ \* run: (?<expected>pass|fail)(?<macros>(?: [A-Z_]+)*)/gm;
 const MAX_DEPTH = 1_000_000;
 /**
- * Enough for the largest model, 4 million states, without state compression. Compression would need
+ * Enough for the largest model, 6 million states, without state compression. Compression would need
  * more than a minute.
  */
 const MEMORY_LIMIT_MB = 8_000;
