Let the soak report usage, and check its rules

A server takes the reports, refuses some and loses answers; the checks find two holders, a window with two counts, and in runs without faults a window that is late, missing or off.

--- a/src/stand-ins/soak/checks.ts
+++ b/src/stand-ins/soak/checks.ts
@@ -38,6 +38,10 @@
   SoundCallersServed = 'sound-callers-served',
   /** Prompts that share other parts with the deadly ones are served meanwhile. */
   SoundPromptsServed = 'sound-prompts-served',
+  /** A duty has one holder at a time, and a window one report. */
+  OneHolder = 'one-holder',
+  /** The usage of each window is reported in time, nearly as it was. */
+  UsageReported = 'usage-reported',
 }
 
 /** One violation of a rule. */
--- a/src/stand-ins/soak/gateway-settings.ts
+++ b/src/stand-ins/soak/gateway-settings.ts
@@ -13,6 +13,8 @@
   isFirstStart: boolean;
   /** Descriptors of the process that the settings state; default: none stated. */
   maxDescriptors?: number;
+  /** `host:port` of the calls of duties; default: there are none. */
+  dutyAddress?: string | undefined;
 }
 
 /** Limits from the platform's specification that a gateway reads from its settings. */
@@ -30,6 +32,17 @@
   ttl_max_s: 5,
 };
 
+/** Bounds of the duties, shorter than in use so that a short run has several windows. */
+export const DUTY_BOUNDS = {
+  lease_ms: 3000,
+  thaw_slack_ms: 300,
+  usage_window_s: 2,
+  usage_tolerance: 0.05,
+  usage_late_s: 5,
+};
+
+const DUTY_CALLS_PER_SECOND = 50;
+
 /** Limits of an entry VM in the small deployments. */
 export const LIMITS = {
   cpu_share: 0.675,
@@ -55,7 +68,14 @@
     internal_port_range: [peerPort, peerPort],
     bootstrap: options.isFirstStart,
     limits: { ...LIMITS, max_fds: options.maxDescriptors ?? LIMITS.max_fds },
-    bounds: BOUNDS,
+    bounds: options.dutyAddress === undefined ? BOUNDS : { ...BOUNDS, ...DUTY_BOUNDS },
     platform: { address: options.storeAddress },
+    ...(options.dutyAddress !== undefined && {
+      cloud: {
+        address: options.dutyAddress,
+        duties: ['usage_report'],
+        duty_per_s: DUTY_CALLS_PER_SECOND,
+      },
+    }),
   };
 }
--- a/src/stand-ins/soak/gateways.ts
+++ b/src/stand-ins/soak/gateways.ts
@@ -31,6 +31,8 @@
   index: number;
   zone: string;
   storePort: number;
+  /** `host:port` of the calls of duties; undefined if there are none. */
+  dutyAddress?: string | undefined;
   timers: TimerService;
   runner: ProcessRunner;
   observations: Pick<Observations, 'unplannedEnds' | 'peakMemoryMb'>;
@@ -83,6 +85,7 @@
         peerPort,
         storeAddress: storeProxy.address,
         isFirstStart,
+        dutyAddress: options.dutyAddress,
       }),
     });
     const memory = watchMemory({
--- a/src/stand-ins/soak/observations.ts
+++ b/src/stand-ins/soak/observations.ts
@@ -115,6 +115,19 @@
   lastLine: string;
 }
 
+/** A call of a duty that the platform accepted, whether its answer arrived or not. */
+export interface DutyCall {
+  /** What the duty is for; each subject has an order of tokens of its own. */
+  subject: string;
+  holder: string;
+  token: number;
+  window: number;
+  /** Requests of the customers, as sent. */
+  counts: Readonly<Record<string, number>>;
+  atMs: number;
+  wallMs: number;
+}
+
 /** Everything that callers, targets and the soak test itself observed during a run. */
 export interface Observations {
   /** When the faults began. */
@@ -133,6 +146,7 @@
   unplannedEnds: UnplannedEnd[];
   /** Largest resident memory of each gateway's processes, in MB. */
   peakMemoryMb: Map<string, number>;
+  dutyCalls: DutyCall[];
 }
 
 /** Creates empty observations. */
@@ -151,5 +165,6 @@
     hangingRequests: [],
     unplannedEnds: [],
     peakMemoryMb: new Map(),
+    dutyCalls: [],
   };
 }
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -10,6 +10,8 @@
 import { createStandInStore } from '../store/index.ts';
 import { startCallers } from './callers.ts';
 import type { Violation } from './checks.ts';
+import { findDutyViolations, findUsageViolations } from './duty-checks.ts';
+import { startDutyPlatform } from './duty-platform.ts';
 import { findDeadlyPromptViolations, findLimitViolations, findViolations } from './checks.ts';
 import type { SoakEnvironment } from './soak-environment.ts';
 import { buildSoakConfiguration, createSoakEnvironment } from './soak-environment.ts';
@@ -42,6 +44,8 @@
   hasSlowPeers?: boolean;
   /** Whether runs with slow peers send SIGHUP also before a program has set its handler. */
   areEarlySignalsSent?: boolean;
+  /** Whether the gateways report the usage of customers. */
+  hasDuties?: boolean;
   timers: TimerService;
   /** Folder with the built programs. */
   buildFolder: string;
@@ -58,6 +62,8 @@
   engineCrashes: number;
   /** Requests that reached engines after these had stated a limit. */
   limitedArrivals: number;
+  /** Usage windows that the platform accepted. */
+  usageWindows: number;
   /** Largest resident memory of a gateway, in MB. */
   peakMemoryMb: number;
   /** Longest time for which this process itself was late, in milliseconds. */
@@ -75,6 +81,12 @@
 const MS_PER_SECOND = 1_000;
 const NS_PER_MS = 1_000_000;
 
+const DUTY_HOST = '127.0.0.1';
+/** Share of the calls of duties that fail in a run with faults. */
+const DUTY_FAILURE_SHARE = 0.3;
+/** Time of a run for the first holder of the duties. */
+const FIRST_HOLDER_MS = 3_000;
+
 /** Shares of a run at which the store comes back from the copy that was taken before. */
 const RESTORED_AT = [0.4, 0.7];
 const COPY_AGE_MS = 1_500;
@@ -125,6 +137,16 @@
     hasBulkTargets: hasSlowPeers,
     zones: ZONES,
   });
+  const dutyPlatform =
+    options.hasDuties === true
+      ? await startDutyPlatform({
+          host: DUTY_HOST,
+          timers,
+          observations,
+          failureShare: options.isFaultFree === true ? 0 : DUTY_FAILURE_SHARE,
+          random: () => uniformFloat64(peerGenerator),
+        })
+      : undefined;
   let gateways: SoakGateway[] = [];
   try {
     store.putObject('config', 'main', buildSoakConfiguration(0, hasSlowPeers));
@@ -135,6 +157,7 @@
           index,
           zone: ZONES[index % ZONES.length] ?? '',
           storePort: store.port,
+          dutyAddress: dutyPlatform?.address,
           timers,
           runner,
           observations,
@@ -197,8 +220,15 @@
     await runner.stopAll();
     await Promise.all(gateways.map(({ storeProxy }) => storeProxy.close()));
     await environment.close();
+    dutyPlatform?.close();
     await store.close();
   }
+  const offsetMs = timers.getWallMs() - timers.getMonotonicMs();
+  const usageSpan = {
+    fromWallMs: observations.startMs + offsetMs + FIRST_HOLDER_MS,
+    toWallMs: observations.startMs + offsetMs + durationMs,
+    offsetMs,
+  };
   const isSound = (attemptId: string): boolean =>
     observations.requests.get(attemptId)?.requestClass !== RequestClass.Bulk;
   const answered = observations.responses.filter(
@@ -208,6 +238,13 @@
   return {
     violations: [
       ...findViolations(observations),
+      ...findDutyViolations(
+        observations,
+        new Map(gateways.map(({ name, callersAddress }) => [name, callersAddress])),
+      ),
+      ...(options.hasDuties === true && faults.length === 0
+        ? findUsageViolations(observations, usageSpan)
+        : []),
       ...(hasSlowPeers ? findHangingViolations(observations) : []),
       ...(hasSlowPeers && faults.length === 0 ? findStarvationViolations(observations) : []),
       ...(faults.length === 0 ? findDeadlyPromptViolations(observations) : []),
@@ -215,6 +252,7 @@
     ],
     engineCrashes: observations.engineCrashesMs.length,
     limitedArrivals: observations.limitedArrivals.length,
+    usageWindows: new Set(observations.dutyCalls.map(({ window }) => window)).size,
     requests: [...observations.requests.keys()].filter(isSound).length,
     answered: answered.length,
     peakMemoryMb: Math.max(...observations.peakMemoryMb.values()),
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -72,6 +72,26 @@
   }
 });
 
+/** Runs with duties; the others have seeds at which holders are paused, killed or cut off. */
+const DUTY_RUNS = [
+  { seed: 600_001, isFaultFree: true, isStoreRestored: false },
+  { seed: 600_002, isFaultFree: false, isStoreRestored: false },
+  { seed: 600_003, isFaultFree: false, isStoreRestored: true },
+];
+
+describe('duties of real processes', () => {
+  // Guards against two holders, and against windows that are reported twice, wrongly or not at all.
+  for (const { seed, ...run } of DUTY_RUNS) {
+    it(`break no rule ${run.isFaultFree ? 'by themselves' : 'among other faults'}, with seed ${seed}`, async () => {
+      const timers = createTimerService();
+      const size = { durationMs: 16_000, gateways: 4, callers: 20, buildFolder: 'dist' };
+      const result = await runSoak({ ...size, ...run, seed, hasDuties: true, timers });
+      expect(result.violations).toEqual([]);
+      expect(result.usageWindows > 0).toEqual(true);
+    });
+  }
+});
+
 describe('soak of real processes', () => {
   for (const { seed, cause } of SEEDS) {
     it(`breaks no rule under the faults of seed ${seed} (${cause})`, async () => {
