--- a/src/core/scaling/need-history.ts
+++ b/src/core/scaling/need-history.ts
@@ -6,6 +6,8 @@
   addNeeds(nowMs: number, needs: Needs): void;
   /** Returns the highest need of each model within a time. */
   computePeak(nowMs: number, windowMs: number): Needs;
+  /** Returns the lowest need of each model within a time. */
+  computeLow(nowMs: number, windowMs: number): Needs;
   /** Returns since when needs are known without a gap, in ms; 0 without any. */
   getKnownMs(nowMs: number): number;
 }
@@ -17,6 +19,22 @@
 export function createNeedHistory(): NeedHistory {
   let entries: { atMs: number; needs: Needs }[] = [];
   let sinceMs: number | undefined;
+
+  const combine = (
+    nowMs: number,
+    windowMs: number,
+    choose: (left: number, right: number) => number,
+  ): Needs => {
+    const combined = new Map<string, number>();
+    for (const { atMs, needs } of entries) {
+      if (nowMs - atMs > windowMs) continue;
+      needs.forEach((need, model) =>
+        combined.set(model, choose(need, combined.get(model) ?? need)),
+      );
+    }
+    return combined;
+  };
+
   return {
     addNeeds(nowMs, needs) {
       const isIdle = [...needs.values()].every((need) => need === 0);
@@ -25,14 +43,8 @@
       entries = entries.filter(({ atMs }) => nowMs - atMs <= MAX_AGE_MS);
       entries.push({ atMs: nowMs, needs });
     },
-    computePeak(nowMs, windowMs) {
-      const peak = new Map<string, number>();
-      for (const { atMs, needs } of entries) {
-        if (nowMs - atMs > windowMs) continue;
-        needs.forEach((need, model) => peak.set(model, Math.max(need, peak.get(model) ?? 0)));
-      }
-      return peak;
-    },
+    computePeak: (nowMs, windowMs) => combine(nowMs, windowMs, Math.max),
+    computeLow: (nowMs, windowMs) => combine(nowMs, windowMs, Math.min),
     getKnownMs: (nowMs) => (sinceMs === undefined ? 0 : nowMs - sinceMs),
   };
 }
--- a/src/core/scaling/scaling-decisions.ts
+++ b/src/core/scaling/scaling-decisions.ts
@@ -32,6 +32,8 @@
 
 /** Room above the present work for its usual swings. */
 const HEADROOM = 1.15;
+/** Time for which more must be needed before more is ordered: no engine comes in time for a burst. */
+const INCREASE_HOLD_MS = 2_000;
 /** Time for which the demand is observed before the first reduction. */
 const FIRST_OBSERVATION_MS = 5_000;
 /** Length of a usual wave of the demand. */
@@ -41,13 +43,15 @@
 /** Time after a reduction in which the zone forms its groups anew. */
 const SETTLE_MS = 4_000;
 /** Time beyond the boot for targets to be listed, or to leave. */
-const REACH_MARGIN_MS = 12_000;
+const REACH_MARGIN_MS = 4_000;
+/** Time for which a zone must have had another number than was ordered. */
+const NOT_REACHED_MS = 3_000;
 
 /** What is known of the orders for one zone. */
 interface ZoneRecord {
   targetCount: number | undefined;
   sentMs: number;
-  /** Since when the zone has had the ordered number of targets, or is given the time to reach it. */
+  /** Time until which the zone may still be about to reach the number, or last had it. */
   reachedMs: number;
   rejectedCount: number | undefined;
 }
@@ -74,6 +78,7 @@
   const history = createNeedHistory();
   const records = new Map<string, ZoneRecord>();
   let lastReductionMs = -Infinity;
+  let bootMs = 0;
 
   const getRecord = (zone: string): ZoneRecord => records.get(zone) ?? NO_RECORD;
   const updateRecord = (zone: string, change: Partial<ZoneRecord>): void => {
@@ -87,27 +92,30 @@
     return nowMs - sentMs >= ORDER_PERIOD_MS && rejectedCount !== decision.targetCount;
   };
 
-  const planIncreases = (
-    zones: readonly ScalingZone[],
-    counts: ReadonlyMap<string, number>,
-  ): ScaleDecision[] =>
-    zones.flatMap((zone) => {
-      const targetCount = counts.get(zone.name) ?? 0;
+  /** Plans what the zones in use lack for the work that has arrived for a moment. */
+  const planIncreases = (observation: ScalingObservation): ScaleDecision[] => {
+    const { nowMs, zones, spec } = observation;
+    if (history.getKnownMs(nowMs) < INCREASE_HOLD_MS) return [];
+    const neededGroups = history.computeLow(nowMs, INCREASE_HOLD_MS);
+    const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups });
+    return zones.flatMap((zone) => {
+      const targetCount = counts.get(zone.name);
       const previousCount = getBaseCount(zone);
-      if (targetCount <= previousCount) return [];
+      if (targetCount === undefined || targetCount <= previousCount) return [];
       return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.MoreWork }];
     });
+  };
 
   /** Plans to order the number in force again where it has not been reached for long. */
-  const planRepetitions = ({ nowMs, scaling, spec, zones }: ScalingObservation): ScaleDecision[] =>
+  const planRepetitions = ({ nowMs, spec, zones }: ScalingObservation): ScaleDecision[] =>
     zones.flatMap((zone) => {
       const { targetCount, reachedMs } = getRecord(zone.name);
       if (targetCount === undefined || zone.isEvacuated) return [];
       const usable = countUsableEngines(zone);
       // Targets that somebody else has added are welcome as spares.
       const isReached = usable >= targetCount && usable <= targetCount + computeSpares(spec.models);
-      if (isReached) updateRecord(zone.name, { reachedMs: nowMs });
-      if (isReached || nowMs - reachedMs < scaling.bootMs + REACH_MARGIN_MS) return [];
+      if (isReached) updateRecord(zone.name, { reachedMs: Math.max(reachedMs, nowMs) });
+      if (isReached || nowMs - reachedMs < NOT_REACHED_MS) return [];
       const previousCount = targetCount;
       return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.NotReached }];
     });
@@ -148,8 +156,12 @@
       const isCarried = toleratedZones > 0 && zones.length > 1;
       const leastCount = isCarried ? 0 : previousCount - computeSpares(spec.models);
       const targetCount = Math.max(leastCount, counts.get(zone.name) ?? previousCount);
-      if (targetCount >= previousCount) return [];
-      return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.LessWork }];
+      // A zone that has lost engines forms its groups anew first.
+      const surplus = Math.min(previousCount, countUsableEngines(zone)) - targetCount;
+      if (surplus < computeSpares(spec.models)) return [];
+      const reason = ScaleReason.LessWork;
+      const decision = { zone: zone.name, targetCount, previousCount, reason };
+      return maySend(decision, nowMs) ? [decision] : [];
     });
     candidates.sort(
       (left, right) =>
@@ -160,15 +172,11 @@
 
   return {
     decide(observation) {
-      const { nowMs, zones, spec } = observation;
-      const needs = addHeadroom(observation.busyGroups);
-      history.addNeeds(nowMs, needs);
+      const { nowMs } = observation;
+      history.addNeeds(nowMs, addHeadroom(observation.busyGroups));
       if (history.getKnownMs(nowMs) === 0) return [];
-      const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups: needs });
-      const increases = planIncreases(
-        zones.filter((zone) => !isZoneLost(zone)),
-        counts,
-      );
+      bootMs = observation.scaling.bootMs;
+      const increases = planIncreases(observation);
       const repetitions = planRepetitions(observation).filter(
         ({ zone }) => !increases.some((one) => one.zone === zone),
       );
@@ -180,13 +188,15 @@
       updateRecord(zone, {
         targetCount,
         sentMs: nowMs,
-        reachedMs: nowMs,
+        reachedMs: nowMs + bootMs + REACH_MARGIN_MS,
         rejectedCount: undefined,
       });
       if (reason === ScaleReason.LessWork) lastReductionMs = nowMs;
     },
-    recordFailed({ zone }, nowMs) {
+    recordFailed({ zone, reason }, nowMs) {
       updateRecord(zone, { sentMs: nowMs });
+      // It may have been done all the same.
+      if (reason === ScaleReason.LessWork) lastReductionMs = nowMs;
     },
     recordRejected({ zone, targetCount }, nowMs) {
       updateRecord(zone, { sentMs: nowMs, rejectedCount: targetCount });
