--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -193,6 +193,29 @@
     });
   }
 
+  // Guards against breaking off the streams of a group whose member leaves as planned: the platform
+  // takes engines away while their groups are at work (rodopi-wax-now-grown quiet-1).
+  const closes = [
+    { name: 'after its requests when a member is leaving', isGone: false, isGraceful: true },
+    { name: 'at once when a member is gone', isGone: true, isGraceful: false },
+  ];
+  for (const { name, isGone, isGraceful } of closes) {
+    it(`closes a group ${name}`, async () => {
+      const harness = await startServing();
+      const { head, member } = findOpenPair(harness);
+      member.isLeaving = !isGone;
+      member.hasEntry = !isGone;
+      harness.setEntryUpdatesEnabled(true);
+      await harness.timers.runForAsync(1_000);
+      const ordered = harness.orders.flatMap(({ engineId, order }) =>
+        engineId === head.id && order.kind === 'close' ? order.isGraceful : [],
+      );
+      expect(ordered).toEqual([isGraceful]);
+      expect(harness.violations).toEqual([]);
+      harness.formation.stop();
+    });
+  }
+
   // Guards against reusing epochs after late lease renewals (rule TWO, temir-feed, mix
   // 1076434966097).
   it('uses no epoch twice when the lease was temporarily not renewed', async () => {
--- a/src/core/formation/plan-formation.ts
+++ b/src/core/formation/plan-formation.ts
@@ -45,8 +45,11 @@
 export type FormationAction =
   /** Joins free engines to a group and opens it. */
   | { kind: 'form'; model: ModelSpec; members: Target[] }
-  /** Closes at once a group that lost a member, or that has a member which must not be used. */
-  | { kind: 'dissolve'; group: EngineGroup }
+  /**
+   * Closes a group that lost a member, or that has a member which must not be used: at once, or after
+   * its requests are done if all its members can still work.
+   */
+  | { kind: 'dissolve'; group: EngineGroup; isGraceful: boolean }
   /** Closes a group after its requests are done, so that its engines can serve `model`. */
   | { kind: 'retire'; group: EngineGroup; model: ModelSpec }
   /** Loads the weights of a model onto the engine's host. */
@@ -70,6 +73,14 @@
   return !input.excludedIds.has(engine.id);
 }
 
+/** Whether all members of a group work until its requests are done, although some are leaving. */
+function canFinishRequests(input: FormationInput, group: EngineGroup, size: number): boolean {
+  return (
+    areAllMembersOperational(group, size) &&
+    group.membersByRank.every((one) => isHealthyMember({ ...one, isLeaving: false }, input))
+  );
+}
+
 /**
  * Plans to dissolve open groups that have a missing, excluded or leaving member, or one in an
  * evacuated zone. Skips groups whose head is reserved or excluded.
@@ -91,7 +102,10 @@
         !group.membersByRank.every((one) => isHealthyMember(one, input))
       );
     })
-    .map((group): FormationAction => ({ kind: 'dissolve', group }));
+    .map((group): FormationAction => {
+      const size = sizes.get(group.model ?? '') ?? 0;
+      return { kind: 'dissolve', group, isGraceful: canFinishRequests(input, group, size) };
+    });
 }
 
 function listFreeEngines(input: FormationInput): Target[] {
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -264,11 +264,11 @@
   };
 
   const dissolveGroup = (action: Extract<FormationAction, { kind: 'dissolve' }>): void => {
-    const { group } = action;
+    const { group, isGraceful } = action;
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isClosed = (await groupOperations.closeGroup(group, false)) === CloseResult.Closed;
-      logger.info('closed a group', { group: group.name, epoch: group.epoch, isClosed });
+      const isClosed = (await groupOperations.closeGroup(group, isGraceful)) === CloseResult.Closed;
+      logger.info('closed a group', { group: group.name, isGraceful, isClosed });
       if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
       if (!isClosed && group.headEngine !== undefined)
         await excludeUnresponsive([group.headEngine]);
