Name gateways to callers by what they can bear and where the callers are

The directory named the gateway itself and the first 63 others in the order in which they were heard, whatever their zone, size, load or state. Where VMs differ, or are more than an answer holds, names are now drawn by weight (core/directory): the scarcer of CPU and link, less with much load or little memory, three quarters at most in the caller's zone, at least 16 names. Gateways alike that fit into one answer are named as before.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -22,7 +22,7 @@
 } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
-import type { PeerExchangeListener } from '../peers/index.ts';
+import type { PeerExchangeListener, PeerStatus } from '../peers/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -45,7 +45,9 @@
 import type { GaugeValues } from './gateway-metrics.ts';
 import { createGatewayMetrics } from './gateway-metrics.ts';
 import { createRequestLog } from './request-log.ts';
-import type { DirectoryResponse, GatewayDependencies, GatewayParameters } from './types.ts';
+import { createGatewayDirectory } from './gateway-directory.ts';
+import { buildOwnStatus } from './own-status.ts';
+import type { GatewayDependencies, GatewayParameters } from './types.ts';
 import { createStoreView } from './store-view.ts';
 
 /** Pause of the leader after a watch that returned events; short because it acts on them. */
@@ -54,10 +56,6 @@
 const WATCHER_PAUSE_SHARE = 0.1;
 /** Maximum age of the copy of the targets on which the leader still acts. */
 const MAX_TARGET_COPY_AGE_MS = 2_500;
-/** Lifetime of a directory response; some callers keep it three times as long. */
-const DIRECTORY_TTL_MS = 2_000;
-/** Maximum number of addresses in a directory response. */
-const MAX_DIRECTORY_ADDRESSES = 64;
 /**
  * How long new requests are still accepted after a stop was requested. Callers use the gateway's
  * address until their directory response expires, 2 s after it was sent.
@@ -293,18 +291,18 @@
     return listMissing().length === 0 ? PeerState.Ready : PeerState.Starting;
   };
 
+  const getStatus = (): PeerStatus => ({
+    ...buildOwnStatus(settings, { memory: measureMemory(), memoryBudget }),
+    incarnation,
+    callersAddress,
+    peerAddress,
+    inProgress: handler.countInProgress(),
+    state: getState(),
+    hasRequests: handler.hasReceivedRequests(),
+    dutyTerm: leaderElection.getTerm(),
+  });
   const peerListener: PeerExchangeListener = {
-    getStatus: () => ({
-      vmName,
-      incarnation,
-      callersAddress,
-      peerAddress,
-      availabilityZone: settings.availabilityZone,
-      capacity: settings.capacity,
-      state: getState(),
-      hasRequests: handler.hasReceivedRequests(),
-      dutyTerm: leaderElection.getTerm(),
-    }),
+    getStatus,
     getLoadReport: () => ({
       loads: monitor.listLocalLoads(),
       suspectIds: monitor.listSuspects(),
@@ -366,17 +364,6 @@
     void restoreRegistration(registration, registrationAbort.signal);
   });
 
-  const getDirectoryResponse = (): DirectoryResponse | undefined => {
-    const own = getState() === PeerState.Ready ? [callersAddress] : [];
-    const others = peerExchange
-      .listPeers()
-      .filter(({ status }) => status.state === PeerState.Ready)
-      .map(({ status }) => status.callersAddress);
-    const callersAddresses = [...own, ...others].slice(0, MAX_DIRECTORY_ADDRESSES);
-    if (callersAddresses.length === 0) return undefined;
-    return { callersAddresses, ttlMs: Math.min(DIRECTORY_TTL_MS, settings.maxDirectoryTtlMs) };
-  };
-
   const getGaugeValues = (): GaugeValues => ({
     targets: countTargets(fleet, isZoneEvacuated),
     groups: countGroups(
@@ -402,7 +389,13 @@
   });
 
   const auxiliaryServers = await dependencies.startAuxiliaryServers({
-    getDirectoryResponse,
+    getDirectoryResponse: createGatewayDirectory({
+      ...dependencies,
+      peerExchange,
+      metrics,
+      getStatus,
+      getSettings: () => settings,
+    }).getResponse,
     isReady: () => getState() === PeerState.Ready,
     limitConnections: connections.limitServer,
     renderMetrics: () => metrics.renderMetrics(getGaugeValues()),
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ConnectionCount, ConnectionKind, ConnectionRemoval } from '../connections/index.ts';
+import type { DirectoryChoice } from '../directory/index.ts';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
@@ -41,6 +42,8 @@
   countStoreCall(call: StoreCallResult): void;
   /** Counts a connection that was closed or dropped because its kind is at its limit. */
   countConnectionRemoval(kind: ConnectionKind, removal: ConnectionRemoval): void;
+  /** Counts an answer of the directory with its number of names. */
+  countDirectoryAnswer(choice: DirectoryChoice, names: number): void;
   countUnexpectedError(origin: ErrorOrigin): void;
   /** Sets the gauges to the given values and renders all metrics in the Prometheus text format. */
   renderMetrics(values: GaugeValues): Promise<string>;
@@ -118,6 +121,18 @@
     labelNames: ['origin'],
     registers,
   });
+  const directoryAnswers = new Counter({
+    name: `${PREFIX}directory_answers_total`,
+    help: 'Answers of the directory, by how their names were chosen.',
+    labelNames: ['choice'],
+    registers,
+  });
+  const directoryNames = new Counter({
+    name: `${PREFIX}directory_names_total`,
+    help: 'Names in answers of the directory, by how they were chosen.',
+    labelNames: ['choice'],
+    registers,
+  });
   const connectionRemovals = new Counter({
     name: `${PREFIX}connections_removed_total`,
     help: 'Connections that were closed or dropped because their kind is at its limit.',
@@ -210,6 +225,10 @@
     },
     countStoreCall: ({ operation, kind, result }) => storeCalls.inc({ operation, kind, result }),
     countConnectionRemoval: (kind, removal) => connectionRemovals.inc({ kind, removal }),
+    countDirectoryAnswer(choice, names) {
+      directoryAnswers.inc({ choice });
+      directoryNames.inc({ choice }, names);
+    },
     countUnexpectedError: (origin) => unexpectedErrors.inc({ origin }),
     renderMetrics(values) {
       updateGauges(values);
--- a/src/core/gateway/plan-reload.test.ts
+++ b/src/core/gateway/plan-reload.test.ts
@@ -8,6 +8,8 @@
   availabilityZone: 'a',
   maxDescriptors: 4_100,
   capacity: 675,
+  linkMbps: 200,
+  regionByZone: { a: 'r' },
   callers: { host: '10.0.0.1', port: 80 },
   peerPort: 7_000,
   memoryLimitBytes: 350 * 1024 * 1024,
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -1,4 +1,5 @@
 import type { LimitConnections } from '../connections/index.ts';
+import type { CallerLocation, DirectoryResponse } from '../directory/index.ts';
 import type { ErrorReporter } from '../errors/index.ts';
 import type { EngineControl } from '../formation/index.ts';
 import type { Target } from '../fleet/index.ts';
@@ -21,6 +22,10 @@
   availabilityZone: string;
   /** CPU capacity of the VM in millicores; the VMs with the most become hubs. */
   capacity: number;
+  /** Link of the VM in megabits a second; 0 if the settings do not state it. */
+  linkMbps: number;
+  /** Region of each availability zone, by the names of the zones. */
+  regionByZone: Readonly<Record<string, string>>;
   /** Memory above which the platform kills the process. */
   memoryLimitBytes: number;
   /** Limit on the file descriptors of the process. */
@@ -51,15 +56,10 @@
   isFirstStart: boolean;
 }
 
-/** Addresses that callers connect to, and how long they may cache them. */
-export interface DirectoryResponse {
-  callersAddresses: string[];
-  ttlMs: number;
-}
-
 /** Handlers of the directory, readiness and metrics servers. */
 export interface AuxiliaryServerHandlers {
-  getDirectoryResponse(): DirectoryResponse | undefined;
+  /** Returns the answer of the directory for a caller; undefined if no gateway is ready. */
+  getDirectoryResponse(caller: CallerLocation): DirectoryResponse | undefined;
   isReady(): boolean;
   renderMetrics(): Promise<string>;
   limitConnections: LimitConnections;
--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -45,6 +45,7 @@
 }
 
 const SECONDS_PER_KILOSECOND = 1_000;
+const PERMILLE = 1_000;
 
 function toWireDemands(demands: readonly Demand[]) {
   return demands.map(({ key, requestsPerSecond }) => ({
@@ -61,12 +62,16 @@
 }
 
 function toWirePeer(status: PeerStatus, ageMs = 0, isLost = false) {
+  const { memoryShare, ...fields } = status;
   return {
-    ...status,
+    ...fields,
     incarnation: BigInt(status.incarnation),
     dutyTerm: BigInt(status.dutyTerm),
     state: WIRE_STATE[status.state],
     capacity: toUint32(status.capacity),
+    linkMbps: toUint32(status.linkMbps),
+    inProgress: toUint32(status.inProgress),
+    memoryPermille: toUint32(memoryShare * PERMILLE),
     ageMs: toUint32(ageMs),
     isLost,
   };
@@ -132,6 +137,9 @@
     peerAddress,
     availabilityZone,
     capacity: member.capacity,
+    linkMbps: member.linkMbps,
+    inProgress: member.inProgress,
+    memoryShare: Math.min(1, member.memoryPermille / PERMILLE),
     state: decodeState(member.state),
     hasRequests: member.hasRequests,
     dutyTerm: Number(member.dutyTerm),
--- a/src/core/peers/types.ts
+++ b/src/core/peers/types.ts
@@ -23,6 +23,12 @@
   availabilityZone: string;
   /** CPU capacity of the VM in millicores; the VMs with the most become hubs. */
   capacity: number;
+  /** Link of the VM in megabits a second; 0 if the gateway does not state it. */
+  linkMbps: number;
+  /** Requests of callers in progress. */
+  inProgress: number;
+  /** Share of the memory that is in use, from 0 to 1. */
+  memoryShare: number;
   state: PeerState;
   /** Whether a caller's request has arrived since the process started. */
   hasRequests: boolean;
--- a/src/platform/auxiliary-servers.ts
+++ b/src/platform/auxiliary-servers.ts
@@ -1,17 +1,13 @@
 import fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
+import { z } from 'zod';
 import type { LimitConnections } from '../core/connections/index.ts';
 import { ConnectionKind } from '../core/connections/index.ts';
+import type { CallerLocation, DirectoryResponse } from '../core/directory/index.ts';
 import { formatProblem } from '../core/errors/index.ts';
 import type { WaitForPort } from '../core/process/port-waiter.ts';
 import type { SocketAddress } from './settings.ts';
 
-/** Addresses that callers connect to, and how long they may cache them. */
-export interface DirectoryResponse {
-  callersAddresses: string[];
-  ttlMs: number;
-}
-
 /** Listen addresses and handlers of the directory, readiness and metrics servers. */
 export interface AuxiliaryServerOptions {
   directory: SocketAddress;
@@ -19,7 +15,7 @@
   metrics: SocketAddress;
   waitForPort: WaitForPort;
   /** Returns undefined if no gateway is ready. */
-  getDirectoryResponse(): DirectoryResponse | undefined;
+  getDirectoryResponse(caller: CallerLocation): DirectoryResponse | undefined;
   isReady(): boolean;
   renderMetrics(): Promise<string>;
   /** Limits the connections that each server accepts. */
@@ -43,13 +39,25 @@
 const HTTP_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1_000;
 
+/** A name that is missing, empty or given twice is unknown. */
+const locationSchema = z.object({
+  zone: z.string().min(1).optional().catch(undefined),
+  region: z.string().min(1).optional().catch(undefined),
+});
+
+/** Decodes where a caller says that it is. */
+function decodeLocation(query: unknown): CallerLocation {
+  const { zone, region } = locationSchema.parse(query);
+  return { availabilityZone: zone, region };
+}
+
 /** Starts the directory, readiness and metrics servers; throws if one of the first two fails. */
 export async function startAuxiliaryServers(
   options: AuxiliaryServerOptions,
 ): Promise<{ close(): Promise<void> }> {
   const directory = fastify(SERVER_OPTIONS);
-  directory.get('/resolve', (_request, reply) => {
-    const response = options.getDirectoryResponse();
+  directory.get('/resolve', (request, reply) => {
+    const response = options.getDirectoryResponse(decodeLocation(request.query));
     if (response === undefined) return reply.code(HTTP_UNAVAILABLE).send({});
     return reply.code(HTTP_OK).send({
       addresses: response.callersAddresses,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -20,6 +20,8 @@
   cores: figureSchema(1),
   memory_mb: z.number().positive().catch(DEFAULT_MEMORY_MB),
   max_fds: z.int().positive().catch(DEFAULT_MAX_DESCRIPTORS),
+  // Absent or unusable: the gateway states no link.
+  link_mbps: z.number().nonnegative().catch(0),
 });
 const boundsSchema = z.object({
   drain_ms: figureSchema(2_000),
@@ -41,6 +43,7 @@
   node: z.string(),
   ip: z.string(),
   zone: z.string(),
+  zones: z.record(z.string(), z.string()).catch({}),
   listen: z.object({ front: socketSchema, ready: socketSchema, directory: socketSchema }),
   internal_port_range: z.tuple([z.number()]).rest(z.unknown()),
   bootstrap: z.boolean().catch(false),
@@ -62,6 +65,10 @@
   availabilityZone: string;
   /** CPU capacity of the VM in millicores; the VMs with the most become hubs. */
   capacity: number;
+  /** Link of the VM in megabits a second; 0 if the settings do not state it. */
+  linkMbps: number;
+  /** Region of each availability zone, by the names of the zones. */
+  regionByZone: Readonly<Record<string, string>>;
   /** Memory above which the platform kills the process. */
   memoryLimitBytes: number;
   /** Limit on the file descriptors of the process. */
@@ -116,6 +123,8 @@
   ip: file.ip,
   availabilityZone: file.zone,
   capacity: Math.round(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
+  linkMbps: Math.round(file.limits.link_mbps),
+  regionByZone: file.zones,
   memoryLimitBytes: file.limits.memory_mb * BYTES_PER_MB,
   maxDescriptors: file.limits.max_fds,
   callers: parseSocket(file.listen.front),
