Refuse by 404 and 401 only what no newer configuration can allow

Whatever cuts a gateway off, it refused by a configuration that nobody had confirmed.

A copy that the store confirmed within the bound holds every configuration that must be in force; 404 and 401 now need one, and a gateway without one answers 503, not run, with a time to return (reason outdated-configuration). Requests that its configuration allows are served as before.

--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -16,6 +16,8 @@
 
 const CAUSE_BY_REASON: Readonly<Record<FailureReason, string>> = {
   [FailureReason.NoConfiguration]: 'the gateway had just started and had no configuration yet',
+  [FailureReason.OutdatedConfiguration]:
+    'the configuration in force does not allow the request, but may be outdated',
   [FailureReason.NoRoute]: 'no route of the configuration in force matches the request',
   [FailureReason.UnknownKey]: 'the request has no key of a customer of the configuration in force',
   [FailureReason.NoTarget]: 'no target was available within the time that the request may wait',
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -94,6 +94,8 @@
 export enum FailureReason {
   /** This gateway has no configuration yet. */
   NoConfiguration = 'no-configuration',
+  /** The request is not allowed by a configuration that may be outdated. */
+  OutdatedConfiguration = 'outdated-configuration',
   /** No route matches the request. */
   NoRoute = 'no-route',
   /** The request has no key of a customer, and its route does not allow anonymous requests. */
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -48,6 +48,7 @@
 import { createGatewayDirectory } from './gateway-directory.ts';
 import { buildOwnStatus } from './own-status.ts';
 import type { GatewayDependencies, GatewayParameters } from './types.ts';
+import { createStoreCopies } from './store-copies.ts';
 import { createStoreView } from './store-view.ts';
 
 /** Pause of the leader after a watch that returned events; short because it acts on them. */
@@ -87,6 +88,7 @@
   const listServices = (): readonly ServiceSpec[] =>
     storeView.getRoutingTable()?.configuration.services ?? [];
   const feeds = new Map<StoreKind, Feed>();
+  const copies = createStoreCopies(feeds, timers);
   const metrics = createGatewayMetrics();
   const measureMemory = createMemoryMeter();
   const eras = createEraTracker(logger);
@@ -148,7 +150,7 @@
   };
   const getTargetPauseMs = (): number =>
     isLeader() ? LEADER_PAUSE_MS : settings.leavingBoundMs * WATCHER_PAUSE_SHARE;
-  const targetFeed = startKindFeed(
+  startKindFeed(
     StoreKind.Targets,
     storeView.targetListener,
     settings.leavingBoundMs,
@@ -234,6 +236,8 @@
   const handler = createRequestHandler({
     requestLog,
     getRoutingTable: storeView.getRoutingTable,
+    isConfigurationCurrent: () =>
+      copies.isCurrent(StoreKind.Configuration, settings.configurationBoundMs),
     isRefusing: () =>
       stopRequestedMs !== undefined &&
       timers.getMonotonicMs() - stopRequestedMs > ACCEPT_AFTER_STOP_MS,
@@ -264,8 +268,7 @@
     getTerm: leaderElection.getTerm,
     hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
-      storeView.areTargetsCurrent() &&
-      timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
+      storeView.areTargetsCurrent() && copies.isCurrent(StoreKind.Targets, MAX_TARGET_COPY_AGE_MS),
     isInitialFormationOver: () =>
       !settings.isFirstStart || havePeersReceivedRequests || handler.hasReceivedRequests(),
     isZoneEvacuated,
@@ -370,12 +373,7 @@
       fleet,
       listServices().map(({ name }) => name),
     ),
-    copyAges: [...feeds].flatMap(([kind, feed]) => {
-      const confirmedMs = feed.getConfirmedMs();
-      return confirmedMs === undefined
-        ? []
-        : { kind, ageMs: timers.getMonotonicMs() - confirmedMs };
-    }),
+    copyAges: copies.listAges(),
     gateways: countGateways(),
     inProgress: handler.countInProgress(),
     dutyTerm: leaderElection.getTerm(),
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -5,14 +5,9 @@
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
-import type { StoreCallResult, StoreKind } from '../store/index.ts';
+import type { StoreCallResult } from '../store/index.ts';
 import type { GroupCount, TargetCount } from './fleet-counts.ts';
-
-/** Age of a gateway's copy of the objects of one kind. */
-export interface CopyAge {
-  kind: StoreKind;
-  ageMs: number;
-}
+import type { CopyAge } from './store-copies.ts';
 
 /** Values of the gauges at the time of a scrape. */
 export interface GaugeValues {
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -17,6 +17,8 @@
   requestLog: RequestLog;
   /** Routing table in force; undefined until a configuration has been read. */
   getRoutingTable(): RoutingTable | undefined;
+  /** Whether each configuration that must be in force by now is known. */
+  isConfigurationCurrent(): boolean;
   /** Whether the process is stopping and refuses new requests. */
   isRefusing(): boolean;
 }
@@ -54,7 +56,7 @@
 
 /** `Retry-After` of a gateway that is stopping; the caller tries another gateway. */
 const STOPPING_RETRY_AFTER_MS = 50;
-/** `Retry-After` of a gateway that has no configuration or no matching service yet. */
+/** `Retry-After` of a gateway without a current configuration or a matching service. */
 const STARTING_RETRY_AFTER_MS = 250;
 
 const EMPTY_BODY = Buffer.alloc(0);
@@ -98,6 +100,7 @@
 /** Creates the request handler. */
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
   const { forwardingDependencies, requestLog, getRoutingTable, isRefusing } = options;
+  const { isConfigurationCurrent } = options;
   let inProgress = 0;
   let hasReceivedRequests = false;
 
@@ -110,6 +113,16 @@
     requestLog.recordRefusal(request, status, outcome, reason, getRoutingTable()?.version);
   };
 
+  /** Builds the refusal of what the configuration does not allow, if a newer one cannot allow it. */
+  const buildDenial = (status: number, reason: FailureReason): Refusal =>
+    isConfigurationCurrent()
+      ? { status, reason }
+      : {
+          status: HTTP_UNAVAILABLE,
+          reason: FailureReason.OutdatedConfiguration,
+          retryAfterMs: STARTING_RETRY_AFTER_MS,
+        };
+
   const admit = (request: CallerRequest): Admission | Refusal => {
     const table = getRoutingTable();
     if (table === undefined) {
@@ -127,11 +140,9 @@
       };
     }
     const route = table.findRoute(request.host, request.path);
-    if (route === undefined) return { status: HTTP_NOT_FOUND, reason: FailureReason.NoRoute };
+    if (route === undefined) return buildDenial(HTTP_NOT_FOUND, FailureReason.NoRoute);
     const access = checkAccess(request, route, table);
-    if ('isDenied' in access) {
-      return { status: HTTP_UNAUTHORIZED, reason: FailureReason.UnknownKey };
-    }
+    if ('isDenied' in access) return buildDenial(HTTP_UNAUTHORIZED, FailureReason.UnknownKey);
     return { table, route, customer: access.customer };
   };
 
