Leave most of a gateway's link to callers and the store

Its packets, 5 to 13 kB to 41 receivers four times a second and more with news, are more than its link of 9.8 Mbit/s has: connections to engines and to the store time out, which is news again.

Packets now take 0.4 of the link at most, apart from a few in each period: packets to hubs go first, gateways of the zone take turns, news wait for room, and changes are repeated for the time that a turn takes. Without a stated link, and on links with room, packets are sent as before.

packet-sender.test.ts: the load of such a hub takes 18.8 Mbit/s without the limit and 4.7 with it, each receiver within 2 s. Tests of peers and bounds/peers.test.ts: 48 of 48.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -100,6 +100,7 @@
     availabilityZone: settings.availabilityZone,
     host: settings.callers.host,
     port: settings.peerPort,
+    linkMbps: settings.linkMbps,
     timers,
     logger,
     errorReporter,
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -8,13 +8,14 @@
 import type { Position } from '../placement/index.ts';
 import type { TimerService, Unsubscribe } from '../timers/index.ts';
 import { parseAddress } from './address.ts';
-import { MAX_DATAGRAM_BYTES, MAX_GATEWAYS } from './consts.ts';
+import { MAX_GATEWAYS } from './consts.ts';
 import { createAddressBook } from './address-book.ts';
 import { createDigestAggregator } from './digests.ts';
 import type { FleetClock } from './fleet-clock.ts';
 import { createFleetClock } from './fleet-clock.ts';
 import { createPeerTable } from './peer-table.ts';
-import { decodePacket, encodePacket } from './packets.ts';
+import { createPacketSender } from './packet-sender.ts';
+import { decodePacket } from './packets.ts';
 import type { Topology } from './topology.ts';
 import { buildTopology } from './topology.ts';
 import type { Peer, PeerDigest, PeerPacket, PeerStatus, PeerLoadReport } from './types.ts';
@@ -25,6 +26,8 @@
   availabilityZone: string;
   host: string;
   port: number;
+  /** Link of this VM in megabits a second; 0 if unknown. */
+  linkMbps: number;
   timers: Pick<TimerService, 'getMonotonicMs' | 'subscribe' | 'scheduleOnce'>;
   logger: Logger;
   errorReporter: ErrorReporter;
@@ -85,6 +88,8 @@
 const HUB_PERIOD_MS = 250;
 /** Number of packet periods for which store changes are repeated, because datagrams can be lost. */
 const CHANGE_REPEAT_PERIODS = 2.5;
+/** Longest time for which changes are repeated; shorter than the time for which they are kept. */
+const MAX_REPEAT_MS = 1_900;
 /** A gateway without a direct packet for this long is lost; about ten packets of a mesh. */
 const DIRECT_TIMEOUT_MS = 1_200;
 /**
@@ -157,21 +162,20 @@
     zone === availabilityZone;
   const getPeriodMs = (): number => (getTopology().isMesh ? MESH_PERIOD_MS : HUB_PERIOD_MS);
 
-  const sendTo = (peerAddresses: readonly string[], packet: PeerPacket): void => {
-    if (peerAddresses.length === 0) return;
-    const bytes = encodePacket(packet);
-    if (bytes.length > MAX_DATAGRAM_BYTES) {
-      const problem = `a packet of ${bytes.length} bytes exceeds the limit of ${MAX_DATAGRAM_BYTES}`;
-      errorReporter.report(ErrorOrigin.Packet, new RangeError(problem));
-      return;
-    }
-    for (const address of peerAddresses) {
-      const peerAddress = parseAddress(address);
-      if (peerAddress === undefined) continue;
-      // A failed send is treated as a lost datagram; the next packet follows within a period.
-      socket.send(bytes, peerAddress.port, peerAddress.host, () => undefined);
-    }
-  };
+  const packetSender = createPacketSender({
+    timers,
+    logger,
+    errorReporter,
+    linkMbps: options.linkMbps,
+    // A failed send is treated as a lost datagram; the next packet follows within a period.
+    sendDatagram: (bytes, address) =>
+      socket.send(bytes, address.port, address.host, () => undefined),
+  });
+  const { sendToAll, sendInTurn } = packetSender;
+
+  /** Returns for how long changes are repeated, so that a receiver may miss a packet. */
+  const getRepeatMs = (): number =>
+    Math.min(MAX_REPEAT_MS, CHANGE_REPEAT_PERIODS * getPeriodMs() + packetSender.getRoundMs());
 
   const sendAll = (): void => {
     if (listener === undefined) return;
@@ -187,7 +191,7 @@
     const toAddresses = (list: readonly PeerStatus[]): string[] =>
       list.map(({ peerAddress }) => peerAddress);
     const isReporter = isMesh ? watchers.has(vmName) || sender.dutyTerm > 0 : hubs.has(vmName);
-    const progress = isReporter ? listener.getProgress(CHANGE_REPEAT_PERIODS * getPeriodMs()) : [];
+    const progress = isReporter ? listener.getProgress(getRepeatMs()) : [];
     const build = (digest: PeerDigest | undefined, hasProgress: boolean): PeerPacket => ({
       sender,
       loadReport,
@@ -197,29 +201,28 @@
       fleetMs,
       progress: hasProgress ? progress : [],
     });
+    const heardAddresses = new Set(toAddresses(peers));
+    const dueAddresses = addressBook.takeDueAddresses((address) => heardAddresses.has(address));
+    sendToAll(dueAddresses, build(undefined, false));
     const otherHubs = peers.filter((peer) => hubs.has(peer.vmName));
     const zoneNonHubs = peers.filter((peer) => isInOwnZone(peer) && !hubs.has(peer.vmName));
     if (isMesh) {
-      sendTo(toAddresses(otherHubs), build(undefined, true));
+      sendToAll(toAddresses(otherHubs), build(undefined, true));
     } else if (hubs.has(vmName)) {
       const zoneNonHubNames = new Set(zoneNonHubs.map((peer) => peer.vmName));
       const zoneDigest = aggregator.buildZoneDigest((name) => zoneNonHubNames.has(name));
-      sendTo(toAddresses(otherHubs), build(zoneDigest, true));
-      sendTo(toAddresses(zoneNonHubs), build(aggregator.buildCompleteDigest(loadReport), true));
+      sendToAll(toAddresses(otherHubs), build(zoneDigest, true));
+      sendInTurn(toAddresses(zoneNonHubs), build(aggregator.buildCompleteDigest(loadReport), true));
     } else {
-      sendTo(toAddresses(otherHubs.filter(isInOwnZone)), build(undefined, false));
+      sendToAll(toAddresses(otherHubs.filter(isInOwnZone)), build(undefined, false));
     }
-    const heardAddresses = new Set(toAddresses(peers));
-    sendTo(
-      addressBook.takeDueAddresses((address) => heardAddresses.has(address)),
-      build(undefined, false),
-    );
     listener.handleLoadReport(aggregator.computePeerLoads(reported));
   };
 
   const sendNow = (): void => {
     if (cancelSendNow !== undefined) return;
-    const delayMs = Math.max(0, lastSentMs + MIN_SEND_GAP_MS - timers.getMonotonicMs());
+    const gapMs = lastSentMs + MIN_SEND_GAP_MS - timers.getMonotonicMs();
+    const delayMs = Math.max(0, gapMs, packetSender.getPauseMs());
     cancelSendNow = timers.scheduleOnce(delayMs, () => {
       cancelSendNow = undefined;
       sendAll();
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -77,6 +77,7 @@
       availabilityZone: 'a',
       host: HOST,
       port: PORT,
+      linkMbps: 0,
       timers,
       logger: createLogger('test'),
       errorReporter,
--- a/src/core/peers/start.test.ts
+++ b/src/core/peers/start.test.ts
@@ -16,6 +16,7 @@
     availabilityZone: 'a',
     host: '127.0.0.1',
     port: 7_342,
+    linkMbps: 0,
     timers,
     logger: createLogger('test'),
     errorReporter: createErrorReporter(() => undefined),
--- a/test/bounds/peers.test.ts
+++ b/test/bounds/peers.test.ts
@@ -87,6 +87,7 @@
         availabilityZone: 'a',
         host: HOST,
         port: PORT + offset,
+        linkMbps: 0,
         timers,
         logger: createLogger('test'),
         errorReporter: createErrorReporter(() => undefined),
