--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -14,7 +14,7 @@
 import { createDemandMeter, createDemandView, createPlacementState } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
-import type { PeerExchangeListener } from '../peers/index.ts';
+import type { PeerExchangeListener, PeerStatus } from '../peers/index.ts';
 import { createPeerExchange, PeerState } from '../peers/index.ts';
 import type { Daemon } from '../process/run-daemon.ts';
 import type { ServiceSpec } from '../serving/index.ts';
@@ -26,7 +26,6 @@
   startMemoryMonitor,
 } from '../memory/index.ts';
 import { createEraTracker, createInstrumentedStore, StoreKind } from '../store/index.ts';
-import { buildDirectoryResponse } from './directory-response.ts';
 import { startGatewayDuties } from './gateway-duties.ts';
 import { startGatewayScaling } from './gateway-scaling.ts';
 import { startCallerServer } from './caller-server.ts';
@@ -40,7 +39,10 @@
 import type { GaugeValues } from './gateway-metrics.ts';
 import { createGatewayMetrics } from './gateway-metrics.ts';
 import { createRequestLog } from './request-log.ts';
+import { createGatewayDirectory } from './gateway-directory.ts';
+import { buildOwnStatus } from './own-status.ts';
 import type { GatewayDependencies, GatewayParameters } from './types.ts';
+import { createStoreCopies } from './store-copies.ts';
 import { createStoreView } from './store-view.ts';
 
 /** Pause of the leader after a watch that returned events; short because it acts on them. */
@@ -80,6 +82,7 @@
   const listServices = (): readonly ServiceSpec[] =>
     storeView.getRoutingTable()?.configuration.services ?? [];
   const feeds = new Map<StoreKind, Feed>();
+  const copies = createStoreCopies(feeds, timers);
   const metrics = createGatewayMetrics();
   const measureMemory = createMemoryMeter();
   const eras = createEraTracker(logger);
@@ -91,6 +94,7 @@
     availabilityZone: settings.availabilityZone,
     host: settings.callers.host,
     port: settings.peerPort,
+    linkMbps: settings.linkMbps,
     timers,
     logger,
     errorReporter,
@@ -152,7 +156,7 @@
   };
   const getTargetPauseMs = (): number =>
     isLeader() ? LEADER_PAUSE_MS : settings.leavingBoundMs * WATCHER_PAUSE_SHARE;
-  const targetFeed = startKindFeed(
+  startKindFeed(
     StoreKind.Targets,
     storeView.targetListener,
     settings.leavingBoundMs,
@@ -232,6 +236,8 @@
     requestLog,
     getRoutingTable: storeView.getRoutingTable,
     recordBegin: duties.recordBegin,
+    isConfigurationCurrent: () =>
+      copies.isCurrent(StoreKind.Configuration, settings.configurationBoundMs),
     isRefusing: () =>
       stopRequestedMs !== undefined &&
       timers.getMonotonicMs() - stopRequestedMs > ACCEPT_AFTER_STOP_MS,
@@ -260,8 +266,7 @@
     listServices,
     hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
-      storeView.areTargetsCurrent() &&
-      timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
+      storeView.areTargetsCurrent() && copies.isCurrent(StoreKind.Targets, MAX_TARGET_COPY_AGE_MS),
     isZoneEvacuated,
     getDemand,
   };
@@ -299,18 +304,18 @@
     return listMissing().length === 0 ? PeerState.Ready : PeerState.Starting;
   };
 
+  const getStatus = (): PeerStatus => ({
+    ...buildOwnStatus(settings, { memory: measureMemory(), memoryBudget }),
+    incarnation,
+    callersAddress,
+    peerAddress,
+    inProgress: handler.countInProgress(),
+    state: getState(),
+    hasRequests: handler.hasReceivedRequests(),
+    dutyTerm: leaderElection.getTerm(),
+  });
   const peerListener: PeerExchangeListener = {
-    getStatus: () => ({
-      vmName,
-      incarnation,
-      callersAddress,
-      peerAddress,
-      availabilityZone: settings.availabilityZone,
-      capacity: settings.capacity,
-      state: getState(),
-      hasRequests: handler.hasReceivedRequests(),
-      dutyTerm: leaderElection.getTerm(),
-    }),
+    getStatus,
     getLoadReport: () => ({
       loads: monitor.listLocalLoads(),
       suspectIds: monitor.listSuspects(),
@@ -380,12 +385,7 @@
       fleet,
       listServices().map(({ name }) => name),
     ),
-    copyAges: [...feeds].flatMap(([kind, feed]) => {
-      const confirmedMs = feed.getConfirmedMs();
-      return confirmedMs === undefined
-        ? []
-        : { kind, ageMs: timers.getMonotonicMs() - confirmedMs };
-    }),
+    copyAges: copies.listAges(),
     gateways: countGateways(),
     inProgress: handler.countInProgress(),
     waiting: placement.lines.countWaiting(),
@@ -402,14 +402,13 @@
   });
 
   const auxiliaryServers = await dependencies.startAuxiliaryServers({
-    getDirectoryResponse: () =>
-      buildDirectoryResponse(
-        [
-          { state: getState(), callersAddress },
-          ...peerExchange.listPeers().map(({ status }) => status),
-        ],
-        settings.maxDirectoryTtlMs,
-      ),
+    getDirectoryResponse: createGatewayDirectory({
+      ...dependencies,
+      peerExchange,
+      metrics,
+      getStatus,
+      getSettings: () => settings,
+    }).getResponse,
     isReady: () => getState() === PeerState.Ready,
     limitConnections: connections.limitServer,
     renderMetrics: () => metrics.renderMetrics(getGaugeValues()),
--- a/src/core/gateway/gateway-metrics.ts
+++ b/src/core/gateway/gateway-metrics.ts
@@ -2,17 +2,13 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ConnectionCount, ConnectionKind, ConnectionRemoval } from '../connections/index.ts';
 import type { DutyCallResult, ScaleOrder, WindowResult } from '../duties/index.ts';
+import type { DirectoryChoice } from '../directory/index.ts';
 import type { ErrorOrigin } from '../errors/index.ts';
 import type { RoutedRequest, ForwardingResult } from '../forwarding/index.ts';
 import type { MemoryBudget, MemoryUsage } from '../memory/index.ts';
-import type { StoreCallResult, StoreKind } from '../store/index.ts';
+import type { StoreCallResult } from '../store/index.ts';
 import type { GroupCount, TargetCount } from './fleet-counts.ts';
-
-/** Age of a gateway's copy of the objects of one kind. */
-export interface CopyAge {
-  kind: StoreKind;
-  ageMs: number;
-}
+import type { CopyAge } from './store-copies.ts';
 
 /** Values of the gauges at the time of a scrape. */
 export interface GaugeValues {
@@ -49,6 +45,8 @@
   countStoreCall(call: StoreCallResult): void;
   /** Counts a connection that was closed or dropped because its kind is at its limit. */
   countConnectionRemoval(kind: ConnectionKind, removal: ConnectionRemoval): void;
+  /** Counts an answer of the directory with its number of names. */
+  countDirectoryAnswer(choice: DirectoryChoice, names: number): void;
   countUnexpectedError(origin: ErrorOrigin): void;
   /** Counts usage windows by how their report ended. */
   countUsageWindows(result: WindowResult, count: number): void;
@@ -136,6 +134,18 @@
     labelNames: ['origin'],
     registers,
   });
+  const directoryAnswers = new Counter({
+    name: `${PREFIX}directory_answers_total`,
+    help: 'Answers of the directory, by how their names were chosen.',
+    labelNames: ['choice'],
+    registers,
+  });
+  const directoryNames = new Counter({
+    name: `${PREFIX}directory_names_total`,
+    help: 'Names in answers of the directory, by how they were chosen.',
+    labelNames: ['choice'],
+    registers,
+  });
   const connectionRemovals = new Counter({
     name: `${PREFIX}connections_removed_total`,
     help: 'Connections that were closed or dropped because their kind is at its limit.',
@@ -266,6 +276,10 @@
       if (isAccepted) orderedTargets.set({ service, zone }, targetCount);
     },
     countUsageWindows: (result, count) => usageWindows.inc({ result }, count),
+    countDirectoryAnswer(choice, names) {
+      directoryAnswers.inc({ choice });
+      directoryNames.inc({ choice }, names);
+    },
     countUnexpectedError: (origin) => unexpectedErrors.inc({ origin }),
     renderMetrics(values) {
       updateGauges(values);
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -81,6 +81,7 @@
       availabilityZone: 'a',
       host: HOST,
       port: PORT,
+      linkMbps: 0,
       timers,
       logger: createLogger('test'),
       errorReporter,
