Count the time that a packet was under way as age of the copy that it confirms

A packet states how old the sender's copy of the store was when it was sent. One that waited in front of a full link, or in the socket of a process that gets little CPU, confirmed the receiver's copy as of its arrival, so that a follower did not call the store in time and would refuse by 404 what a later configuration allows. The fleet time in each packet tells how long it was under way.

--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -331,7 +331,8 @@
     },
     handleEvidence: quarantine.receiveEvidence,
     handleAdvisories: advisories.receiveNotices,
-    handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
+    handleProgress: (progress, delayMs) =>
+      feeds.get(progress.kind)?.applyProgress(progress, delayMs),
   };
   await dependencies.waitForPort(peerAddress, () => peerExchange.start(peerListener));
   leaderElection.start({
--- a/src/core/peers/create-peer-exchange.ts
+++ b/src/core/peers/create-peer-exchange.ts
@@ -52,7 +52,8 @@
   handleEvidence(evidence: PromptEvidence): boolean;
   /** Called with what targets say, as of a packet; returns whether it contains news. */
   handleAdvisories(advisories: AdvisoryNotices): boolean;
-  handleProgress(progress: FeedProgress): void;
+  /** Called with the progress of a packet that was under way for `delayMs`. */
+  handleProgress(progress: FeedProgress, delayMs: number): void;
 }
 
 /** Exchanges state with the other gateways over UDP. */
@@ -262,7 +263,8 @@
       if (relayedPeer.isLost) table.markLost(relayedPeer);
       else handlePeerStatus(relayedPeer.status, relayedPeer.ageMs);
     }
-    packet.progress.forEach((progress) => listener?.handleProgress(progress));
+    const delayMs = fleetClock.computeDelayMs(packet.fleetMs);
+    packet.progress.forEach((progress) => listener?.handleProgress(progress, delayMs));
     const hasNewEvidence = listener?.handleEvidence(packet.evidence) === true;
     if (suspectIds.length > 0) listener?.handleSuspects(suspectIds);
     // A hub relays news immediately.
--- a/src/core/peers/fleet-clock.ts
+++ b/src/core/peers/fleet-clock.ts
@@ -6,6 +6,8 @@
  */
 export interface FleetClock {
   getFleetMs(): number;
+  /** Computes how long a packet was under way that was sent at a fleet time, but for the usual delay. */
+  computeDelayMs(sentFleetMs: number): number;
   /** Adopts the time of another gateway if it is ahead. */
   observeFleetMs(fleetMs: number): void;
 }
@@ -19,6 +21,7 @@
   const getFleetMs = (): number => timers.getMonotonicMs() + offsetMs;
   return {
     getFleetMs,
+    computeDelayMs: (sentFleetMs) => Math.max(0, getFleetMs() - sentFleetMs),
     observeFleetMs(fleetMs) {
       if (!(fleetMs <= MAX_FLEET_MS)) return;
       offsetMs += Math.max(0, fleetMs - getFleetMs());
--- a/src/core/store-feed/create-feed.ts
+++ b/src/core/store-feed/create-feed.ts
@@ -275,22 +275,23 @@
         ...changeLog.listRecent(recentMs),
       };
     },
-    applyProgress(progress: FeedProgress) {
+    applyProgress(progress: FeedProgress, delayMs = 0) {
       if (revision === undefined) return;
       // Only an answer of the store itself proves a later era.
       hasLaterEraElsewhere ||= progress.era > eras.getEra();
       if (progress.era !== copyEra || progress.revision < revision) return;
       const knownRevision = revision;
+      const confirmedAtMs = timers.getMonotonicMs() - progress.ageMs - delayMs;
       if (progress.changedRevision > knownRevision) {
         if (progress.sinceRevision > knownRevision) {
           const isNew = gap === undefined || gap.revision <= knownRevision;
           if (isNew) gap = { revision: progress.sinceRevision, sinceMs: timers.getMonotonicMs() };
           return;
         }
-        confirmCopy(timers.getMonotonicMs() - progress.ageMs);
+        confirmCopy(confirmedAtMs);
         const changes = progress.changes.filter(({ readRevision }) => readRevision > knownRevision);
         applyEvents(changes, progress.changedRevision);
-      } else confirmCopy(timers.getMonotonicMs() - progress.ageMs);
+      } else confirmCopy(confirmedAtMs);
       ({ revision } = progress);
     },
     stop: () => abortController.abort(),
--- a/src/core/store-feed/follow.test.ts
+++ b/src/core/store-feed/follow.test.ts
@@ -138,6 +138,24 @@
     session.stop();
   });
 
+  // Guards against a copy that counts as confirmed by packets that have waited for seconds.
+  it('counts the delay of the packets as age of its copy', async () => {
+    const { timers, watcher, follower, addChange, setDelivering, stop } = startSession();
+    const delayMs = 1_500;
+    await timers.runForAsync(START_MS);
+    setDelivering(false);
+    timers.subscribe(PACKET_PERIOD_MS, () => {
+      const late = watcher.feed.getProgress(RECENT_MS);
+      if (late === undefined) return;
+      timers.scheduleOnce(delayMs, () => follower.feed.applyProgress(late, delayMs));
+    });
+    await timers.runForAsync(4_000);
+    addChange('a');
+    await timers.runForAsync(1_000);
+    expect(follower.seen).toEqual(['list', 'a']);
+    stop();
+  });
+
   // Guards against a follower whose copy looks fresh while its watcher gets no responses.
   it('does not confirm its copy while the store does not respond to the watcher', async () => {
     const session = startSession();
--- a/src/core/store-feed/types.ts
+++ b/src/core/store-feed/types.ts
@@ -45,7 +45,10 @@
   getConfirmedMs(): number | undefined;
   /** Returns the progress with changes of the last `recentMs`; undefined before a first listing. */
   getProgress(recentMs: number): FeedProgress | undefined;
-  /** Applies changes that another process has read from the store, unless some are missing. */
-  applyProgress(progress: FeedProgress): void;
+  /**
+   * Applies changes that another process has read from the store, unless some are missing. The
+   * progress is older by `delayMs` than it says, as its packet was under way.
+   */
+  applyProgress(progress: FeedProgress, delayMs?: number): void;
   stop(): void;
 }
