--- a/src/core/placement/own-places.ts
+++ b/src/core/placement/own-places.ts
@@ -3,14 +3,6 @@
   index: number;
   /** Number of gateways. */
   count: number;
-  /** Part of all slots that belongs to the gateway, if gateways do not all have the same part. */
-  range?: SlotRange | undefined;
-}
-
-/** Part of all slots in their order, as shares from 0 to 1. */
-export interface SlotRange {
-  start: number;
-  end: number;
 }
 
 /** A target in an order of all targets that is the same for each gateway. */
@@ -30,9 +22,8 @@
  */
 export function computeOwnSlots(target: PlacedTarget, gateway: Position): number {
   const total = target.count * target.slots;
-  const { index, count, range } = gateway;
-  const rangeStart = Math.floor(range ? range.start * total : (index * total) / count);
-  const rangeEnd = Math.floor(range ? range.end * total : ((index + 1) * total) / count);
+  const rangeStart = Math.floor((gateway.index * total) / gateway.count);
+  const rangeEnd = Math.floor(((gateway.index + 1) * total) / gateway.count);
   const firstSlot = target.index * target.slots;
   const overlapStart = Math.max(rangeStart, firstSlot);
   return Math.max(0, Math.min(rangeEnd, firstSlot + target.slots) - overlapStart);
