Name gateways of the caller's zone for half of an answer

With three quarters, a caller that loses its zone meets three dead addresses for each live one, and the gateways of a zone get the waves of its callers while slots are divided evenly; callers are as far from one zone as from another. Gateways of another region now have a fiftieth of their weight instead of a tenth, and a zone named like a member of every object has no region.

--- a/src/core/directory/consts.ts
+++ b/src/core/directory/consts.ts
@@ -6,4 +6,4 @@
  */
 export const MIN_NAMES = 16;
 /** Largest share of an answer that is in the caller's zone; the others outlive the loss of the zone. */
-export const MAX_NEAR_SHARE = 0.75;
+export const MAX_NEAR_SHARE = 0.5;
--- a/src/core/directory/select-gateways.ts
+++ b/src/core/directory/select-gateways.ts
@@ -22,7 +22,7 @@
 }
 
 /** Factor of gateways outside the caller's region, to which no caller goes as long as others are there. */
-const OTHER_REGION_FACTOR = 0.1;
+const OTHER_REGION_FACTOR = 0.02;
 /** Share of the gateways drawn from above which even those with a small weight are nearly always drawn. */
 const MAX_DRAWN_SHARE = 0.5;
 /** Time after which a gateway that is not heard is named only if too few others are. */
--- a/src/core/gateway/gateway-directory.ts
+++ b/src/core/gateway/gateway-directory.ts
@@ -45,7 +45,12 @@
         .filter(({ status }) => status.state === PeerState.Ready)
         .map(({ status, heardMs }) => toCandidate(status, now - heardMs));
     },
-    getRegion: (availabilityZone) => getSettings().regionByZone[availabilityZone],
+    getRegion(availabilityZone) {
+      const { regionByZone } = getSettings();
+      return Object.hasOwn(regionByZone, availabilityZone)
+        ? regionByZone[availabilityZone]
+        : undefined;
+    },
     getMaxTtlMs: () => getSettings().maxDirectoryTtlMs,
     handleAnswer: metrics.countDirectoryAnswer,
   });
