--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -342,7 +342,8 @@
     handleAdvisories: advisories.receiveNotices,
     takeUsage: duties.takeUsage,
     handleUsage: duties.handleUsage,
-    handleProgress: (progress) => feeds.get(progress.kind)?.applyProgress(progress),
+    handleProgress: (progress, delayMs) =>
+      feeds.get(progress.kind)?.applyProgress(progress, delayMs),
   };
   await dependencies.waitForPort(peerAddress, () => peerExchange.start(peerListener));
   leaderElection.start({
