--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -242,7 +242,7 @@
         observations,
         new Map(gateways.map(({ name, callersAddress }) => [name, callersAddress])),
       ),
-      ...(options.hasDuties === true && faults.length === 0
+      ...(options.hasDuties === true && faults.length === 0 && options.isStoreRestored !== true
         ? findUsageViolations(observations, usageSpan)
         : []),
       ...(hasSlowPeers ? findHangingViolations(observations) : []),
