--- a/src/stand-ins/soak/checks.test.ts
+++ b/src/stand-ins/soak/checks.test.ts
@@ -7,6 +7,7 @@
   Rule,
   MAX_STOP_MS,
 } from './checks.ts';
+import { DUTY_CASES, USAGE_CASES } from './fixtures/duty-cases.ts';
 import type { Observations, ObservedResponse, TargetRun } from './observations.ts';
 import { findHangingViolations, findStarvationViolations } from './peer-checks.ts';
 import { ResponseEnd, createObservations, RequestClass } from './observations.ts';
@@ -356,6 +357,8 @@
       ...DEADLY_CASES.flatMap((one) => one.rules),
       ...LIMIT_CASES.flatMap((one) => one.expected),
       ...PEER_CASES.flatMap((one) => one.rules),
+      ...DUTY_CASES.flatMap((one) => one.rules),
+      ...USAGE_CASES.flatMap((one) => one.rules),
     ];
     expect(new Set(violated)).toEqual(new Set(Object.values(Rule)));
   });
