--- a/src/core/formation/engine-shares.ts
+++ b/src/core/formation/engine-shares.ts
@@ -8,6 +8,9 @@
 const MIN_SHARE_FACTOR = 0.6;
 const MAX_SHARE_FACTOR = 1.5;
 
+/** Groups of each model that may be about to be formed anew, where the work of groups is known. */
+const GROUPS_IN_REPAIR = 1;
+
 /** Returns the share of the engines that the configuration gives a model, from 0 to 1. */
 function computeConfiguredShare(spec: EngineSpec, model: ModelSpec): number {
   const total = spec.models.reduce((sum, one) => sum + one.engineShareWeight, 0);
@@ -20,7 +23,8 @@
  */
 function computeNeededEngines(spec: EngineSpec, model: ModelSpec, demand: ModelDemand): number {
   const atOnce = computeBusyGroups(spec, model, demand) * spec.slots;
-  return ((atOnce + Math.sqrt(atOnce)) / spec.slots) * model.groupSize;
+  const groups = (atOnce + Math.sqrt(atOnce)) / spec.slots;
+  return (groups + (spec.stepModel === undefined ? 0 : GROUPS_IN_REPAIR)) * model.groupSize;
 }
 
 /**
--- a/src/core/scaling/plan-target-counts.test.ts
+++ b/src/core/scaling/plan-target-counts.test.ts
@@ -17,7 +17,7 @@
   needs: [number, number];
   scaling?: typeof WIDE;
   toleratedZones?: number;
-  expected: Record<string, number>;
+  expected: Record<string, string>;
 }
 
 describe('plan of the number of engines', () => {
@@ -26,32 +26,32 @@
       // Two groups of each model: 4 + 2, 4, and 2 engines in domains of one size, and 2 spares each.
       name: 'has one group of each model that may be lost without work',
       needs: [0, 0],
-      expected: { a: 9, b: 9, c: 5 },
+      expected: { a: '9', b: '9', c: '5' },
     },
     {
       // 3 large groups bear the loss of one, and so do 6 small ones of two.
       name: 'carries the work after the loss of any zone',
       needs: [1.9, 3.2],
-      expected: { a: 10, b: 10, c: 10 },
+      expected: { a: '10', b: '10', c: '10' },
     },
     {
       name: 'counts an evacuated zone as the lost one',
       zones: [{ ...A!, isEvacuated: true }, B!, C!],
       needs: [1.9, 3.2],
-      expected: { b: 10, c: 10 },
+      expected: { b: '10', c: '10' },
     },
     {
       name: 'counts a zone without engines as the lost one',
       zones: [{ ...A!, domainSizes: [] }, B!, C!],
       needs: [1.9, 3.2],
-      expected: { b: 10, c: 10 },
+      expected: { b: '10', c: '10' },
     },
     {
       name: 'carries the work after the loss of a domain where no zone may be lost',
       zones: [A!],
       needs: [1, 1],
       toleratedZones: 0,
-      expected: { a: 14 },
+      expected: { a: '14' },
     },
     {
       // 4 + 2 fit into no even split of fewer engines over three domains.
@@ -60,19 +60,19 @@
       models: [LARGE],
       needs: [1, 0],
       toleratedZones: 0,
-      expected: { a: 15 },
+      expected: { a: '15' },
     },
     {
       name: 'stays within the bounds of each zone',
       needs: [9, 30],
       scaling: { minTargets: 0, maxTargets: 12, bootMs: 0 },
-      expected: { a: 12, b: 12, c: 12 },
+      expected: { a: '12', b: '12', c: '12' },
     },
     {
       name: 'keeps the least number of each zone',
       needs: [0, 0],
       scaling: { minTargets: 9, maxTargets: 12, bootMs: 0 },
-      expected: { a: 9, b: 9, c: 9 },
+      expected: { a: '9', b: '9', c: '9' },
     },
     {
       name: 'has nothing to say while no zone is in use',
@@ -94,7 +94,10 @@
         ]),
         toleratedZones: rest.toleratedZones ?? 1,
       });
-      expect(Object.fromEntries(counts)).toEqual(expected);
+      const ranges = [...counts].map(
+        ([zone, { leastCount, fullCount }]) => [zone, `${leastCount}-${fullCount}`] as const,
+      );
+      expect(Object.fromEntries(ranges)).toEqual(expected);
     });
   }
 });
--- a/src/core/scaling/plan-target-counts.ts
+++ b/src/core/scaling/plan-target-counts.ts
@@ -23,6 +23,14 @@
   return Math.min(...models.map(({ groupSize }) => groupSize));
 }
 
+/** Numbers of engines that a zone should have. */
+export interface TargetCounts {
+  /** With fewer, groups are missing. */
+  leastCount: number;
+  /** With more, engines are in no use. */
+  fullCount: number;
+}
+
 /** Whether enough groups remain if some parts of evenly spread ones are lost. */
 function isLossBearable(
   groups: number,
@@ -40,8 +48,16 @@
   zones: number;
   domainCount: number;
   domains: number;
+  /** Groups of each model that may be in repair besides. */
+  repairs: number;
 }
 
+/**
+ * Groups of each model that may be about to be formed anew. After the loss of a member, a group waits
+ * for the load of its weights, unless another engine of its domain has them.
+ */
+const GROUPS_IN_REPAIR = 1;
+
 /** Computes how many groups a model has so that the needed ones remain after a loss. */
 function computeGroupCount(needed: number, losses: Losses): number {
   const { zoneCount, zones, domainCount, domains } = losses;
@@ -53,7 +69,7 @@
   ) {
     groups++;
   }
-  return groups;
+  return groups + losses.repairs;
 }
 
 /** Whether groups of the given sizes fit into domains, of which none is shared by a group. */
@@ -114,7 +130,7 @@
  * Plans how many engines each zone that is in use should have: whole groups for the work of all models
  * that remain after a loss, and spares, within the bounds of the service.
  */
-export function planTargetCounts(input: TargetCountInput): Map<string, number> {
+export function planTargetCounts(input: TargetCountInput): Map<string, TargetCounts> {
   const zones = input.zones.filter((zone) => !isZoneLost(zone));
   if (zones.length === 0 || input.models.length === 0) return new Map();
   const alreadyLost = input.zones.length - zones.length;
@@ -124,14 +140,16 @@
     domainCount: zones.reduce((sum, { domainSizes }) => sum + domainSizes.length, 0),
     // While a zone is lost, no further loss is prepared for: new engines would serve too late.
     domains: alreadyLost > 0 ? 0 : 1,
+    repairs: alreadyLost > 0 ? 0 : GROUPS_IN_REPAIR,
   };
   const { minTargets, maxTargets } = input.scaling;
+  const bound = (count: number): number => Math.min(maxTargets, Math.max(minTargets, count));
   const spares = computeSpares(input.models);
   const assigned = assignGroups(input, zones, losses);
   return new Map(
     zones.map(({ name, domainSizes }) => {
-      const count = computeEngineCount(assigned.get(name)!, domainSizes.length) + spares;
-      return [name, Math.min(maxTargets, Math.max(minTargets, count))];
+      const count = computeEngineCount(assigned.get(name)!, domainSizes.length);
+      return [name, { leastCount: bound(count), fullCount: bound(count + spares) }];
     }),
   );
 }
--- a/src/core/scaling/scaling-decisions.ts
+++ b/src/core/scaling/scaling-decisions.ts
@@ -2,6 +2,7 @@
 import { createNeedHistory } from './need-history.ts';
 import type { Needs } from './need-history.ts';
 import { computeSpares, isZoneLost, planTargetCounts } from './plan-target-counts.ts';
+import type { TargetCounts } from './plan-target-counts.ts';
 import type { ScaleDecision, ScalingZone } from './types.ts';
 import { countUsableEngines, ScaleReason } from './types.ts';
 
@@ -31,9 +32,9 @@
 }
 
 /** Room above the present work for its usual swings. */
-const HEADROOM = 1.15;
+const HEADROOM = 1.1;
 /** Time for which more must be needed before more is ordered: no engine comes in time for a burst. */
-const INCREASE_HOLD_MS = 2_000;
+const INCREASE_HOLD_MS = 3_000;
 /** Time for which the demand is observed before the first reduction. */
 const FIRST_OBSERVATION_MS = 5_000;
 /** Length of a usual wave of the demand. */
@@ -99,9 +100,10 @@
     const neededGroups = history.computeLow(nowMs, INCREASE_HOLD_MS);
     const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups });
     return zones.flatMap((zone) => {
-      const targetCount = counts.get(zone.name);
+      const planned = counts.get(zone.name);
       const previousCount = getBaseCount(zone);
-      if (targetCount === undefined || targetCount <= previousCount) return [];
+      if (planned === undefined || previousCount >= planned.leastCount) return [];
+      const targetCount = planned.fullCount;
       return [{ zone: zone.name, targetCount, previousCount, reason: ScaleReason.MoreWork }];
     });
   };
@@ -122,15 +124,14 @@
 
   /** Whether all zones but one have what they should, so that they can carry its work for a while. */
   const areOthersComplete = (
-    { spec, zones }: ScalingObservation,
-    counts: ReadonlyMap<string, number>,
+    { zones }: ScalingObservation,
+    counts: ReadonlyMap<string, TargetCounts>,
     except: string,
   ): boolean =>
     zones.every((zone) => {
       if (zone.name === except) return true;
       if (isZoneLost(zone)) return false;
-      const wanted = (counts.get(zone.name) ?? 0) - computeSpares(spec.models);
-      return countUsableEngines(zone) >= wanted;
+      return countUsableEngines(zone) >= (counts.get(zone.name)?.leastCount ?? 0);
     });
 
   /** Returns the time for which the demand must have been lower before a zone is reduced. */
@@ -152,13 +153,16 @@
       const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups });
       if (!areOthersComplete(observation, counts, zone.name)) return [];
       const previousCount = getBaseCount(zone);
-      // Without other zones that may take over its work, a zone loses one group at a time.
+      // Without other zones that may take over its work, a zone loses one group at a time. Otherwise a
+      // reduction is worth the new groups of the zone only if it is large.
       const isCarried = toleratedZones > 0 && zones.length > 1;
-      const leastCount = isCarried ? 0 : previousCount - computeSpares(spec.models);
-      const targetCount = Math.max(leastCount, counts.get(zone.name) ?? previousCount);
+      const sizes = spec.models.map(({ groupSize }) => groupSize);
+      const leastReduction = isCarried ? Math.max(...sizes) : Math.min(...sizes);
+      const leastCount = isCarried ? 0 : previousCount - leastReduction;
+      const targetCount = Math.max(leastCount, counts.get(zone.name)?.fullCount ?? previousCount);
       // A zone that has lost engines forms its groups anew first.
       const surplus = Math.min(previousCount, countUsableEngines(zone)) - targetCount;
-      if (surplus < computeSpares(spec.models)) return [];
+      if (surplus < leastReduction) return [];
       const reason = ScaleReason.LessWork;
       const decision = { zone: zone.name, targetCount, previousCount, reason };
       return maySend(decision, nowMs) ? [decision] : [];
--- a/src/core/scaling/start-scaling.ts
+++ b/src/core/scaling/start-scaling.ts
@@ -117,9 +117,10 @@
       .then((result) =>
         logger.info('ordered the number of targets', { service, ...decision, ...context, result }),
       )
-      .catch((error: unknown) =>
-        logger.error('failed to order targets', { service, problem: String(error) }),
-      )
+      .catch((error: unknown) => {
+        decisions.recordFailed(decision, timers.getMonotonicMs());
+        logger.error('failed to order targets', { service, problem: String(error) });
+      })
       .finally(() => pendingZones.delete(key));
   };
 
