Forget zones that are not used any more

Cause: a zone that lost all its targets counted as lost for as long as its holder lived, so that no other zone was reduced. Change: it counts for ten minutes.

--- a/src/core/scaling/need-history.ts
+++ b/src/core/scaling/need-history.ts
@@ -20,19 +20,17 @@
   let entries: { atMs: number; needs: Needs }[] = [];
   let sinceMs: number | undefined;
 
-  const combine = (
+  const mergeNeeds = (
     nowMs: number,
     windowMs: number,
     choose: (left: number, right: number) => number,
   ): Needs => {
-    const combined = new Map<string, number>();
+    const merged = new Map<string, number>();
     for (const { atMs, needs } of entries) {
       if (nowMs - atMs > windowMs) continue;
-      needs.forEach((need, model) =>
-        combined.set(model, choose(need, combined.get(model) ?? need)),
-      );
+      needs.forEach((need, model) => merged.set(model, choose(need, merged.get(model) ?? need)));
     }
-    return combined;
+    return merged;
   };
 
   return {
@@ -43,8 +41,8 @@
       entries = entries.filter(({ atMs }) => nowMs - atMs <= MAX_AGE_MS);
       entries.push({ atMs: nowMs, needs });
     },
-    computePeak: (nowMs, windowMs) => combine(nowMs, windowMs, Math.max),
-    computeLow: (nowMs, windowMs) => combine(nowMs, windowMs, Math.min),
+    computePeak: (nowMs, windowMs) => mergeNeeds(nowMs, windowMs, Math.max),
+    computeLow: (nowMs, windowMs) => mergeNeeds(nowMs, windowMs, Math.min),
     getKnownMs: (nowMs) => (sinceMs === undefined ? 0 : nowMs - sinceMs),
   };
 }
--- a/src/core/scaling/plan-target-counts.ts
+++ b/src/core/scaling/plan-target-counts.ts
@@ -83,7 +83,7 @@
   });
 }
 
-function divideEvenly(total: number, parts: number): number[] {
+function splitEvenly(total: number, parts: number): number[] {
   return Array.from({ length: parts }, (_, index) => Math.floor((total + index) / parts)).reverse();
 }
 
@@ -93,7 +93,7 @@
  */
 function computeEngineCount(groupSizes: readonly number[], domainCount: number): number {
   let count = groupSizes.reduce((sum, size) => sum + size, 0);
-  while (!canFit(groupSizes, divideEvenly(count, domainCount))) count++;
+  while (!canFit(groupSizes, splitEvenly(count, domainCount))) count++;
   return count;
 }
 
--- a/src/core/scaling/start-scaling.test.ts
+++ b/src/core/scaling/start-scaling.test.ts
@@ -16,7 +16,7 @@
   scaling: SCALING,
 };
 const ZONES = ['a', 'b', 'c'];
-const ENGINES_PER_DOMAIN = 10;
+const ENGINES_PER_DOMAIN = 15;
 const HOLDER: DutyHolder = { vmName: 'vm-1', token: 3 };
 
 function createTestScaling(service: ServiceSpec = SERVICE) {
@@ -59,7 +59,7 @@
     getToleratedZones: () => 1,
     countOrder: (_order, result) => results.push(result),
   });
-  return { timers, orders, results, warnings, state, scaling };
+  return { timers, fleet, orders, results, warnings, state, scaling };
 }
 
 /** Creates a promise that never settles. */
@@ -113,6 +113,24 @@
     scaling.stop();
   });
 
+  // Guards against reducing the others while a zone is away, and for ever after it is given up.
+  it('takes a zone without targets for a lost one for ten minutes', async () => {
+    const { timers, orders, state, scaling, fleet } = createTestScaling();
+    state.isFresh = false;
+    state.holder = HOLDER;
+    await timers.runForAsync(1_000, 250);
+    state.isFresh = true;
+    await timers.runForAsync(1_000, 250);
+    [...fleet.listTargets('s')]
+      .filter(({ availabilityZone }) => availabilityZone === 'a')
+      .forEach(({ id }) => fleet.removeTarget(id));
+    await timers.runForAsync(590_000, 500);
+    expect(orders).toEqual([]);
+    await timers.runForAsync(30_000, 500);
+    expect(orders.length > 0).toEqual(true);
+    scaling.stop();
+  });
+
   // Guards against a second call for a zone whose first one has no response yet.
   it('makes one call of a zone at a time', async () => {
     const { timers, orders, state, scaling } = createTestScaling();
--- a/src/core/scaling/start-scaling.ts
+++ b/src/core/scaling/start-scaling.ts
@@ -36,6 +36,9 @@
 /** Interval between decisions. */
 const DECISION_PERIOD_MS = 500;
 
+/** Time after which a zone without targets is no lost one, but one that is not used any more. */
+const FORGET_ZONE_MS = 600_000;
+
 /** Builds what a decision needs to know of the zones in which a service has targets. */
 function listZones(
   targets: readonly Target[],
@@ -65,18 +68,20 @@
 export function startScaling(options: ScalingOptions): { stop(): void } {
   const { timers, logger, fleet } = options;
   const decisionsByService = new Map<string, ScalingDecisions>();
-  /** Zones that targets were seen in, by service: a zone without targets is a lost one. */
-  const seenZones = new Map<string, Set<string>>();
+  /** When targets were last seen in a zone, by service: a zone without targets is a lost one. */
+  const seenZones = new Map<string, Map<string, number>>();
   const pendingZones = new Set<string>();
   const loggedProblems = new Map<string, string>();
   let token: number | undefined;
 
   const listKnownZones = (service: string): ScalingZone[] => {
     const zones = listZones(fleet.listTargets(service), options.isZoneEvacuated);
-    const seen = seenZones.get(service) ?? new Set<string>();
+    const seen = seenZones.get(service) ?? new Map<string, number>();
     seenZones.set(service, seen);
-    zones.forEach(({ name }) => seen.add(name));
-    const missing = [...seen].filter((name) => !zones.some((zone) => zone.name === name));
+    const now = timers.getMonotonicMs();
+    zones.forEach(({ name }) => seen.set(name, now));
+    for (const [name, seenMs] of seen) if (now - seenMs > FORGET_ZONE_MS) seen.delete(name);
+    const missing = [...seen.keys()].filter((name) => !zones.some((zone) => zone.name === name));
     const lost = missing.map((name) => ({
       name,
       isEvacuated: options.isZoneEvacuated(name),
