Take only the mark "not run" for a refusal of a target

Callers saw an order run at two servers: a target that had run it answered 503 without the mark, and the gateway took the unsigned 503 for a refusal and sent the order to another target; signed ones, and 408, went to callers as they were, who take them for a promise that nothing has run.

Any other answer with a status that callers take for a promise fails its attempt: retried where the kind of request allows it, else 502. The checks of response heads move to a module of their own.

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -142,6 +142,38 @@
     });
   }
 
+  // Guards against an order that runs twice, and against a promise to its caller that it has not run,
+  // because its target failed it with the status of a refusal (TWICE, REFUSED).
+  const unproven = [
+    { status: 503, isSigned: false },
+    { status: 503, isSigned: true },
+    { status: 429, isSigned: false },
+    { status: 429, isSigned: true },
+    { status: 408, isSigned: false },
+    { status: 408, isSigned: true },
+  ];
+  const unprovenKinds = [
+    { kind: RequestKind.NonIdempotent, isResumable: false, sends: 1 },
+    { kind: RequestKind.Streaming, isResumable: false, sends: 1 },
+    { kind: RequestKind.Streaming, isResumable: true, sends: 2 },
+    { kind: RequestKind.Idempotent, isResumable: false, sends: 2 },
+  ];
+  for (const { status, isSigned } of unproven) {
+    for (const { kind, isResumable, sends } of unprovenKinds) {
+      it(`takes ${status}, signed ${isSigned}, without the mark "not run" for a failure that may have run a ${kind} request, resumable ${isResumable}`, () => {
+        const harness = startTestForwarding({ kind, isResumable, maxAttempts: 2 });
+        for (let index = 0; index < sends; index++) {
+          const { listener } = acceptSend(harness, index);
+          listener.handleHead({ ...RESPONSE_HEAD, status, isSigned });
+          listener.handleData(Buffer.from('failed'));
+          listener.handleEnd(true);
+        }
+        expect(harness.sends.length).toEqual(sends);
+        expect(harness.caller).toEqual({ status: 502, body: '', isEnded: true, isAborted: false });
+      });
+    }
+  }
+
   it('sends a non-idempotent request again after a refusal or a failed connection', () => {
     const harness = startTestForwarding({ kind: RequestKind.NonIdempotent, maxAttempts: 1 });
     refuse(acceptSend(harness, 0));
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -12,6 +12,7 @@
 import type { EventParser } from './event-parser.ts';
 import type { RequestPlacementOptions } from './request-placement.ts';
 import { createRequestPlacement } from './request-placement.ts';
+import { isInterim, isStreamHead, isSuccess, isUnprovenRefusal } from './response-checks.ts';
 import type { RetryBudget } from './retry-budget.ts';
 import type { CallerSink } from './caller-sink.ts';
 import type { TargetExchange, TargetClient } from './target-client.ts';
@@ -71,15 +72,11 @@
   abandon(): void;
 }
 
-const HTTP_SUCCESS_MIN = 200;
-const HTTP_SUCCESS_MAX = 299;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_SERVER_ERROR = 500;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
-/** Statuses with which a target refuses a request that it has not run. */
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([421, 429, HTTP_UNAVAILABLE]);
 
 /** Delay before a request that a target has begun next tries to find another one. */
 const TARGET_CHOICE_RETRY_MS = 15;
@@ -118,23 +115,6 @@
   cancelAttemptTimeout: Unsubscribe | undefined;
 }
 
-function isSuccess(status: number): boolean {
-  return status >= HTTP_SUCCESS_MIN && status <= HTTP_SUCCESS_MAX;
-}
-
-function isStreamHead(head: ResponseHead): boolean {
-  for (let index = 0; index < head.forwardedHeaders.length; index += 2) {
-    const isType = head.forwardedHeaders[index]?.toLowerCase() === 'content-type';
-    if (isType && head.forwardedHeaders[index + 1]?.startsWith('text/event-stream')) return true;
-  }
-  return false;
-}
-
-/** Whether a target states, or an unsigned status says, that it has refused the request. */
-function isRefusal(head: ResponseHead): boolean {
-  return head.isNotRun || (!head.isSigned && REFUSAL_STATUSES.has(head.status));
-}
-
 /** Parses an event id as a number; undefined if it is not one. */
 function parseEventNumber(id: string | undefined): number | undefined {
   return id !== undefined && /^\d+$/.test(id) ? Number(id) : undefined;
@@ -402,19 +382,19 @@
   }
 
   function handleHead(attempt: Attempt, head: ResponseHead): void {
-    if (attempt !== current || head.status < HTTP_SUCCESS_MIN) return;
+    if (attempt !== current || isInterim(head)) return;
     attempt.head = head;
     const isForOtherAttempt =
       head.callerAttemptId !== undefined && head.callerAttemptId !== request.callerAttemptId;
     if (!isForOtherAttempt) {
       advisories.recordAdvice(attempt.target, head.advice, attempt.sentMs);
     }
-    const isInvalidSuccess = isSuccess(head.status) && (!head.isSigned || head.isEncoded);
+    const isInvalidSuccess = isSuccess(head) && (!head.isSigned || head.isEncoded);
     if (isForOtherAttempt || isInvalidSuccess) {
       failAttempt(attempt, 'spoiled');
       return;
     }
-    if (isStreaming && isSuccess(head.status) && isStreamHead(head)) {
+    if (isStreaming && isSuccess(head) && isStreamHead(head)) {
       attempt.parser = createEventParser();
     }
   }
@@ -457,8 +437,7 @@
       return;
     }
     // A body that is not passed on need not be kept.
-    if (attempt.head === undefined || isRefusal(attempt.head) || canRetryStatus(attempt.head))
-      return;
+    if (attempt.head === undefined || attempt.head.isNotRun || isUnusable(attempt.head)) return;
     if (input.account.tryReserve(chunk.length)) {
       attempt.collected.addChunk(chunk);
       return;
@@ -492,10 +471,10 @@
     });
   }
 
-  /** Whether a target's failure leads to another attempt instead of a response to the caller. */
-  function canRetryStatus(head: ResponseHead): boolean {
+  /** Whether a target's response fails its attempt, so that it never goes to the caller. */
+  function isUnusable(head: ResponseHead): boolean {
     const canRetry = isRetryable && possiblyRunAttempts < route.maxAttempts;
-    return canRetry && head.status >= HTTP_SERVER_ERROR;
+    return isUnprovenRefusal(head) || (canRetry && head.status >= HTTP_SERVER_ERROR);
   }
 
   function forwardEvents(attempt: Attempt, parser: EventParser, chunk: Buffer): void {
@@ -538,7 +517,7 @@
   function handleEnd(attempt: Attempt, isFramed: boolean): void {
     if (attempt !== current || attempt.head === undefined) return;
     const { head } = attempt;
-    if (isRefusal(head)) {
+    if (head.isNotRun) {
       handleRefusal(attempt, head);
       return;
     }
@@ -546,7 +525,8 @@
       endStream(attempt, attempt.parser, isFramed);
       return;
     }
-    if ((isBodyStarted && !isPassedOn) || canRetryStatus(head)) {
+    if ((isBodyStarted && !isPassedOn) || isUnusable(head)) {
+      markFaulty(attempt, head);
       failAttempt(attempt, `status ${head.status}`);
       return;
     }
@@ -583,12 +563,16 @@
     reportResult(Outcome.Answered, attempt.head?.status);
   }
 
+  /** Suspects the target of a group whose response names the engine at fault. */
+  function markFaulty({ target }: Attempt, { status, faultyTargetId }: ResponseHead): void {
+    if (faultyTargetId === undefined || service.engine === undefined) return;
+    monitor.markSuspect(target.id, `answered ${status}, fault at ${faultyTargetId}`);
+  }
+
   /** Handles a refusal: the target has not run the request, so the attempt does not count. */
   function handleRefusal(attempt: Attempt, head: ResponseHead): void {
     possiblyRunAttempts--;
-    if (head.faultyTargetId !== undefined && service.engine !== undefined) {
-      monitor.markSuspect(attempt.target.id, `refused, fault at ${head.faultyTargetId}`);
-    }
+    markFaulty(attempt, head);
     endAttempt(false);
     retry(`refused with ${head.status}`, FailureReason.RefusedByTarget);
   }
