--- a/src/core/gateway/caller-server.test.ts
+++ b/src/core/gateway/caller-server.test.ts
@@ -23,6 +23,7 @@
 /** Time for which a slow caller reads between its pauses. */
 const READ_MS = 10;
 const BUDGET_BYTES = 1024 * 1024;
+const PART_BYTES = 100_000;
 const NO_BODY = Buffer.alloc(0);
 const STATUS_BY_REASON = {
   [FailureReason.TooLarge]: 413,
@@ -58,7 +59,8 @@
 
 /**
  * Starts a server whose handler answers with 200 after a while, at once with a large body for the path
- * `/large` or with the body of the request for `/echo`, or throws for the path `/broken`.
+ * `/large` or with the body of the request for `/echo`, or throws for the path `/broken`. It refuses
+ * requests for the path `/refused` before their body is read.
  */
 async function startSession(isLeaving = true, answerMs = ANSWER_MS): Promise<Session> {
   let errors = 0;
@@ -67,7 +69,12 @@
     errors++;
   });
   const handler: RequestHandler = {
-    refuseUnread: () => false,
+    refuseUnread(request, sink) {
+      if (request.path === '/throw') throw new Error('broken');
+      if (request.path !== '/refused') return false;
+      sink.sendResponse(503, [], NO_BODY);
+      return true;
+    },
     refuse: (_request, sink, reason) => sink.sendResponse(STATUS_BY_REASON[reason], [], NO_BODY),
     handleRequest(request, body, _account, sink) {
       if (request.path === '/broken') throw new Error('broken');
@@ -280,6 +287,55 @@
     });
   }
 
+  // Guards against a stop that resets connections, so that callers that write first lose its answer.
+  const largeRequests = [
+    { name: 'a refusal', path: '/refused', bytes: 4_000_000, status: 503 },
+    { name: 'a refusal for want of memory', path: '/echo', bytes: 4_000_000, status: 503 },
+    {
+      name: 'the answer to a body that is too large',
+      path: '/echo',
+      bytes: 8_500_000,
+      status: 413,
+    },
+    { name: 'the answer to a failure', path: '/throw', bytes: 4_000_000, status: 502 },
+  ];
+  for (const { name, path, bytes, status } of largeRequests) {
+    it(`lets a caller that writes its whole request first read ${name} during a stop`, async () => {
+      const { server, budget, openCaller } = await startSession();
+      const caller = openCaller();
+      caller.socket.pause();
+      caller.socket.write(`POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: ${bytes}\r\n\r\n`);
+      await timers.waitFor(ANSWER_MS);
+      for (let sent = 0; sent < bytes; sent += PART_BYTES) {
+        caller.socket.write(Buffer.alloc(Math.min(PART_BYTES, bytes - sent), 'x'));
+        await timers.waitFor(1);
+      }
+      await timers.waitFor(ANSWER_MS);
+      caller.socket.resume();
+      await caller.waitForEnd();
+      expect(caller.getReceived().slice(9, 12)).toEqual(String(status));
+      expect(caller.getReceived()).toEqual(expect.includes('Connection: close'));
+      await server.close(STOP_LIMIT_MS);
+      expect(budget.getHeldBytes()).toEqual(0);
+    });
+  }
+
+  it('holds no memory for a body that it refuses, and waits for it for a limited time', async () => {
+    const { server, budget, openCaller } = await startSession();
+    const caller = openCaller();
+    caller.socket.write('POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 500000\r\n\r\nab');
+    const trickle = async (): Promise<void> => {
+      while (!caller.socket.destroyed) {
+        caller.socket.write('x');
+        await timers.waitFor(ANSWER_MS);
+      }
+    };
+    await timers.waitFor(ANSWER_MS);
+    expect(caller.getReceived().startsWith('HTTP/1.1 503')).toEqual(true);
+    expect(budget.getHeldBytes()).toEqual(0);
+    await Promise.all([trickle(), server.close(WAIT_LIMIT_MS)]);
+  });
+
   // Guards against memory that a caller takes for good by not reading its answer (FAULT).
   it('closes the connection of a caller that does not read its answer for a time', async () => {
     const { server, budget, openCaller } = await startSession(false);
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -9,6 +9,7 @@
 import type { MemoryBudget } from '../memory/index.ts';
 import type { ServingConfiguration } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import { endLastResponse } from './end-last-response.ts';
 import { countHeaderBytes } from './header-bytes.ts';
 import { createQueuedResponseTracker } from './queued-responses.ts';
 import type { RequestHandler } from './request-handler.ts';
@@ -75,14 +76,19 @@
 const DEFAULT_UNREAD_LIMIT_MS = 10_000;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_BAD_GATEWAY = 502;
+const NO_BODY = Buffer.alloc(0);
+
 /** Ends the response to a request that an unexpected error has stopped; it may have been sent. */
-function endFailedResponse(response: ServerResponse): void {
+function endFailedResponse(
+  response: ServerResponse,
+  timers: Pick<TimerService, 'scheduleOnce'>,
+): void {
   if (response.headersSent) {
     response.destroy();
     return;
   }
   response.writeHead(HTTP_BAD_GATEWAY, ['Content-Length', '0', 'Connection', 'close']);
-  response.end();
+  endLastResponse(response, NO_BODY, timers);
 }
 
 /** Starts the HTTP server for callers. */
@@ -108,7 +114,7 @@
     getMaxBodyBytes: () => Math.min(limits.maxBodyBytes, MAX_BODY_BYTES),
     handleFailure(error, response) {
       errorReporter.report(ErrorOrigin.Request, error);
-      endFailedResponse(response);
+      endFailedResponse(response, timers);
     },
   });
   const respond = (reply: FastifyReply): void => {
--- a/src/core/gateway/receive-request.ts
+++ b/src/core/gateway/receive-request.ts
@@ -58,12 +58,16 @@
     const account = budget.openAccount(REQUEST_BYTES + headBytes + (declaredBytes ?? 0));
     const sink = createResponseSink(response, {
       account,
+      timers,
       unreadLimitMs,
       isMemoryShort: budget.isShort,
       mustClose: () => hasLongRest || isLeaving(),
     });
     if (account !== undefined) response.once('close', account.close);
-    if (handler.refuseUnread(request, sink)) return;
+    if (handler.refuseUnread(request, sink)) {
+      account?.close();
+      return;
+    }
     if (isTooLarge) {
       handler.refuse(request, sink, FailureReason.TooLarge);
       return;
--- a/src/core/gateway/response-sink.ts
+++ b/src/core/gateway/response-sink.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net';
 import type { CallerSink } from '../forwarding/index.ts';
 import type { MemoryAccount } from '../memory/index.ts';
+import type { TimerService } from '../timers/index.ts';
+import { endLastResponse } from './end-last-response.ts';
 
 /** Bytes buffered for a slow caller before the gateway stops reading from the target. */
 const HIGH_WATER_MARK_BYTES = 64 * 1024;
@@ -10,6 +12,7 @@
 export interface ResponseSinkOptions {
   /** Account that holds the bytes that the caller has not taken; it is closed with the response. */
   account?: Pick<MemoryAccount, 'charge'>;
+  timers: Pick<TimerService, 'scheduleOnce'>;
   /** Time without progress after which the connection of a caller that does not read is closed. */
   unreadLimitMs: number;
   /** Whether memory is short, so that nothing more should be buffered. */
@@ -23,9 +26,10 @@
   response: ServerResponse,
   options: ResponseSinkOptions,
 ): CallerSink {
-  const { account, unreadLimitMs, isMemoryShort, mustClose } = options;
+  const { account, timers, unreadLimitMs, isMemoryShort, mustClose } = options;
   let chargedBytes = 0;
-  const listConnectionHeaders = (): string[] => (mustClose() ? ['Connection', 'close'] : []);
+  const buildConnectionHeaders = (isLast: boolean): string[] =>
+    isLast ? ['Connection', 'close'] : [];
 
   const chargeUnsent = (): void => {
     account?.charge(response.writableLength - chargedBytes);
@@ -43,13 +47,15 @@
   return {
     sendResponse(status, headers, body) {
       const length = ['Content-Length', String(body.length)];
-      response.writeHead(status, [...headers, ...length, ...listConnectionHeaders()]);
-      response.end(body);
+      const isLast = mustClose();
+      response.writeHead(status, [...headers, ...length, ...buildConnectionHeaders(isLast)]);
+      if (isLast) endLastResponse(response, body, timers);
+      else response.end(body);
       chargeUnsent();
       limitUnread();
     },
     startBody(status, headers) {
-      response.writeHead(status, [...headers, ...listConnectionHeaders()]);
+      response.writeHead(status, [...headers, ...buildConnectionHeaders(mustClose())]);
     },
     writeBody(part) {
       const hasRoom = response.write(part);
