Limit the requests that a connection has in progress

Callers waited for seconds while others sent thousands of requests at once on a connection, and requests reached targets after their callers had left: each request that Node.js had parsed was handled at once, and the end of a connection was noticed only behind all that it had sent.

A connection has 16 requests in progress at most; the next one is refused with 503 as the last one of its connection, and the rest is read and discarded without being parsed. Pipelined requests are handled one in a turn of the event loop.

--- a/src/core/explanations/explain-request.ts
+++ b/src/core/explanations/explain-request.ts
@@ -33,6 +33,8 @@
   [FailureReason.Unsendable]: 'the request cannot be written as HTTP, so no target got it',
   [FailureReason.Quarantined]: 'its prompt holds parts that have crashed targets',
   [FailureReason.TooLarge]: 'its body is larger than the configuration allows',
+  [FailureReason.TooManyPipelined]:
+    'its connection had as many requests in progress as the gateway allows',
   [FailureReason.MemoryFull]: 'the gateway held as much for other requests as its memory allows',
   [FailureReason.BodyTimeout]: 'its caller did not send the whole body in time',
 };
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -126,6 +126,8 @@
   TooLarge = 'too-large',
   /** The memory budget has no room for the request. */
   MemoryFull = 'memory-full',
+  /** The connection of the caller has as many requests in progress as it may. */
+  TooManyPipelined = 'too-many-pipelined',
   /** The caller did not send the whole body in time. */
   BodyTimeout = 'body-timeout',
 }
--- a/src/core/gateway/caller-server.test.ts
+++ b/src/core/gateway/caller-server.test.ts
@@ -11,6 +11,7 @@
 import { createMemoryBudget } from '../memory/index.ts';
 import type { CallerServer } from './caller-server.ts';
 import { startCallerServer } from './caller-server.ts';
+import { MAX_PIPELINED_REQUESTS } from './pipeline-limit.ts';
 import type { RequestHandler } from './request-handler.ts';
 
 const HOST = '127.0.0.1';
@@ -24,11 +25,13 @@
 const READ_MS = 10;
 const BUDGET_BYTES = 1024 * 1024;
 const PART_BYTES = 100_000;
+const PIPELINED_REQUESTS = 20_000;
 const NO_BODY = Buffer.alloc(0);
 const STATUS_BY_REASON = {
   [FailureReason.TooLarge]: 413,
   [FailureReason.MemoryFull]: 503,
   [FailureReason.BodyTimeout]: 408,
+  [FailureReason.TooManyPipelined]: 503,
 } as const;
 const timers = createTimerService();
 
@@ -51,6 +54,8 @@
   server: CallerServer;
   budget: MemoryBudget;
   countErrors(): number;
+  /** Lists the paths of the requests that the handler has received, oldest first. */
+  listPaths(): readonly string[];
   openCaller(): RawCaller;
 }
 
@@ -64,6 +69,7 @@
  */
 async function startSession(isLeaving = true, answerMs = ANSWER_MS): Promise<Session> {
   let errors = 0;
+  const paths: string[] = [];
   const errorReporter = createErrorReporter(() => undefined);
   errorReporter.subscribe(() => {
     errors++;
@@ -77,6 +83,7 @@
     },
     refuse: (_request, sink, reason) => sink.sendResponse(STATUS_BY_REASON[reason], [], NO_BODY),
     handleRequest(request, body, _account, sink) {
+      paths.push(request.path);
       if (request.path === '/broken') throw new Error('broken');
       if (request.path === '/echo') sink.sendResponse(200, [], body);
       else if (request.path === '/large') sink.sendResponse(200, [], LARGE_BODY);
@@ -97,6 +104,7 @@
     server,
     budget,
     countErrors: () => errors,
+    listPaths: () => paths,
     openCaller() {
       const socket = connect({ host: HOST, port: server.port });
       let received = '';
@@ -399,6 +407,36 @@
     await server.close(STOP_LIMIT_MS);
   });
 
+  // Guards against a caller that occupies the gateway with requests on one connection (answered-in-time).
+  it('handles a limited number of pipelined requests at once, and other callers before them', async () => {
+    const { server, openCaller, listPaths } = await startSession(false, ANSWER_MS * 3);
+    const caller = openCaller();
+    caller.socket.write('GET /x HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(PIPELINED_REQUESTS));
+    const other = openCaller();
+    other.socket.write('GET /other HTTP/1.1\r\nHost: a\r\n\r\n');
+    await caller.waitForEnd();
+    expect(caller.getReceived().split('HTTP/1.1 200').length - 1).toEqual(MAX_PIPELINED_REQUESTS);
+    expect(caller.getReceived().split('HTTP/1.1 503').length - 1).toEqual(1);
+    expect(listPaths().length).toEqual(MAX_PIPELINED_REQUESTS + 1);
+    expect(listPaths().indexOf('/other') < MAX_PIPELINED_REQUESTS).toEqual(true);
+    other.socket.destroy();
+    await server.close(STOP_LIMIT_MS);
+  });
+
+  // Guards against requests that are handled after their caller has left (GONE).
+  it('handles no pipelined request of a caller that has left, and notices at once that it has', async () => {
+    const { server, budget, openCaller, listPaths } = await startSession(false, ANSWER_MS * 20);
+    const caller = openCaller();
+    caller.socket.write('GET /x HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(PIPELINED_REQUESTS));
+    await timers.waitFor(ANSWER_MS * 2);
+    caller.socket.destroy();
+    await timers.waitFor(ANSWER_MS * 2);
+    expect(server.countUnsentResponses()).toEqual(0);
+    expect(budget.getHeldBytes()).toEqual(0);
+    expect(listPaths().length).toEqual(MAX_PIPELINED_REQUESTS);
+    await server.close(STOP_LIMIT_MS);
+  });
+
   // Guards against a request that reaches its target without its body (UNASKED).
   it('reads the body of a GET request', async () => {
     const { server, openCaller } = await startSession();
--- a/src/core/gateway/caller-server.ts
+++ b/src/core/gateway/caller-server.ts
@@ -1,4 +1,5 @@
-import type { Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { Server, ServerOptions, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import fastify from 'fastify';
 import type { FastifyInstance, FastifyReply } from 'fastify';
@@ -11,6 +12,8 @@
 import type { TimerService } from '../timers/index.ts';
 import { endLastResponse } from './end-last-response.ts';
 import { countHeaderBytes } from './header-bytes.ts';
+import type { PipelineLimit } from './pipeline-limit.ts';
+import { createPipelineLimit } from './pipeline-limit.ts';
 import { createQueuedResponseTracker } from './queued-responses.ts';
 import type { RequestHandler } from './request-handler.ts';
 import { createRequestReceiver } from './receive-request.ts';
@@ -72,6 +75,13 @@
 const REQUEST_TIMEOUT_MS = 15_000;
 /** Interval at which connections are checked against the limits above. */
 const CONNECTION_CHECK_PERIOD_MS = 500;
+const SERVER_OPTIONS: ServerOptions = {
+  maxHeaderSize: MAX_HEADER_BYTES,
+  headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
+  keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
+  requestTimeout: REQUEST_TIMEOUT_MS,
+  connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
+};
 /** Callers give up within their deadlines, which are shorter. */
 const DEFAULT_UNREAD_LIMIT_MS = 10_000;
 const HTTP_HEADERS_TOO_LARGE = 431;
@@ -97,20 +107,20 @@
   let limits = INITIAL_LIMITS;
   const unsentResponses = createUnsentResponses();
   const trackQueuedResponse = createQueuedResponseTracker();
+  let pipelineLimit: PipelineLimit | undefined;
   const app: FastifyInstance = fastify({
-    keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
-    requestTimeout: REQUEST_TIMEOUT_MS,
     exposeHeadRoutes: false,
     forceCloseConnections: false,
-    http: {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
-      connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS,
+    serverFactory(handle) {
+      const limit = createPipelineLimit(timers, handle);
+      pipelineLimit = limit;
+      return createServer(SERVER_OPTIONS, limit.schedule);
     },
   });
   const receiveRequest = createRequestReceiver({
     unreadLimitMs: DEFAULT_UNREAD_LIMIT_MS,
     ...options,
+    isExcess: (incoming) => pipelineLimit?.isExcess(incoming) === true,
     getMaxBodyBytes: () => Math.min(limits.maxBodyBytes, MAX_BODY_BYTES),
     handleFailure(error, response) {
       errorReporter.report(ErrorOrigin.Request, error);
--- a/src/core/gateway/receive-request.ts
+++ b/src/core/gateway/receive-request.ts
@@ -18,6 +18,8 @@
   /** Largest body that callers may send. */
   getMaxBodyBytes(): number;
   isLeaving(): boolean;
+  /** Whether the request is refused because its connection has too many requests in progress. */
+  isExcess(incoming: IncomingMessage): boolean;
   /** Time without progress after which the connection of a caller that does not read is closed. */
   unreadLimitMs: number;
   /** Called with an unexpected error that has stopped a request. */
@@ -44,7 +46,7 @@
  */
 export function createRequestReceiver(options: RequestReceiverOptions): ReceiveRequest {
   const { wire, handler, budget, timers, getMaxBodyBytes, isLeaving, handleFailure } = options;
-  const { unreadLimitMs } = options;
+  const { isExcess, unreadLimitMs } = options;
 
   const receive: ReceiveRequest = (incoming, response) => {
     const { method = 'GET', url = '/', rawHeaders } = incoming;
@@ -61,13 +63,18 @@
       timers,
       unreadLimitMs,
       isMemoryShort: budget.isShort,
-      mustClose: () => hasLongRest || isLeaving(),
+      mustClose: () => hasLongRest || isExcess(incoming) || isLeaving(),
     });
     if (account !== undefined) response.once('close', account.close);
     if (handler.refuseUnread(request, sink)) {
       account?.close();
       return;
     }
+    if (isExcess(incoming)) {
+      account?.close();
+      handler.refuse(request, sink, FailureReason.TooManyPipelined);
+      return;
+    }
     if (isTooLarge) {
       handler.refuse(request, sink, FailureReason.TooLarge);
       return;
--- a/src/core/gateway/request-handler.ts
+++ b/src/core/gateway/request-handler.ts
@@ -23,7 +23,10 @@
 
 /** Reasons for which a request is refused before its body was read. */
 export type UnreadReason =
-  FailureReason.TooLarge | FailureReason.MemoryFull | FailureReason.BodyTimeout;
+  | FailureReason.TooLarge
+  | FailureReason.MemoryFull
+  | FailureReason.BodyTimeout
+  | FailureReason.TooManyPipelined;
 
 /** Authorizes callers' requests and forwards them to targets. */
 export interface RequestHandler {
--- a/src/core/gateway/response-sink.ts
+++ b/src/core/gateway/response-sink.ts
@@ -37,7 +37,8 @@
   };
 
   // The limit on an unread response must not end the next one on the connection.
-  if (response.socket === null) response.once('socket', (socket: Socket) => socket.setTimeout(0));
+  if (response.socket !== null) response.socket.setTimeout(0);
+  else response.once('socket', (socket: Socket) => socket.setTimeout(0));
 
   /** Closes the connection of a caller that takes nothing of the response for a time. */
   const limitUnread = (): void => {
