--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -15,7 +15,7 @@
 import { mayRunAgain, NextStep, planNextStep, RequestEvent } from './next-step.ts';
 import type { RequestPlacementOptions } from './request-placement.ts';
 import { createRequestPlacement } from './request-placement.ts';
-import { isRefusal, isStreamHead, isSuccess } from './response-head.ts';
+import { isInterim, isStreamHead, isSuccess, isUnprovenRefusal } from './response-checks.ts';
 import type { RetryBudget } from './retry-budget.ts';
 import type { CallerSink } from './caller-sink.ts';
 import type { TargetExchange, TargetClient } from './target-client.ts';
@@ -77,7 +77,6 @@
   abandon(): void;
 }
 
-const HTTP_SUCCESS_MIN = 200;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_SERVER_ERROR = 500;
 const HTTP_BAD_GATEWAY = 502;
@@ -391,19 +390,19 @@
   }
 
   function handleHead(attempt: Attempt, head: ResponseHead): void {
-    if (attempt !== current || head.status < HTTP_SUCCESS_MIN) return;
+    if (attempt !== current || isInterim(head)) return;
     attempt.head = head;
     const isForOtherAttempt =
       head.callerAttemptId !== undefined && head.callerAttemptId !== request.callerAttemptId;
     if (!isForOtherAttempt) {
       advisories.recordAdvice(attempt.target, head.advice, attempt.sentMs);
     }
-    const isInvalidSuccess = isSuccess(head.status) && (!head.isSigned || head.isEncoded);
+    const isInvalidSuccess = isSuccess(head) && (!head.isSigned || head.isEncoded);
     if (isForOtherAttempt || isInvalidSuccess) {
       failAttempt(attempt, 'spoiled');
       return;
     }
-    if (isStreaming && isSuccess(head.status) && isStreamHead(head)) {
+    if (isStreaming && isSuccess(head) && isStreamHead(head)) {
       attempt.parser = createEventParser();
     }
   }
@@ -446,8 +445,7 @@
       return;
     }
     // A body that is not passed on need not be kept.
-    if (attempt.head === undefined || isRefusal(attempt.head) || canRetryStatus(attempt.head))
-      return;
+    if (attempt.head === undefined || attempt.head.isNotRun || isUnusable(attempt.head)) return;
     if (input.account.tryReserve(chunk.length)) {
       attempt.collected.addChunk(chunk);
       return;
@@ -481,9 +479,10 @@
     });
   }
 
-  /** Whether a target's failure leads to another attempt instead of a response to the caller. */
-  function canRetryStatus(head: ResponseHead): boolean {
-    return mayRunAgain(getState()) && head.status >= HTTP_SERVER_ERROR;
+  /** Whether a target's response fails its attempt, so that it never goes to the caller. */
+  function isUnusable(head: ResponseHead): boolean {
+    const canRetry = mayRunAgain(getState()) && head.status >= HTTP_SERVER_ERROR;
+    return isUnprovenRefusal(head) || canRetry;
   }
 
   function forwardEvents(attempt: Attempt, parser: EventParser, chunk: Buffer): void {
@@ -524,7 +523,7 @@
   function handleEnd(attempt: Attempt, isFramed: boolean): void {
     if (attempt !== current || attempt.head === undefined) return;
     const { head } = attempt;
-    if (isRefusal(head)) {
+    if (head.isNotRun) {
       handleRefusal(attempt, head);
       return;
     }
@@ -532,7 +531,8 @@
       endStream(attempt, attempt.parser, isFramed);
       return;
     }
-    if ((isBodyStarted && !isPassedOn) || canRetryStatus(head)) {
+    if ((isBodyStarted && !isPassedOn) || isUnusable(head)) {
+      markFaulty(attempt, head);
       failAttempt(attempt, `status ${head.status}`);
       return;
     }
@@ -570,12 +570,16 @@
     reportResult(Outcome.Answered, attempt.head?.status);
   }
 
+  /** Suspects the target of a group whose response names the engine at fault. */
+  function markFaulty({ target }: Attempt, { status, faultyTargetId }: ResponseHead): void {
+    if (faultyTargetId === undefined || service.engine === undefined) return;
+    monitor.markSuspect(target.id, `answered ${status}, fault at ${faultyTargetId}`);
+  }
+
   /** Handles a refusal: the target has not run the request, so the attempt does not count. */
   function handleRefusal(attempt: Attempt, head: ResponseHead): void {
     possiblyRunAttempts--;
-    if (head.faultyTargetId !== undefined && service.engine !== undefined) {
-      monitor.markSuspect(attempt.target.id, `refused, fault at ${head.faultyTargetId}`);
-    }
+    markFaulty(attempt, head);
     endAttempt(false);
     retry(`refused with ${head.status}`, FailureReason.RefusedByTarget);
   }
--- a/src/core/peers/delayed-packets.test.ts
+++ b/src/core/peers/delayed-packets.test.ts
@@ -26,6 +26,7 @@
     evidence: NO_EVIDENCE,
     advisories: NO_NOTICES,
     fleetMs,
+    usage: [],
     progress: [
       {
         kind: StoreKind.Configuration,
@@ -66,6 +67,8 @@
       handleSuspects: () => undefined,
       handleEvidence: () => false,
       handleAdvisories: () => false,
+      takeUsage: () => [],
+      handleUsage: () => undefined,
       handleProgress: (_progress, delayMs) => delays.push(delayMs),
     });
     const socket = createSocket('udp4');
--- a/src/core/peers/usage.test.ts
+++ b/src/core/peers/usage.test.ts
@@ -31,6 +31,7 @@
     availabilityZone,
     host,
     port: PORT,
+    linkMbps: 0,
     timers,
     logger: createLogger('test'),
     errorReporter: createErrorReporter(() => undefined),
