Warn of settings that are replaced by usual ones

An operator whose settings file had an unusable limit or bound got a gateway with the platform's usual figure, at the start and at SIGHUP, and no line of the log said so. Figures below zero were used as they were.

Each read of a valid file now logs a warning for each figure that is missing or unusable, with its field, its value and what holds instead.

--- a/src/cli/gateway/run-gateway.ts
+++ b/src/cli/gateway/run-gateway.ts
@@ -9,7 +9,6 @@
   runDaemon,
   runProgram,
 } from '../../core/process/index.ts';
-import { readSettings } from '../../core/settings/index.ts';
 import { createTimerService } from '../../core/timers/index.ts';
 import type { GatewaySettings } from '../../platform/index.ts';
 import {
@@ -17,17 +16,17 @@
   createStoreClient,
   decodeConfiguration,
   decodeTarget,
-  gatewaySettingsSchema,
   platformWireFormat,
   SETTINGS_VARIABLE,
   startAuxiliaryServers,
 } from '../../platform/index.ts';
+import { readGatewaySettings } from './read-gateway-settings.ts';
 
 const logger = createLogger('gateway');
 const errorReporter = createErrorReporter(logger.error);
 
 async function start(file: string, abortSignal: AbortSignal): ReturnType<typeof startGateway> {
-  const readOwnSettings = (): GatewaySettings => readSettings(file, gatewaySettingsSchema);
+  const readOwnSettings = (): GatewaySettings => readGatewaySettings(file, logger);
   const timers = createTimerService((error) => errorReporter.report(ErrorOrigin.Timer, error));
   const settings = await readSettingsAtStart(readOwnSettings, { timers, logger, abortSignal });
   logger.info('read the settings', { file, values: JSON.stringify(settings) });
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -12,42 +12,84 @@
 /** File descriptors of the process if the settings state no usable limit. */
 const DEFAULT_MAX_DESCRIPTORS = 4_096;
 
-const figureSchema = (fallback: number): z.ZodCatch<z.ZodNumber> => z.number().catch(fallback);
-
-/** The platform's usual limits; they hold for what a settings file does not state as a number. */
-const limitsSchema = z.object({
-  cpu_share: figureSchema(1),
-  cores: figureSchema(1),
-  memory_mb: z.number().positive().catch(DEFAULT_MEMORY_MB),
-  max_fds: z.int().positive().catch(DEFAULT_MAX_DESCRIPTORS),
-});
-const boundsSchema = z.object({
-  drain_ms: figureSchema(2_000),
-  config_apply_ms: figureSchema(2_000),
-  evacuation_ms: figureSchema(5_000),
-  grace_s: figureSchema(8),
-  retry_budget_ratio: figureSchema(0.2),
-  budget_window_s: figureSchema(10),
-  retry_budget_slack: figureSchema(0),
-  stall_ms: figureSchema(5_000),
-  ttl_max_s: figureSchema(5),
-});
+/** A value of the settings file that is missing or unusable. */
+export interface ReplacedValue {
+  /** Path in the file, such as `bounds.grace_s`. */
+  field: string;
+  /** What the file states; undefined if the field is missing. */
+  value: unknown;
+  /** What holds instead. */
+  usual: number | boolean;
+}
+
+/** Called with each value that is replaced while a file is decoded. */
+export type ReplacementHandler = (replaced: ReplacedValue) => void;
+
+/** The platform's usual limits; they hold for what a settings file does not state as a usable figure. */
+const FIGURES = {
+  limits: {
+    cpu_share: { schema: z.number().positive(), usual: 1 },
+    cores: { schema: z.number().positive(), usual: 1 },
+    memory_mb: { schema: z.number().positive(), usual: DEFAULT_MEMORY_MB },
+    max_fds: { schema: z.number().int().positive(), usual: DEFAULT_MAX_DESCRIPTORS },
+  },
+  bounds: {
+    drain_ms: { schema: z.number().nonnegative(), usual: 2_000 },
+    config_apply_ms: { schema: z.number().nonnegative(), usual: 2_000 },
+    evacuation_ms: { schema: z.number().nonnegative(), usual: 5_000 },
+    grace_s: { schema: z.number().nonnegative(), usual: 8 },
+    retry_budget_ratio: { schema: z.number().nonnegative(), usual: 0.2 },
+    budget_window_s: { schema: z.number().positive(), usual: 10 },
+    retry_budget_slack: { schema: z.number().nonnegative(), usual: 0 },
+    stall_ms: { schema: z.number().nonnegative(), usual: 5_000 },
+    ttl_max_s: { schema: z.number().nonnegative(), usual: 5 },
+  },
+} as const;
+
+type FigureGroup = keyof typeof FIGURES;
+type FigureSchemas<Group extends FigureGroup> = Record<
+  keyof (typeof FIGURES)[Group],
+  z.ZodCatch<z.ZodNumber>
+>;
+
+/** Builds the schema of a group of figures, none of which is required. */
+function buildFiguresSchema<Group extends FigureGroup>(
+  group: Group,
+  handleReplaced: ReplacementHandler,
+) {
+  const shape = Object.fromEntries(
+    Object.entries(FIGURES[group]).map(([name, { schema, usual }]) => [
+      name,
+      schema.catch(({ value }: { value: unknown }) => {
+        handleReplaced({ field: `${group}.${name}`, value, usual });
+        return usual;
+      }),
+    ]),
+  ) as FigureSchemas<Group>;
+  const schema = z.object(shape);
+  return schema.catch(() => schema.parse({}));
+}
 
 /**
  * Fields of the platform's settings file that the gateway reads; others are ignored. Only names and
  * addresses are required, as a gateway without them could serve nobody.
  */
-const settingsFileSchema = z.object({
-  node: z.string(),
-  ip: z.string(),
-  zone: z.string(),
-  listen: z.object({ front: socketSchema, ready: socketSchema, directory: socketSchema }),
-  internal_port_range: z.tuple([z.number()]).rest(z.unknown()),
-  bootstrap: z.boolean().catch(false),
-  limits: limitsSchema.catch(limitsSchema.parse({})),
-  bounds: boundsSchema.catch(boundsSchema.parse({})),
-  platform: z.object({ address: socketSchema }),
-});
+function buildFileSchema(handleReplaced: ReplacementHandler) {
+  return z.object({
+    node: z.string(),
+    ip: z.string(),
+    zone: z.string(),
+    listen: z.object({ front: socketSchema, ready: socketSchema, directory: socketSchema }),
+    internal_port_range: z.tuple([z.number()]).rest(z.unknown()),
+    bootstrap: z.boolean().catch(({ value }) => {
+      handleReplaced({ field: 'bootstrap', value, usual: false });
+      return false;
+    }),
+    limits: buildFiguresSchema('limits', handleReplaced),
+    bounds: buildFiguresSchema('bounds', handleReplaced),
+    platform: z.object({ address: socketSchema }),
+  });
+}
 
 /** Host and port of an address to listen on or to connect to. */
 export interface SocketAddress {
@@ -110,28 +152,37 @@
   return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
 }
 
-/** Decodes the platform's settings file into the settings of the gateway. */
-export const gatewaySettingsSchema = settingsFileSchema.transform((file): GatewaySettings => ({
-  vmName: file.node,
-  ip: file.ip,
-  availabilityZone: file.zone,
-  capacity: Math.round(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
-  memoryLimitBytes: file.limits.memory_mb * BYTES_PER_MB,
-  maxDescriptors: file.limits.max_fds,
-  callers: parseSocket(file.listen.front),
-  readiness: parseSocket(file.listen.ready),
-  directory: parseSocket(file.listen.directory),
-  peerPort: file.internal_port_range[0],
-  metricsPort: METRICS_PORT,
-  store: parseSocket(file.platform.address),
-  isFirstStart: file.bootstrap,
-  graceMs: file.bounds.grace_s * MS_PER_SECOND,
-  leavingBoundMs: file.bounds.drain_ms,
-  configurationBoundMs: file.bounds.config_apply_ms,
-  evacuationBoundMs: file.bounds.evacuation_ms,
-  retryRatio: file.bounds.retry_budget_ratio,
-  retrySlack: file.bounds.retry_budget_slack,
-  retryWindowMs: file.bounds.budget_window_s * MS_PER_SECOND,
-  stallMs: file.bounds.stall_ms,
-  maxDirectoryTtlMs: file.bounds.ttl_max_s * MS_PER_SECOND,
-}));
+function toGatewaySettings(file: z.infer<ReturnType<typeof buildFileSchema>>): GatewaySettings {
+  return {
+    vmName: file.node,
+    ip: file.ip,
+    availabilityZone: file.zone,
+    capacity: Math.round(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
+    memoryLimitBytes: file.limits.memory_mb * BYTES_PER_MB,
+    maxDescriptors: file.limits.max_fds,
+    callers: parseSocket(file.listen.front),
+    readiness: parseSocket(file.listen.ready),
+    directory: parseSocket(file.listen.directory),
+    peerPort: file.internal_port_range[0],
+    metricsPort: METRICS_PORT,
+    store: parseSocket(file.platform.address),
+    isFirstStart: file.bootstrap,
+    graceMs: file.bounds.grace_s * MS_PER_SECOND,
+    leavingBoundMs: file.bounds.drain_ms,
+    configurationBoundMs: file.bounds.config_apply_ms,
+    evacuationBoundMs: file.bounds.evacuation_ms,
+    retryRatio: file.bounds.retry_budget_ratio,
+    retrySlack: file.bounds.retry_budget_slack,
+    retryWindowMs: file.bounds.budget_window_s * MS_PER_SECOND,
+    stallMs: file.bounds.stall_ms,
+    maxDirectoryTtlMs: file.bounds.ttl_max_s * MS_PER_SECOND,
+  };
+}
+
+/**
+ * Builds the schema that decodes the platform's settings file into the settings of the gateway. Figures that
+ * are missing or unusable are replaced by the platform's usual ones, of which the handler learns.
+ */
+export function buildGatewaySettingsSchema(handleReplaced: ReplacementHandler) {
+  return buildFileSchema(handleReplaced).transform(toGatewaySettings);
+}
