--- a/src/platform/settings.test.ts
+++ b/src/platform/settings.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { DutySettings } from '../core/duties/index.ts';
-import { gatewaySettingsSchema } from './settings.ts';
+import { buildGatewaySettingsSchema } from './settings.ts';
 
 const FILE = {
   node: 'front-1',
@@ -80,7 +80,9 @@
   for (const { name, file, expected } of cases) {
     // Guards against a gateway that does not start, or calls that nobody wants.
     it(`are decoded with ${name}`, () => {
-      expect(gatewaySettingsSchema.parse({ ...FILE, ...file }).duties).toEqual(expected);
+      expect(
+        buildGatewaySettingsSchema(() => undefined).parse({ ...FILE, ...file }).duties,
+      ).toEqual(expected);
     });
   }
 });
