--- a/src/stand-ins/soak/duty-platform.ts
+++ b/src/stand-ins/soak/duty-platform.ts
@@ -13,6 +13,8 @@
   /** Share of the calls that are refused with 429, or whose answers are lost. */
   failureShare: number;
   random(): number;
+  /** Called with the holder of each accepted report, before it is answered. */
+  handleReport(holder: string): void;
 }
 
 /** The part of the platform that accepts calls of duties. */
@@ -36,16 +38,18 @@
         response.writeHead(HTTP_TOO_MANY_REQUESTS).end();
         return;
       }
+      const holder = String(request.headers['x-duty-holder']);
       const { window, counts } = reportSchema.parse(JSON.parse(body));
       observations.dutyCalls.push({
         subject: USAGE_SUBJECT,
-        holder: String(request.headers['x-duty-holder']),
+        holder,
         token: Number(request.headers['x-fencing-token']),
         window,
         counts,
         atMs: timers.getMonotonicMs(),
         wallMs: timers.getWallMs(),
       });
+      options.handleReport(holder);
       if (random() < failureShare / 2) request.socket.destroy();
       else response.writeHead(HTTP_OK).end();
     });
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -15,6 +15,8 @@
 import { findDeadlyPromptViolations, findLimitViolations, findViolations } from './checks.ts';
 import type { SoakEnvironment } from './soak-environment.ts';
 import { buildSoakConfiguration, createSoakEnvironment } from './soak-environment.ts';
+import type { HolderFault, HolderFaultOptions } from './holder-fault.ts';
+import { startHolderFault } from './holder-fault.ts';
 import { injectFaults } from './inject-faults.ts';
 import type { SoakGateway } from './gateways.ts';
 import { startSoakGateway } from './gateways.ts';
@@ -46,6 +48,8 @@
   areEarlySignalsSent?: boolean;
   /** Whether the gateways report the usage of customers. */
   hasDuties?: boolean;
+  /** Fault that hits a holder of the duties once, at the given moment. */
+  holderFault?: Pick<HolderFaultOptions, 'moment' | 'kind'>;
   timers: TimerService;
   /** Folder with the built programs. */
   buildFolder: string;
@@ -64,6 +68,10 @@
   limitedArrivals: number;
   /** Usage windows that the platform accepted. */
   usageWindows: number;
+  /** Windows between the first and the last accepted one that were not reported. */
+  missingWindows: number;
+  /** Whether a holder of the duties was hit. */
+  wasHolderHit: boolean;
   /** Largest resident memory of a gateway, in MB. */
   peakMemoryMb: number;
   /** Longest time for which this process itself was late, in milliseconds. */
@@ -137,6 +145,7 @@
     hasBulkTargets: hasSlowPeers,
     zones: ZONES,
   });
+  let holderFault: HolderFault | undefined;
   const dutyPlatform =
     options.hasDuties === true
       ? await startDutyPlatform({
@@ -145,6 +154,7 @@
           observations,
           failureShare: options.isFaultFree === true ? 0 : DUTY_FAILURE_SHARE,
           random: () => uniformFloat64(peerGenerator),
+          handleReport: (holder) => holderFault?.handleReport(holder),
         })
       : undefined;
   let gateways: SoakGateway[] = [];
@@ -181,6 +191,10 @@
       deadlyShare: options.deadlyShare ?? 0,
     });
     observations.startMs = timers.getMonotonicMs();
+    if (options.holderFault !== undefined) {
+      const fault = { ...options.holderFault, timers, store, gateways, observations };
+      holderFault = startHolderFault(fault);
+    }
     const injected = injectFaults({
       faults,
       timers,
@@ -216,6 +230,7 @@
     await callers.stop();
     loopDelay.disable();
   } finally {
+    holderFault?.stop();
     gateways.forEach(({ stopRestarting }) => stopRestarting());
     await runner.stopAll();
     await Promise.all(gateways.map(({ storeProxy }) => storeProxy.close()));
@@ -224,6 +239,7 @@
     await store.close();
   }
   const offsetMs = timers.getWallMs() - timers.getMonotonicMs();
+  const windows = new Set(observations.dutyCalls.map(({ window }) => window));
   const usageSpan = {
     fromWallMs: observations.startMs + offsetMs + FIRST_HOLDER_MS,
     toWallMs: observations.startMs + offsetMs + durationMs,
@@ -242,7 +258,10 @@
         observations,
         new Map(gateways.map(({ name, callersAddress }) => [name, callersAddress])),
       ),
-      ...(options.hasDuties === true && faults.length === 0 && options.isStoreRestored !== true
+      ...(options.hasDuties === true &&
+      faults.length === 0 &&
+      options.isStoreRestored !== true &&
+      options.holderFault === undefined
         ? findUsageViolations(observations, usageSpan)
         : []),
       ...(hasSlowPeers ? findHangingViolations(observations) : []),
@@ -252,7 +271,10 @@
     ],
     engineCrashes: observations.engineCrashesMs.length,
     limitedArrivals: observations.limitedArrivals.length,
-    usageWindows: new Set(observations.dutyCalls.map(({ window }) => window)).size,
+    usageWindows: windows.size,
+    missingWindows:
+      windows.size === 0 ? 0 : Math.max(...windows) - Math.min(...windows) + 1 - windows.size,
+    wasHolderHit: holderFault?.wasInjected() === true,
     requests: [...observations.requests.keys()].filter(isSound).length,
     answered: answered.length,
     peakMemoryMb: Math.max(...observations.peakMemoryMb.values()),
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createTimerService } from '../../src/core/timers/index.ts';
+import { HolderFaultKind, HolderFaultMoment } from '../../src/stand-ins/soak/holder-fault.ts';
 import { runSoak } from '../../src/stand-ins/soak/run-soak.ts';
 
 /** Seeds that have failed, with the cause, and one that never failed. */
@@ -94,6 +95,24 @@
   }
 });
 
+describe('holder of duties that is lost at the worst moment', () => {
+  for (const moment of Object.values(HolderFaultMoment)) {
+    for (const kind of Object.values(HolderFaultKind)) {
+      // Guards against a window that its successor reports with other counts, or leaves out.
+      it(`leaves its reports to another one after ${kind} when a report is ${moment}`, async () => {
+        const timers = createTimerService();
+        const size = { durationMs: 22_000, gateways: 3, callers: 10, buildFolder: 'dist' };
+        const holderFault = { moment, kind };
+        const options = { ...size, seed: 600_010, isFaultFree: true, hasDuties: true, holderFault };
+        const result = await runSoak({ ...options, timers });
+        expect(result.violations).toEqual([]);
+        expect([result.wasHolderHit, result.missingWindows]).toEqual([true, 0]);
+        expect(result.usageWindows > 4).toEqual(true);
+      });
+    }
+  }
+});
+
 describe('soak of real processes', () => {
   for (const { seed, cause } of SEEDS) {
     it(`breaks no rule under the faults of seed ${seed} (${cause})`, async () => {
