--- a/src/core/peers/packets.ts
+++ b/src/core/peers/packets.ts
@@ -87,6 +87,7 @@
 
 /** Encodes counts; leaves them out if they do not fit, as they are sent again soon. */
 function encodeAllUsage(usage: readonly GatewayUsage[], maxBytes: number): Uint8Array {
+  if (usage.length === 0) return new Uint8Array();
   const message = create(GatewayPacketSchema, { usage: usage.map(encodeUsage) });
   const bytes = toBinary(GatewayPacketSchema, message);
   return bytes.length > maxBytes ? new Uint8Array() : bytes;
