--- a/src/core/scaling/scaling-decisions.test.ts
+++ b/src/core/scaling/scaling-decisions.test.ts
@@ -9,7 +9,7 @@
 const getDrop = (nowMs: number): { large: number; small: number } =>
   nowMs > 40 * SECOND ? { large: 0.5, small: 1 } : getSteadyWork();
 /** Reductions of the engines that are there at the start, one zone after the other. */
-const FIRST_REDUCTIONS = ['5 c 30 > 13', '9 b 30 > 14', '13 a 30 > 17'];
+const FIRST_REDUCTIONS = ['36 c 30 > 13', '40 b 30 > 14', '44 a 30 > 17'];
 
 interface DecisionCase extends Omit<ScalingPlay, 'getBusyGroups'> {
   name: string;
@@ -28,17 +28,16 @@
     },
     {
       name: 'order nothing before any work has arrived',
-      untilMs: 60 * SECOND,
+      untilMs: 80 * SECOND,
       getBusyGroups: () => ({ large: 0, small: 0 }),
       expected: [],
       usable: [30, 30, 30],
     },
     {
-      // Guards against a successor that takes the trough of a wave for all of it.
-      name: 'observe a whole wave and the time of a new engine after another leader',
-      untilMs: 50 * SECOND,
-      hasPredecessor: true,
-      expected: ['36 c 30 > 13', '40 b 30 > 14', '44 a 30 > 17'],
+      // Guards against a new holder that takes the trough of a wave for all of it.
+      name: 'observe the time of a new engine and a wave before the first reduction',
+      untilMs: 35 * SECOND,
+      expected: [],
     },
     {
       name: 'follow less work only after it has been less for as long',
@@ -54,34 +53,34 @@
         large: 1.5,
         small: 5 * (1 + 0.2 * Math.sin((nowMs * 2 * Math.PI) / 11_000)),
       }),
-      expected: ['5 b 30 > 14', '9 c 30 > 14', '13 a 30 > 18'],
+      expected: ['36 b 30 > 14', '40 c 30 > 14', '44 a 30 > 18'],
     },
     {
       name: 'do not follow a peak that is over before an engine could boot',
-      untilMs: 60 * SECOND,
+      untilMs: 80 * SECOND,
       getBusyGroups: (nowMs) =>
-        nowMs > 40 * SECOND && nowMs < 42 * SECOND ? { large: 3, small: 9 } : getSteadyWork(),
+        nowMs > 60 * SECOND && nowMs < 62 * SECOND ? { large: 3, small: 9 } : getSteadyWork(),
       expected: FIRST_REDUCTIONS,
     },
     {
       name: 'follow a burst up at once in all zones',
-      untilMs: 60 * SECOND,
-      getBusyGroups: (nowMs) => (nowMs > 40 * SECOND ? { large: 2.5, small: 9 } : getSteadyWork()),
-      expected: [...FIRST_REDUCTIONS, '43.5 a 17 > 22', '43.5 b 14 > 21', '43.5 c 13 > 21'],
+      untilMs: 80 * SECOND,
+      getBusyGroups: (nowMs) => (nowMs > 60 * SECOND ? { large: 2.5, small: 9 } : getSteadyWork()),
+      expected: [...FIRST_REDUCTIONS, '63.5 a 17 > 22', '63.5 b 14 > 21', '63.5 c 13 > 21'],
       usable: [22, 21, 21],
     },
     {
       name: 'order the engines of a lost domain again',
-      untilMs: 60 * SECOND,
-      lostDomains: { a0: 40 * SECOND },
-      expected: [...FIRST_REDUCTIONS, '42.5 a 17 > 17'],
+      untilMs: 80 * SECOND,
+      lostDomains: { a0: 60 * SECOND },
+      expected: [...FIRST_REDUCTIONS, '62.5 a 17 > 17'],
       usable: [17, 14, 13],
     },
     {
       name: 'neither reduce nor extend the others when a zone is lost, and repeat its number seldom',
-      untilMs: 60 * SECOND,
-      lostDomains: { a0: 40 * SECOND, a1: 40 * SECOND },
-      expected: [...FIRST_REDUCTIONS, '42.5 a 17 > 17', '57.5 a 17 > 17'],
+      untilMs: 80 * SECOND,
+      lostDomains: { a0: 60 * SECOND, a1: 60 * SECOND },
+      expected: [...FIRST_REDUCTIONS, '62.5 a 17 > 17', '77.5 a 17 > 17'],
       usable: [0, 14, 13],
     },
     {
@@ -92,32 +91,32 @@
     },
     {
       name: 'send an order again that was not accepted, at least two seconds later',
-      untilMs: 30 * SECOND,
+      untilMs: 60 * SECOND,
       answerOrder: (_decision, nowMs) =>
-        nowMs < 8 * SECOND ? OrderAnswer.Failed : OrderAnswer.Accepted,
-      expected: ['5 c 30 > 13', '9 c 30 > 13', '13 b 30 > 14', '17 a 30 > 17'],
+        nowMs < 38 * SECOND ? OrderAnswer.Failed : OrderAnswer.Accepted,
+      expected: ['36 c 30 > 13', '40 c 30 > 13', '44 b 30 > 14', '48 a 30 > 17'],
       usable: [17, 14, 13],
     },
     {
       name: 'take what exists for the result of an order whose response was lost',
-      untilMs: 30 * SECOND,
+      untilMs: 60 * SECOND,
       answerOrder: () => OrderAnswer.ResponseLost,
       expected: FIRST_REDUCTIONS,
       usable: [17, 14, 13],
     },
     {
       name: 'do not repeat a rejected order, and go on with the other zones',
-      untilMs: 30 * SECOND,
+      untilMs: 60 * SECOND,
       answerOrder: ({ zone }) => (zone === 'c' ? OrderAnswer.Rejected : OrderAnswer.Accepted),
-      expected: ['5 c 30 > 13', '5.5 b 30 > 14', '9.5 a 30 > 17'],
+      expected: ['36 c 30 > 13', '36.5 b 30 > 14', '40.5 a 30 > 17'],
       usable: [17, 14, 30],
     },
     {
       // Guards against taking groups away whose work no other zone is meant to carry.
       name: 'take one group at a time where no zone may be lost',
-      untilMs: 34 * SECOND,
+      untilMs: 44 * SECOND,
       toleratedZones: 0,
-      expected: ['5 a 30 > 28', '9 b 30 > 28', '13 c 30 > 28'],
+      expected: ['36 a 30 > 28', '40 a 28 > 26', '44 a 26 > 24'],
     },
   ];
   for (const { name, expected, usable, getBusyGroups = getSteadyWork, ...play } of cases) {
@@ -134,9 +133,9 @@
 
   it('say why a number is ordered', () => {
     const { orders } = playScaling({
-      untilMs: 60 * SECOND,
-      getBusyGroups: (nowMs) => (nowMs > 20 * SECOND ? { large: 3, small: 9 } : getSteadyWork()),
-      lostDomains: { a0: 50 * SECOND },
+      untilMs: 80 * SECOND,
+      getBusyGroups: (nowMs) => (nowMs > 50 * SECOND ? { large: 3, small: 9 } : getSteadyWork()),
+      lostDomains: { a0: 70 * SECOND },
     });
     const reasons = new Set(orders.map(({ reason }) => reason));
     expect([...reasons]).toEqual([
--- a/src/core/scaling/scaling-decisions.ts
+++ b/src/core/scaling/scaling-decisions.ts
@@ -15,8 +15,6 @@
   /** Groups that the present work keeps busy all the time, by model. */
   busyGroups: Needs;
   toleratedZones: number;
-  /** Whether an earlier leader may have ordered targets. */
-  hasPredecessor: boolean;
 }
 
 /** Decides how many targets of one service to order; its state is that of one holder. */
@@ -35,8 +33,6 @@
 const HEADROOM = 1.1;
 /** Time for which more must be needed before more is ordered: no engine comes in time for a burst. */
 const INCREASE_HOLD_MS = 3_000;
-/** Time for which the demand is observed before the first reduction. */
-const FIRST_OBSERVATION_MS = 5_000;
 /** Length of a usual wave of the demand. */
 const WAVE_MS = 10_000;
 /** Minimum time between two orders for one zone. */
@@ -134,24 +130,17 @@
       return countUsableEngines(zone) >= (counts.get(zone.name)?.leastCount ?? 0);
     });
 
-  /** Returns the time for which the demand must have been lower before a zone is reduced. */
-  const computeHoldMs = (observation: ScalingObservation, zone: ScalingZone): number => {
-    const { spec, scaling, hasPredecessor } = observation;
-    const isFirst = !hasPredecessor && getRecord(zone.name).targetCount === undefined;
-    return isFirst ? FIRST_OBSERVATION_MS : computeReadyMs(spec, scaling) + WAVE_MS;
-  };
-
   /** Plans the one zone that may be reduced now, that with the most engines too many. */
   const planReduction = (observation: ScalingObservation): ScaleDecision[] => {
-    const { nowMs, zones, spec, toleratedZones } = observation;
+    const { nowMs, zones, spec, scaling, toleratedZones } = observation;
+    const holdMs = computeReadyMs(spec, scaling) + WAVE_MS;
+    if (history.getKnownMs(nowMs) < holdMs) return [];
     if (nowMs - lastReductionMs < SETTLE_MS) return [];
     if (zones.some(({ leavingEngines }) => leavingEngines > 0)) return [];
+    const neededGroups = history.computePeak(nowMs, holdMs);
+    const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups });
     const candidates = zones.flatMap((zone): ScaleDecision[] => {
-      const holdMs = computeHoldMs(observation, zone);
-      if (isZoneLost(zone) || history.getKnownMs(nowMs) < holdMs) return [];
-      const neededGroups = history.computePeak(nowMs, holdMs);
-      const counts = planTargetCounts({ ...observation, models: spec.models, neededGroups });
-      if (!areOthersComplete(observation, counts, zone.name)) return [];
+      if (isZoneLost(zone) || !areOthersComplete(observation, counts, zone.name)) return [];
       const previousCount = getBaseCount(zone);
       // Without other zones that may take over its work, a zone loses one group at a time. Otherwise a
       // reduction is worth the new groups of the zone only if it is large.
--- a/src/core/scaling/start-scaling.test.ts
+++ b/src/core/scaling/start-scaling.test.ts
@@ -50,7 +50,6 @@
     getDemand: () => ({ requestsPerSecond: 20, durationMs: 900 }),
     isZoneEvacuated: () => false,
     isTargetCopyFresh: () => state.isFresh,
-    hasPredecessor: () => false,
     getHolder: () => state.holder,
     orderTargetCount(holder, order) {
       orders.push({ order, token: holder.token });
@@ -75,7 +74,7 @@
     await timers.runForAsync(20_000, 250);
     expect(orders).toEqual([]);
     state.holder = HOLDER;
-    await timers.runForAsync(6_000, 250);
+    await timers.runForAsync(37_000, 250);
     expect(orders).toEqual([{ order: FIRST_ORDER, token: 3 }]);
     expect(results).toEqual([DutyCallResult.Accepted]);
     scaling.stop();
@@ -84,7 +83,7 @@
   it('ends with the duty', async () => {
     const { timers, orders, state, scaling } = createTestScaling();
     state.holder = HOLDER;
-    await timers.runForAsync(4_000, 250);
+    await timers.runForAsync(30_000, 250);
     state.holder = undefined;
     await timers.runForAsync(60_000, 250);
     expect(orders).toEqual([]);
@@ -95,11 +94,11 @@
   it('observes anew under a new token', async () => {
     const { timers, orders, state, scaling } = createTestScaling();
     state.holder = HOLDER;
-    await timers.runForAsync(4_000, 250);
+    await timers.runForAsync(30_000, 250);
     state.holder = { ...HOLDER, token: 5 };
-    await timers.runForAsync(4_000, 250);
+    await timers.runForAsync(30_000, 250);
     expect(orders).toEqual([]);
-    await timers.runForAsync(3_000, 250);
+    await timers.runForAsync(7_500, 250);
     expect(orders).toEqual([{ order: FIRST_ORDER, token: 5 }]);
     scaling.stop();
   });
@@ -108,7 +107,7 @@
     const { timers, orders, state, scaling } = createTestScaling();
     state.holder = HOLDER;
     state.isFresh = false;
-    await timers.runForAsync(30_000, 250);
+    await timers.runForAsync(60_000, 250);
     expect(orders).toEqual([]);
     scaling.stop();
   });
@@ -137,7 +136,7 @@
     state.holder = HOLDER;
     const { promise } = createPending();
     state.answer = () => promise;
-    await timers.runForAsync(30_000, 250);
+    await timers.runForAsync(60_000, 250);
     const zones = orders.map(({ order }) => order.availabilityZone);
     expect(zones.length).toEqual(new Set(zones).size);
     scaling.stop();
@@ -147,7 +146,7 @@
     const { timers, orders, warnings, state, scaling } = createTestScaling();
     state.holder = HOLDER;
     state.answer = () => Promise.reject(new Error('test'));
-    await timers.runForAsync(10_000, 250);
+    await timers.runForAsync(42_000, 250);
     expect(orders.length > 1).toEqual(true);
     expect(new Set(warnings)).toEqual(new Set(['failed to order targets']));
     scaling.stop();
@@ -166,7 +165,7 @@
     it(`leaves a service alone ${name}`, async () => {
       const { timers, orders, warnings, state, scaling } = createTestScaling(service);
       state.holder = HOLDER;
-      await timers.runForAsync(30_000, 250);
+      await timers.runForAsync(60_000, 250);
       expect(orders).toEqual([]);
       expect(warnings.length).toEqual(expected);
       scaling.stop();
--- a/src/core/scaling/start-scaling.ts
+++ b/src/core/scaling/start-scaling.ts
@@ -22,8 +22,6 @@
   isZoneEvacuated(availabilityZone: string): boolean;
   /** Whether the local copy of the target entries is recent enough to act on. */
   isTargetCopyFresh(): boolean;
-  /** Whether another leader may have acted before the current term. */
-  hasPredecessor(): boolean;
   /** Returns the holder of the duties if it is this process and it may make calls now. */
   getHolder(): DutyHolder | undefined;
   orderTargetCount(holder: DutyHolder, order: ScaleOrder): Promise<DutyCallResult>;
@@ -151,7 +149,6 @@
       zones,
       busyGroups,
       toleratedZones: options.getToleratedZones(),
-      hasPredecessor: options.hasPredecessor(),
     });
     const context = {
       busyGroups: formatNeeds(busyGroups),
