--- a/src/platform/settings.test.ts
+++ b/src/platform/settings.test.ts
@@ -84,3 +84,19 @@
     });
   }
 });
+
+describe('settings of the losses to bear', () => {
+  const cases = [
+    { name: 'none, as in earlier deployments', file: {}, expected: 1 },
+    { name: 'no zone', file: { tolerate: { zones: 0 } }, expected: 0 },
+    { name: 'two zones', file: { tolerate: { machines: 2, zones: 2 } }, expected: 2 },
+    { name: 'a negative number', file: { tolerate: { zones: -1 } }, expected: 1 },
+    { name: 'text', file: { tolerate: 'all' }, expected: 1 },
+  ];
+  for (const { name, file, expected } of cases) {
+    it(`are decoded from ${name}`, () => {
+      const settings = gatewaySettingsSchema.parse({ ...FILE, ...file });
+      expect(settings.toleratedZones).toEqual(expected);
+    });
+  }
+});
