Divide the slots that seem free among the gateways that want them

Cause: gateways know each other's requests some hundred ms late. Change: a gateway takes its part of the slots that seem free in each time that a report needs, divided among as many gateways as have requests in that time; a request waits if the next part comes in time. The slots that are a gateway's own are not bounded.

--- a/src/core/advisories/leaving.test.ts
+++ b/src/core/advisories/leaving.test.ts
@@ -37,6 +37,7 @@
     advisories,
     isZoneEvacuated: () => false,
     getPosition: () => ({ index: 0, count: 1 }),
+    getRequestsPerSecond: () => 0,
     random: () => 0,
   });
   const choose = (): string | undefined =>
--- a/src/core/forwarding/choose-target.test.ts
+++ b/src/core/forwarding/choose-target.test.ts
@@ -38,6 +38,7 @@
       advisories: createTestAdvisories(timers),
       isZoneEvacuated: () => false,
       getPosition: () => ({ index, count }),
+      getRequestsPerSecond: () => 0,
       random,
     });
   });
--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -1,8 +1,14 @@
 import type { Advisories } from '../advisories/index.ts';
 import type { EngineGroup, Fleet, Target, TargetMonitor } from '../fleet/index.ts';
 import { computeTargetHash, GroupState, areAllMembersOperational } from '../fleet/index.ts';
-import type { Position } from '../placement/index.ts';
-import { computeBorrowableShare, computeOwnSlots } from '../placement/index.ts';
+import type { FreeSlots, PlaceKey, Position } from '../placement/index.ts';
+import {
+  computeBorrowableShare,
+  computeBorrowEveryMs,
+  computeOwnSlots,
+  createBorrowing,
+  formatRequestKey,
+} from '../placement/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 
@@ -16,6 +22,8 @@
   isZoneEvacuated(availabilityZone: string): boolean;
   /** Returns the position of this gateway among all; they share the limits of cold targets. */
   getPosition(): Position;
+  /** Returns the rate of the requests of all gateways that compete for the places of a key. */
+  getRequestsPerSecond(key: PlaceKey): number;
   /** Returns a random number from 0 to 1, to break ties and to draw samples. */
   random(): number;
 }
@@ -34,6 +42,8 @@
   targetCount: number;
   /** Requests at once; a target with a limit counts as the slots that its requests fill. */
   slots: number;
+  /** Mean time between two slots that this gateway may borrow; Infinity if none is free. */
+  borrowEveryMs: number;
   /** Whether each of the targets limits its requests, or wants none for a time. */
   areAllLimited: boolean;
   /** Time until the first target takes requests again, in ms; 0 if one does now. */
@@ -85,6 +95,7 @@
  */
 export function createTargetChooser(options: TargetChooserOptions): TargetChooser {
   const { timers, fleet, monitor, advisories, isZoneEvacuated, getPosition, random } = options;
+  const borrowing = createBorrowing(timers);
   /** Monotonic times of the sends to cold targets within the window, by target. */
   const coldSends = new Map<string, number[]>();
 
@@ -197,24 +208,52 @@
     });
   };
 
+  /** Computes the free slots of targets, up to a number of slots of each. */
+  const computeFreeSlots = (
+    { service, model }: TargetQuery,
+    targets: readonly Target[],
+    slots: number,
+  ): FreeSlots => ({
+    slots: targets.reduce((sum, { id }) => sum + Math.max(0, slots - monitor.countInFlight(id)), 0),
+    gateways: getPosition().count,
+    requestsPerSecond: options.getRequestsPerSecond(formatRequestKey(service, model)),
+  });
+
+  /**
+   * Lists engines with free slots that are not this gateway's own, in random order; none if it has
+   * taken its part of these slots, as the other gateways' requests are known late.
+   */
+  const listBorrowable = (
+    query: TargetQuery,
+    targets: readonly Target[],
+    unlimitedCount: number,
+    slots: number,
+  ): Target[] => {
+    const borrowableSlots =
+      slots * computeBorrowableShare(unlimitedCount * slots, getPosition().count);
+    const free = targets.filter(({ id }) => monitor.countInFlight(id) < borrowableSlots);
+    if (free.length === 0) return [];
+    const key = formatRequestKey(query.service, query.model);
+    const mayBorrow = borrowing.takeSlot(key, computeFreeSlots(query, free, slots));
+    return mayBorrow ? shuffleTargets(free) : [];
+  };
+
   /**
    * Orders engines by preference: those with a slot of this gateway's own, then one of two picked at
-   * random that seem to have a free slot, then the least loaded ones.
+   * random that seem to have a free slot; a request that was begun goes to any.
    */
   const orderEngines = (
+    query: TargetQuery,
     targets: readonly Target[],
     all: readonly Target[],
     slots: number,
-    isAnyLoadAllowed: boolean,
   ): Target[] => {
     const unlimited = all.filter((target) => !isLimited(target));
     const own = rankTargets(listWithOwnSlot(targets, unlimited, slots));
-    const sharedSlots = unlimited.length * slots;
-    const borrowableSlots = slots * computeBorrowableShare(sharedSlots, getPosition().count);
-    const borrowable = targets.filter(({ id }) => monitor.countInFlight(id) < borrowableSlots);
-    const shuffled = shuffleTargets(borrowable);
-    const sample = rankTargets(shuffled.slice(0, SAMPLED_TARGET_COUNT));
-    return [...own, ...sample, ...shuffled, ...(isAnyLoadAllowed ? rankTargets(targets) : [])];
+    const shared = own.length > 0 ? [] : listBorrowable(query, targets, unlimited.length, slots);
+    const sample = rankTargets(shared.slice(0, SAMPLED_TARGET_COUNT));
+    const isAnyLoadAllowed = query.maxInFlight === undefined;
+    return [...own, ...sample, ...shared, ...(isAnyLoadAllowed ? rankTargets(targets) : [])];
   };
 
   /** Leaves out the suspect and the tried targets; suspect ones remain if there are no others. */
@@ -241,6 +280,9 @@
       return {
         targetCount: targets.length,
         pauseMs: targets.length === 0 ? 0 : pauseMs,
+        borrowEveryMs: computeBorrowEveryMs(
+          computeFreeSlots(query, active, query.service.engine?.slots ?? 0),
+        ),
         slots: limits.reduce<number>((sum, limit) => {
           const filled = limit === undefined ? slots : (limit * durationMs) / MS_PER_SECOND;
           return sum + Math.min(slots, filled);
@@ -256,7 +298,7 @@
       const ordered =
         engine === undefined
           ? orderPlainTargets(withPlace)
-          : orderEngines(withPlace, usable, engine.slots, query.maxInFlight === undefined);
+          : orderEngines(query, withPlace, usable, engine.slots);
       return ordered.find((target) => reserveRequest(target, query.service));
     },
   };
--- a/src/core/forwarding/request-placement.test.ts
+++ b/src/core/forwarding/request-placement.test.ts
@@ -80,7 +80,13 @@
     chooser: {
       chooseTarget: () => undefined,
       countReadyTargets: () => 0,
-      computeCapacity: () => ({ targetCount: 0, slots: 0, pauseMs: 0, areAllLimited: false }),
+      computeCapacity: () => ({
+        targetCount: 0,
+        slots: 0,
+        borrowEveryMs: Infinity,
+        pauseMs: 0,
+        areAllLimited: false,
+      }),
     },
     ...createPlacementState(timers),
     countGateways: () => 1,
--- a/src/core/forwarding/request-placement.ts
+++ b/src/core/forwarding/request-placement.ts
@@ -120,14 +120,16 @@
   const computeCapacity = (query: TargetQuery): TargetCapacity =>
     chooser.computeCapacity(query, serviceTimes.getDurationMs(key));
 
-  /** Returns the time in which this gateway's share of the slots serves some requests, in ms. */
-  const getServingMs = ({ slots }: TargetCapacity, requests: number): number =>
-    computeExpectedWaitMs({
-      ahead: requests - 1,
+  /** Returns the mean time between two slots that are free for this gateway, its own or others. */
+  const getSlotEveryMs = ({ slots, borrowEveryMs }: TargetCapacity): number => {
+    const ownEveryMs = computeExpectedWaitMs({
+      ahead: 0,
       totalSlots: slots,
       durationMs: serviceTimes.getDurationMs(key),
       gateways: options.countGateways(),
     });
+    return Math.min(ownEveryMs, borrowEveryMs);
+  };
 
   const buildLoad = (): WaitingLoad | undefined =>
     service.engine && {
@@ -149,7 +151,7 @@
 
   const getLineMs = (capacity: TargetCapacity): number => {
     const ahead = lines.countAhead(key, { ...buildRank(), giveUpMs: getSlackEndMs() });
-    return capacity.pauseMs + getServingMs(capacity, ahead + 1);
+    return capacity.pauseMs + (ahead + 1) * getSlotEveryMs(capacity);
   };
 
   return {
@@ -189,7 +191,7 @@
       const { isAdmitted, displaced } = planArrival(
         lines.listWaiting(key),
         { ...buildRank(), giveUpMs },
-        { nowMs: now, pauseMs: capacity.pauseMs, slotEveryMs: getServingMs(capacity, 1) },
+        { nowMs: now, pauseMs: capacity.pauseMs, slotEveryMs: getSlotEveryMs(capacity) },
         shares.isOwed,
       );
       const reason = areAllLimited ? FailureReason.TargetsLimited : FailureReason.TargetsFull;
@@ -208,7 +210,7 @@
           ? options.returns.assignReturnMs(key, {
               nowMs: now,
               lineMs,
-              slotEveryMs: getServingMs(capacity, 1),
+              slotEveryMs: getSlotEveryMs(capacity),
               durationMs,
               maxMs: Math.max(0, input.dueMs - now) * MAX_RETURN_SHARE,
               random,
--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -12,12 +12,12 @@
 import type { ModelDemand } from '../formation/index.ts';
 import { startFormation } from '../formation/index.ts';
 import { createRetryBudget, createTargetChooser, createTargetClient } from '../forwarding/index.ts';
-import type { Demand } from '../placement/index.ts';
+import type { Demand, PlaceKey } from '../placement/index.ts';
 import {
+  computeRequestsPerSecond,
   createDemandMeter,
   createPlacementState,
   formatPlaceKey,
-  sumDemands,
 } from '../placement/index.ts';
 import { createQuarantine, NO_EVIDENCE } from '../quarantine/index.ts';
 import { selectByRendezvous } from '../rendezvous/index.ts';
@@ -180,9 +180,7 @@
     maxConnections: connectionLimits[ConnectionKind.Targets],
   });
   connections.setCounter(ConnectionKind.Targets, client.countConnections);
-  const { countGateways } = peerExchange;
-  const { isZoneEvacuated } = storeView;
-  const { getPosition } = peerExchange;
+  const { countGateways, getPosition } = peerExchange;
   const requestLog = createRequestLog(logger, timers, metrics);
   const advisories = createAdvisories({
     timers,
@@ -194,13 +192,18 @@
     handleLeaving: (target) => logger.info('a target says that it is leaving', { target }),
     sendNow: peerExchange.sendNow,
   });
+  const demandMeter = createDemandMeter(timers);
+  let otherDemands: Demand[] = [];
+  const getRequestsPerSecond = (key: PlaceKey): number =>
+    computeRequestsPerSecond([demandMeter.listDemands(), otherDemands], key);
   const chooser = createTargetChooser({
     timers,
     fleet,
     monitor,
     advisories,
-    isZoneEvacuated,
+    isZoneEvacuated: storeView.isZoneEvacuated,
     getPosition,
+    getRequestsPerSecond,
     random,
   });
   const budget = createRetryBudget({
@@ -211,13 +214,10 @@
     countGateways,
   });
   const placement = createPlacementState(timers);
-  const demandMeter = createDemandMeter(timers);
-  let otherDemands: Demand[] = [];
   const getDemand = (service: string, model: string): ModelDemand => {
-    const wanted = formatPlaceKey(service, model);
-    const demands = sumDemands([demandMeter.listDemands(), otherDemands]);
-    const requestsPerSecond = demands.find(({ key }) => key === wanted)?.requestsPerSecond ?? 0;
-    return { requestsPerSecond, durationMs: placement.serviceTimes.getDurationMs(wanted) };
+    const key = formatPlaceKey(service, model);
+    const durationMs = placement.serviceTimes.getDurationMs(key);
+    return { requestsPerSecond: getRequestsPerSecond(key), durationMs };
   };
   const quarantine = createQuarantine({
     timers,
@@ -268,7 +268,7 @@
       timers.getMonotonicMs() - (targetFeed.getConfirmedMs() ?? -Infinity) < MAX_TARGET_COPY_AGE_MS,
     isInitialFormationOver: () =>
       !settings.isFirstStart || havePeersReceivedRequests || handler.hasReceivedRequests(),
-    isZoneEvacuated,
+    isZoneEvacuated: storeView.isZoneEvacuated,
     countInFlight: monitor.countInFlight,
     getDemand,
     hasRequestsOfOtherGateways: monitor.hasRequestsOfOtherGateways,
@@ -376,7 +376,7 @@
   };
 
   const getGaugeValues = (): GaugeValues => ({
-    targets: countTargets(fleet, isZoneEvacuated),
+    targets: countTargets(fleet, storeView.isZoneEvacuated),
     groups: countGroups(
       fleet,
       listServices().map(({ name }) => name),
--- a/src/core/placement/demand.test.ts
+++ b/src/core/placement/demand.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createManualTimers } from '../timers/index.ts';
-import { createDemandMeter } from './demand.ts';
+import { computeRequestsPerSecond, createDemandMeter } from './demand.ts';
 
 describe('demand meter', () => {
   it('measures the rate of the last seconds', () => {
@@ -12,6 +12,11 @@
       timers.runFor(100);
     }
     expect(meter.listDemands()).toEqual([{ key: 's/m', requestsPerSecond: 10 }]);
+    const others = [
+      { key: 's/m', requestsPerSecond: 5 },
+      { key: 's/n', requestsPerSecond: 7 },
+    ];
+    expect(computeRequestsPerSecond([meter.listDemands(), others], 's/m')).toEqual(15);
     timers.runFor(10_000);
     expect(meter.listDemands()).toEqual([]);
   });
--- a/src/core/placement/demand.ts
+++ b/src/core/placement/demand.ts
@@ -55,6 +55,17 @@
   };
 }
 
+/** Returns the sum of the rates for one key, in requests per second. */
+export function computeRequestsPerSecond(
+  lists: readonly (readonly Demand[])[],
+  wanted: PlaceKey,
+): number {
+  return lists
+    .flat()
+    .filter(({ key }) => key === wanted)
+    .reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond, 0);
+}
+
 /** Sums the rates by key. */
 export function sumDemands(lists: readonly (readonly Demand[])[]): Demand[] {
   const totals = new Map<PlaceKey, number>();
--- a/test/bounds/targets.test.ts
+++ b/test/bounds/targets.test.ts
@@ -41,6 +41,7 @@
       advisories,
       isZoneEvacuated: () => false,
       getPosition: () => position,
+      getRequestsPerSecond: () => 0,
       random: () => 0.5,
     });
     const playTarget = (index: number): void => {
