--- a/src/core/gateway/create-gateway.ts
+++ b/src/core/gateway/create-gateway.ts
@@ -187,9 +187,7 @@
     maxConnections: connectionLimits[ConnectionKind.Targets],
   });
   connections.setCounter(ConnectionKind.Targets, client.countConnections);
-  const { countGateways } = peerExchange;
-  const { isZoneEvacuated } = storeView;
-  const { getPosition } = peerExchange;
+  const { countGateways, getPosition } = peerExchange;
   const requestLog = createRequestLog(logger, timers, metrics);
   const advisories = createAdvisories({
     timers,
@@ -201,13 +199,20 @@
     handleLeaving: (target) => logger.info('a target says that it is leaving', { target }),
     sendNow: peerExchange.sendNow,
   });
+  const placement = createPlacementState(timers);
+  const demandMeter = createDemandMeter(timers);
+  const { getDemand, getRequestsPerSecond, setOtherDemands } = createDemandView(
+    demandMeter,
+    placement.serviceTimes,
+  );
   const chooser = createTargetChooser({
     timers,
     fleet,
     monitor,
     advisories,
-    isZoneEvacuated,
+    isZoneEvacuated: storeView.isZoneEvacuated,
     getPosition,
+    getRequestsPerSecond,
     random,
   });
   const budget = createRetryBudget({
@@ -217,9 +222,6 @@
     windowMs: settings.retryWindowMs,
     countGateways,
   });
-  const placement = createPlacementState(timers);
-  const demandMeter = createDemandMeter(timers);
-  const { getDemand, setOtherDemands } = createDemandView(demandMeter, placement.serviceTimes);
   const quarantine = createQuarantine({
     timers,
     probeListener: client.probeListener,
@@ -267,7 +269,7 @@
     hasPredecessor: leaderElection.hasPredecessor,
     isTargetCopyFresh: () =>
       storeView.areTargetsCurrent() && copies.isCurrent(StoreKind.Targets, MAX_TARGET_COPY_AGE_MS),
-    isZoneEvacuated,
+    isZoneEvacuated: storeView.isZoneEvacuated,
     getDemand,
   };
   const stopScaling = startGatewayScaling({
@@ -381,7 +383,7 @@
   });
 
   const getGaugeValues = (): GaugeValues => ({
-    targets: countTargets(fleet, isZoneEvacuated),
+    targets: countTargets(fleet, storeView.isZoneEvacuated),
     groups: countGroups(
       fleet,
       listServices().map(({ name }) => name),
--- a/src/core/placement/demand-view.ts
+++ b/src/core/placement/demand-view.ts
@@ -1,12 +1,15 @@
 import type { ModelDemand } from '../work/index.ts';
-import { sumDemands } from './demand.ts';
+import { computeRequestsPerSecond, sumDemands } from './demand.ts';
 import type { Demand, DemandMeter } from './demand.ts';
 import { formatPlaceKey } from './place-key.ts';
+import type { PlaceKey } from './types.ts';
 import type { ServiceTimes } from './service-times.ts';
 
 /** The demand that all gateways receive together, as this gateway knows it. */
 export interface DemandView {
   getDemand(service: string, model: string): ModelDemand;
+  /** Returns the rate of the requests for one key, in requests per second. */
+  getRequestsPerSecond(key: PlaceKey): number;
   /** Sets what the other gateways report. */
   setOtherDemands(demands: readonly Demand[]): void;
 }
@@ -36,6 +39,8 @@
         answerEvents: computeMean(demand?.eventsPerSecond ?? 0, demand?.answersPerSecond ?? 0),
       };
     },
+    getRequestsPerSecond: (key) =>
+      computeRequestsPerSecond([meter.listDemands(), otherDemands], key),
     setOtherDemands(demands) {
       otherDemands = demands;
     },
--- a/src/core/placement/demand.test.ts
+++ b/src/core/placement/demand.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createManualTimers } from '../timers/index.ts';
-import { computeRemainingDemands, createDemandMeter } from './demand.ts';
+import { computeRemainingDemands, computeRequestsPerSecond, createDemandMeter } from './demand.ts';
 import { createDemandView } from './demand-view.ts';
 
 const DEMAND = {
@@ -22,6 +22,11 @@
       timers.runFor(100);
     }
     expect(meter.listDemands()).toEqual([DEMAND]);
+    const others = [
+      { ...DEMAND, requestsPerSecond: 5 },
+      { ...DEMAND, key: 's/n' },
+    ];
+    expect(computeRequestsPerSecond([meter.listDemands(), others], 's/m')).toEqual(15);
     timers.runFor(10_000);
     expect(meter.listDemands()).toEqual([]);
   });
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -5,6 +5,8 @@
   RefusalCause,
 } from './admission.ts';
 export { planArrival } from './displacement.ts';
+export { computeBorrowEveryMs, createBorrowing } from './borrowing.ts';
+export type { FreeSlots } from './borrowing.ts';
 export { computeBorrowableShare, computeOwnSlots } from './own-places.ts';
 export type { Position } from './own-places.ts';
 export { createPlacementState } from './placement-state.ts';
--- a/src/platform/settings.test.ts
+++ b/src/platform/settings.test.ts
@@ -97,7 +97,7 @@
   ];
   for (const { name, file, expected } of cases) {
     it(`are decoded from ${name}`, () => {
-      const settings = gatewaySettingsSchema.parse({ ...FILE, ...file });
+      const settings = buildGatewaySettingsSchema(() => undefined).parse({ ...FILE, ...file });
       expect(settings.toleratedZones).toEqual(expected);
     });
   }
