Take no bytes without a status of HTTP for an answer

A caller got status 600 or 999 of a target, with its signature, as an answer; an order of an engine with such a status counted as refused although it may be carried out, and the entry daemon passed such answers on.

Only 100 to 599 are statuses; other heads are spoiled: the attempt has failed and may have run, before and inside streams and at second attempts. Orders get an unknown result, calls of the entry daemon a broken connection. Reports, the store and the object API took such a status for no result before (by reading, and a case for reports).

--- a/src/core/forwarding/forward-request.test.ts
+++ b/src/core/forwarding/forward-request.test.ts
@@ -219,6 +219,49 @@
     });
   }
 
+  // Guards against bytes that are no answer, passed on to a caller as one (MIXED).
+  for (const status of [0, 99, 600, 999]) {
+    for (const { kind, isResumable, sends } of unprovenKinds) {
+      it(`never forwards status ${status} of a ${kind} request, resumable ${isResumable}, at any attempt`, () => {
+        const harness = startTestForwarding({ kind, isResumable, maxAttempts: 2 });
+        for (let index = 0; index < sends; index++) {
+          const { listener } = acceptSend(harness, index);
+          listener.handleHead({ ...RESPONSE_HEAD, status });
+          listener.handleData(Buffer.from('spoiled'));
+          listener.handleEnd(true);
+        }
+        expect(harness.sends.length).toEqual(sends);
+        expect(harness.caller).toEqual({ status: 502, body: '', isEnded: true, isAborted: false });
+        expect(harness.getResult()?.lastFailure).toEqual('spoiled');
+      });
+    }
+
+    it(`never joins an answer of status ${status} to the events of a stream that it resumes`, () => {
+      const harness = startTestForwarding({ kind: RequestKind.Streaming });
+      const first = acceptSend(harness, 0);
+      first.listener.handleHead(STREAM_HEAD);
+      first.listener.handleData(buildEvent(1));
+      first.listener.handleError(SendFailure.Sent, 'reset');
+      const second = acceptSend(harness, 1);
+      second.listener.handleHead({ ...STREAM_HEAD, status });
+      second.listener.handleData(buildEvent(2));
+      second.listener.handleEnd(true);
+      expect(harness.caller.body).toEqual(buildEvent(1).toString());
+      expect(harness.caller.isAborted).toEqual(true);
+    });
+  }
+
+  it('waits for the final answer behind interim ones', () => {
+    const harness = startTestForwarding({ kind: RequestKind.NonIdempotent });
+    const { listener } = acceptSend(harness, 0);
+    [100, 102, 103, 199].forEach((status) => listener.handleHead({ ...RESPONSE_HEAD, status }));
+    expect(harness.caller.status).toEqual(undefined);
+    listener.handleHead(RESPONSE_HEAD);
+    listener.handleData(Buffer.from('whole'));
+    listener.handleEnd(true);
+    expect(harness.caller.body).toEqual('whole');
+  });
+
   // Guards against taking a target that trickles for one that answers, and against repeating a large
   // response that advances.
   const trickles = [
--- a/src/core/forwarding/forward-request.ts
+++ b/src/core/forwarding/forward-request.ts
@@ -1,5 +1,6 @@
 import type { Advisories } from '../advisories/index.ts';
 import type { Target, TargetMonitor, RequestHandle } from '../fleet/index.ts';
+import { isHttpStatus } from '../http/is-http-status.ts';
 import type { ByteCollector, MemoryAccount } from '../memory/index.ts';
 import { createByteCollector } from '../memory/index.ts';
 import type { CustomerRoute, ServiceSpec } from '../serving/index.ts';
@@ -12,7 +13,13 @@
 import type { EventParser } from './event-parser.ts';
 import type { RequestPlacementOptions } from './request-placement.ts';
 import { createRequestPlacement } from './request-placement.ts';
-import { isInterim, isStreamHead, isSuccess, isUnprovenRefusal } from './response-checks.ts';
+import {
+  isInterim,
+  isInvalidSuccess,
+  isStreamHead,
+  isSuccess,
+  isUnprovenRefusal,
+} from './response-checks.ts';
 import type { RetryBudget } from './retry-budget.ts';
 import type { CallerSink } from './caller-sink.ts';
 import type { TargetExchange, TargetClient } from './target-client.ts';
@@ -386,11 +393,9 @@
     attempt.head = head;
     const isForOtherAttempt =
       head.callerAttemptId !== undefined && head.callerAttemptId !== request.callerAttemptId;
-    if (!isForOtherAttempt) {
-      advisories.recordAdvice(attempt.target, head.advice, attempt.sentMs);
-    }
-    const isInvalidSuccess = isSuccess(head) && (!head.isSigned || head.isEncoded);
-    if (isForOtherAttempt || isInvalidSuccess) {
+    const isOwn = !isForOtherAttempt && isHttpStatus(head.status);
+    if (isOwn) advisories.recordAdvice(attempt.target, head.advice, attempt.sentMs);
+    if (!isOwn || isInvalidSuccess(head)) {
       failAttempt(attempt, 'spoiled');
       return;
     }
--- a/src/core/forwarding/response-checks.ts
+++ b/src/core/forwarding/response-checks.ts
@@ -1,3 +1,4 @@
+import { isHttpStatus } from '../http/is-http-status.ts';
 import type { ResponseHead } from './types.ts';
 
 const HTTP_SUCCESS_MIN = 200;
@@ -17,13 +18,18 @@
 
 /** Whether another head follows this one. */
 export function isInterim({ status }: Pick<ResponseHead, 'status'>): boolean {
-  return status < HTTP_SUCCESS_MIN;
+  return isHttpStatus(status) && status < HTTP_SUCCESS_MIN;
 }
 
 export function isSuccess({ status }: Pick<ResponseHead, 'status'>): boolean {
   return status >= HTTP_SUCCESS_MIN && status <= HTTP_SUCCESS_MAX;
 }
 
+/** Whether a success lacks the signature of its target, or its body is not as the target created it. */
+export function isInvalidSuccess(head: ResponseHead): boolean {
+  return isSuccess(head) && (!head.isSigned || head.isEncoded);
+}
+
 /** Whether the body is a series of events. */
 export function isStreamHead({
   forwardedHeaders,
--- a/src/core/targets/service-client.ts
+++ b/src/core/targets/service-client.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from 'undici';
 import { Agent, buildConnector, Client } from 'undici';
 import { formatProblem } from '../errors/index.ts';
+import { isHttpStatus } from '../http/is-http-status.ts';
 import type { TimerService } from '../timers/index.ts';
 import { isConnectError } from './connect-errors.ts';
 import { CONNECT_DEADLINE_MS, MAX_SERVICE_RESPONSE_BYTES } from './consts.ts';
@@ -134,6 +135,9 @@
       signal,
     });
     const body = await readBody(response.body);
+    if (!isHttpStatus(response.statusCode)) {
+      throw new Error(`the response has status ${response.statusCode}`);
+    }
     return { status: response.statusCode, headers: parseHeaders(response.headers), body };
   };
 
--- a/src/core/targets/targets.test.ts
+++ b/src/core/targets/targets.test.ts
@@ -216,6 +216,11 @@
     },
     expected: 'broken, sent',
   },
+  {
+    title: 'reports bytes without a status of HTTP as a broken connection',
+    respond: (_request, response) => response.writeHead(600).end('booked'),
+    expected: 'broken, sent',
+  },
   {
     title: 'reports a response that does not arrive in time as sent',
     respond: () => undefined,
--- a/src/platform/engine-control.ts
+++ b/src/platform/engine-control.ts
@@ -4,6 +4,7 @@
 import type { EngineControl, EngineOrder } from '../core/formation/types.ts';
 import { formatProblem } from '../core/errors/index.ts';
 import { createBoundedConnection } from '../core/http/bounded-connection.ts';
+import { isHttpStatus } from '../core/http/is-http-status.ts';
 import type { TimerService } from '../core/timers/index.ts';
 import { engineStateSchema } from './decode-target.ts';
 
@@ -48,6 +49,7 @@
 }
 
 function toOrderResult(status: number): OrderResult {
+  if (!isHttpStatus(status)) return OrderResult.Unknown;
   if (status === HTTP_OK || status === HTTP_ACCEPTED) return OrderResult.Accepted;
   if (status === HTTP_PRECONDITION_FAILED) return OrderResult.Outdated;
   return OrderResult.Refused;
