--- a/src/core/forwarding/request-placement.test.ts
+++ b/src/core/forwarding/request-placement.test.ts
@@ -1,8 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { openUnboundedAccount } from '../memory/fixtures/unbounded-account.ts';
-import { createDemandMeter, createPlacementState } from '../placement/index.ts';
-import type { ServiceSpec } from '../serving/index.ts';
+import { createDemandMeter, createPlacementState, WaitEnd } from '../placement/index.ts';
+import type { EngineTiming, ServiceSpec } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { RoutedRequest } from './forward-request.ts';
@@ -128,3 +128,87 @@
     expect(new Set(keys).size).toEqual(3);
   });
 });
+
+/** Targets with ten slots, one of which becomes free every 100 ms. */
+const CAPACITY = {
+  targetCount: 1,
+  slots: 10,
+  borrowEveryMs: Infinity,
+  pauseMs: 0,
+  areAllLimited: false,
+};
+const TIMING: EngineTiming = { stepMs: 10, readTokensPerSecond: 50_000 };
+const LONG_ANSWER = 600;
+
+/** Lets some requests wait, and one more arrive; returns what happens to each. */
+function playArrival(waiting: readonly number[], arriving: number, timing?: EngineTiming) {
+  const timers = createManualTimers();
+  const service: ServiceSpec = { ...PLAIN, engine: { ...WITH_ENGINES.engine!, timing } };
+  const options = {
+    timers,
+    chooser: {
+      chooseTarget: () => undefined,
+      countReadyTargets: () => 1,
+      computeCapacity: () => CAPACITY,
+    },
+    ...createPlacementState(timers),
+    countGateways: () => 1,
+    random: () => 0,
+  };
+  const ends: string[] = [];
+  const arrive = (expectedAnswerTokens: number, index: number): void => {
+    const input = buildInput(service, 'm');
+    const request = { ...input.request, expectedAnswerTokens };
+    const placement = createRequestPlacement({ ...input, request, dueMs: 60_000 }, options);
+    placement.recordArrival();
+    const plan = placement.planWait(placement.buildQuery(false, new Set()));
+    if (plan.displaced !== undefined) options.lines.refuse(placement.key, plan.displaced);
+    if (plan.giveUpMs === undefined) {
+      ends[index] = 'refused';
+      return;
+    }
+    ends[index] = 'waits';
+    options.lines.add(placement.key, {
+      ...placement.buildRank(),
+      giveUpMs: plan.giveUpMs,
+      tryStart: () => false,
+      giveUp: (end) => {
+        ends[index] = end === WaitEnd.Displaced ? 'displaced' : 'late';
+      },
+    });
+  };
+  [...waiting, arriving].forEach(arrive);
+  return ends;
+}
+
+describe('a request that arrives at a full line', () => {
+  const cases = [
+    {
+      name: 'takes the place of one that needs more work',
+      waiting: [100, LONG_ANSWER, 100],
+      arriving: 100,
+      timing: TIMING,
+      ends: ['waits', 'displaced', 'waits', 'waits'],
+    },
+    {
+      name: 'is refused if it needs most work',
+      waiting: [100, 100, 100],
+      arriving: LONG_ANSWER,
+      timing: TIMING,
+      ends: ['waits', 'waits', 'waits', 'refused'],
+    },
+    // Guards against a change for services that publish no times.
+    {
+      name: 'is refused if nothing is known of the work',
+      waiting: [100, LONG_ANSWER, 100],
+      arriving: 100,
+      timing: undefined,
+      ends: ['waits', 'waits', 'waits', 'refused'],
+    },
+  ];
+  for (const { name, waiting, arriving, timing, ends } of cases) {
+    it(name, () => {
+      expect(playArrival(waiting, arriving, timing)).toEqual(ends);
+    });
+  }
+});
--- a/src/core/placement/waiting-lines.test.ts
+++ b/src/core/placement/waiting-lines.test.ts
@@ -40,16 +40,18 @@
     const request = fc.record({
       priority: fc.nat({ max: 2 }),
       giveUpMs: fc.nat({ max: 5 }),
+      isYielding: fc.boolean(),
       isRemoved: fc.boolean(),
     });
     fc.assert(
       fc.property(fc.array(request, { maxLength: 30 }), (requests) => {
         const lines = createWaitingLines(createManualTimers());
         const started: number[] = [];
-        const removals = requests.map(({ priority, giveUpMs }, index) =>
+        const removals = requests.map(({ priority, giveUpMs, isYielding }, index) =>
           lines.add(KEY, {
             priority,
             giveUpMs,
+            isYielding,
             tryStart: () => started.push(index) > 0,
             giveUp: () => undefined,
           }),
@@ -60,10 +62,16 @@
         const expected = requests
           .map((one, index) => ({ ...one, index }))
           .filter(({ isRemoved }) => !isRemoved)
-          .sort((left, right) => left.priority - right.priority || left.giveUpMs - right.giveUpMs);
+          .sort(
+            (left, right) =>
+              left.priority - right.priority ||
+              Number(left.isYielding) - Number(right.isYielding) ||
+              left.giveUpMs - right.giveUpMs,
+          );
         const middle = { priority: 1, giveUpMs: 3 };
         const ahead = expected.filter(
-          ({ priority, giveUpMs }) => priority < 1 || (priority === 1 && giveUpMs <= 3),
+          ({ priority, giveUpMs, isYielding }) =>
+            priority < 1 || (priority === 1 && !isYielding && giveUpMs <= 3),
         );
         expect(lines.countAhead(KEY, middle)).toEqual(ahead.length);
         lines.serve(KEY);
