--- a/src/core/forwarding/request-placement.test.ts
+++ b/src/core/forwarding/request-placement.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl';
 import { openUnboundedAccount } from '../memory/fixtures/unbounded-account.ts';
 import { createDemandMeter, createPlacementState, WaitEnd } from '../placement/index.ts';
-import type { EngineTiming, ServiceSpec } from '../serving/index.ts';
+import type { ServiceSpec, StepModel } from '../serving/index.ts';
 import { RequestKind } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { RoutedRequest } from './forward-request.ts';
@@ -137,13 +137,22 @@
   pauseMs: 0,
   areAllLimited: false,
 };
-const TIMING: EngineTiming = { stepMs: 10, readTokensPerSecond: 50_000 };
+const STEP_MODEL: StepModel = {
+  stepMs: 10,
+  perRequestMs: 0,
+  perKiloTokenMs: 0,
+  readTokensPerSecond: 50_000,
+  millionPairsMs: 0,
+  tokensPerEvent: 1,
+  usualPromptTokens: 1_000,
+  usualAnswerTokens: 150,
+};
 const LONG_ANSWER = 600;
 
 /** Lets some requests wait, and one more arrive; returns what happens to each. */
-function playArrival(waiting: readonly number[], arriving: number, timing?: EngineTiming) {
+function playArrival(waiting: readonly number[], arriving: number, stepModel?: StepModel) {
   const timers = createManualTimers();
-  const service: ServiceSpec = { ...PLAIN, engine: { ...WITH_ENGINES.engine!, timing } };
+  const service: ServiceSpec = { ...PLAIN, engine: { ...WITH_ENGINES.engine!, stepModel } };
   const options = {
     timers,
     chooser: {
@@ -187,14 +196,14 @@
       name: 'takes the place of one that needs more work',
       waiting: [100, LONG_ANSWER, 100],
       arriving: 100,
-      timing: TIMING,
+      stepModel: STEP_MODEL,
       ends: ['waits', 'displaced', 'waits', 'waits'],
     },
     {
       name: 'is refused if it needs most work',
       waiting: [100, 100, 100],
       arriving: LONG_ANSWER,
-      timing: TIMING,
+      stepModel: STEP_MODEL,
       ends: ['waits', 'waits', 'waits', 'refused'],
     },
     // Guards against a change for services that publish no times.
@@ -202,13 +211,13 @@
       name: 'is refused if nothing is known of the work',
       waiting: [100, LONG_ANSWER, 100],
       arriving: 100,
-      timing: undefined,
+      stepModel: undefined,
       ends: ['waits', 'waits', 'waits', 'refused'],
     },
   ];
-  for (const { name, waiting, arriving, timing, ends } of cases) {
+  for (const { name, waiting, arriving, stepModel, ends } of cases) {
     it(name, () => {
-      expect(playArrival(waiting, arriving, timing)).toEqual(ends);
+      expect(playArrival(waiting, arriving, stepModel)).toEqual(ends);
     });
   }
 });
