--- a/src/core/formation/engine-shares.test.ts
+++ b/src/core/formation/engine-shares.test.ts
@@ -35,7 +35,7 @@
       long: { promptTokens: 6_000, answerEvents: 20 },
       expected: 0.5,
     },
-    // Guards against a model with large prompts that is refused while another has room (kvq scale-1).
+    // Guards against a model with large prompts that is refused while another has room.
     {
       name: 'by the tokens with a step model',
       stepModel: STEP_MODEL,
--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -194,7 +194,7 @@
   }
 
   // Guards against breaking off the streams of a group whose member leaves as planned: the platform
-  // takes engines away while their groups are at work (rodopi-wax-now-grown quiet-1).
+  // takes engines away while their groups are at work.
   const closes = [
     { name: 'after its requests when a member is leaving', isGone: false, isGraceful: true },
     { name: 'at once when a member is gone', isGone: true, isGraceful: false },
--- a/src/core/peers/delayed-packets.test.ts
+++ b/src/core/peers/delayed-packets.test.ts
@@ -10,6 +10,7 @@
 import { createPeerExchange } from './create-peer-exchange.ts';
 import { buildPeerStatus } from './fixtures/peer-status.ts';
 import { encodePacket } from './packets.ts';
+import { IDLE_LISTENER } from './fixtures/idle-listener.ts';
 
 const HOST = '127.0.0.1';
 const PORT = 7_343;
@@ -57,18 +58,7 @@
       errorReporter: createErrorReporter(() => undefined),
     });
     await exchange.start({
-      getStatus: () => buildPeerStatus('self'),
-      getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
-      getEvidence: () => NO_EVIDENCE,
-      takeAdvisories: () => NO_NOTICES,
-      getProgress: () => [],
-      handleStatus: () => undefined,
-      handleLoadReport: () => undefined,
-      handleSuspects: () => undefined,
-      handleEvidence: () => false,
-      handleAdvisories: () => false,
-      takeUsage: () => [],
-      handleUsage: () => undefined,
+      ...IDLE_LISTENER,
       handleProgress: (_progress, delayMs) => delays.push(delayMs),
     });
     const socket = createSocket('udp4');
--- a/src/core/peers/malformed-packets.test.ts
+++ b/src/core/peers/malformed-packets.test.ts
@@ -12,6 +12,7 @@
 import { buildPeerStatus } from './fixtures/peer-status.ts';
 import { decodePacket, encodePacket } from './packets.ts';
 import type { PeerPacket } from './types.ts';
+import { IDLE_LISTENER } from './fixtures/idle-listener.ts';
 
 const RUNS = 10_000;
 const HOST = '127.0.0.31';
@@ -87,18 +88,7 @@
       errorReporter,
     });
     await exchange.start({
-      getStatus: () => buildPeerStatus('self'),
-      getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
-      getEvidence: () => NO_EVIDENCE,
-      takeAdvisories: () => NO_NOTICES,
-      getProgress: () => [],
-      handleStatus: () => undefined,
-      handleLoadReport: () => undefined,
-      handleSuspects: () => undefined,
-      handleEvidence: () => false,
-      handleAdvisories: () => false,
-      handleProgress: () => undefined,
-      takeUsage: () => [],
+      ...IDLE_LISTENER,
       handleUsage: book.receiveUsage,
     });
     const sound = encodePacket(PACKET);
--- a/src/core/peers/start.test.ts
+++ b/src/core/peers/start.test.ts
@@ -2,12 +2,9 @@
 import { expect } from 'earl';
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
-import { NO_NOTICES } from '../advisories/index.ts';
-import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createManualTimers } from '../timers/index.ts';
-import type { PeerExchangeListener } from './create-peer-exchange.ts';
 import { createPeerExchange } from './create-peer-exchange.ts';
-import { buildPeerStatus } from './fixtures/peer-status.ts';
+import { IDLE_LISTENER } from './fixtures/idle-listener.ts';
 
 function createTestExchange(registered: number) {
   const timers = createManualTimers();
@@ -26,22 +23,6 @@
   return { timers, exchange };
 }
 
-const LISTENER: PeerExchangeListener = {
-  getStatus: () => buildPeerStatus('self'),
-  getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
-  getEvidence: () => NO_EVIDENCE,
-  takeAdvisories: () => NO_NOTICES,
-  getProgress: () => [],
-  handleStatus: () => undefined,
-  handleLoadReport: () => undefined,
-  handleSuspects: () => undefined,
-  handleEvidence: () => false,
-  handleAdvisories: () => false,
-  handleProgress: () => undefined,
-  takeUsage: () => [],
-  handleUsage: () => undefined,
-};
-
 describe('exchange that starts', () => {
   // Guards against a restarted gateway that takes the whole limit of a cold target, because it has
   // not heard the others yet (FAILBACK on rodopi-wax-grown quiet-1).
@@ -55,7 +36,7 @@
   // the watcher of its zone (rodopi-wax-large).
   it('takes no role until half of the gateways are heard, or some seconds have passed', async () => {
     const { timers, exchange } = createTestExchange(84);
-    await exchange.start(LISTENER);
+    await exchange.start(IDLE_LISTENER);
     expect([exchange.isHub(), exchange.isWatcher()]).toEqual([false, false]);
     timers.runFor(3_000);
     expect([exchange.isHub(), exchange.isWatcher()]).toEqual([true, true]);
@@ -64,7 +45,7 @@
 
   it('takes all roles at once if it is the only one', async () => {
     const { exchange } = createTestExchange(0);
-    await exchange.start(LISTENER);
+    await exchange.start(IDLE_LISTENER);
     expect([exchange.isHub(), exchange.isWatcher()]).toEqual([true, true]);
     exchange.stop();
   });
@@ -73,8 +54,8 @@
   it('fails to start if another process has the port', async () => {
     const { exchange } = createTestExchange(0);
     const { exchange: second } = createTestExchange(0);
-    await exchange.start(LISTENER);
-    await expect(second.start(LISTENER)).toBeRejected();
+    await exchange.start(IDLE_LISTENER);
+    await expect(second.start(IDLE_LISTENER)).toBeRejected();
     exchange.stop();
     second.stop();
   });
--- a/src/core/peers/usage.test.ts
+++ b/src/core/peers/usage.test.ts
@@ -1,13 +1,12 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { NO_NOTICES } from '../advisories/index.ts';
 import { createUsageBook } from '../duties/index.ts';
 import { createErrorReporter } from '../errors/index.ts';
 import { createLogger } from '../logs/index.ts';
-import { NO_EVIDENCE } from '../quarantine/index.ts';
 import { createTimerService } from '../timers/index.ts';
 import { createPeerExchange } from './create-peer-exchange.ts';
 import { buildPeerStatus } from './fixtures/peer-status.ts';
+import { IDLE_LISTENER } from './fixtures/idle-listener.ts';
 
 const PORT = 7_346;
 const WINDOW_MS = 3_600_000;
@@ -46,17 +45,8 @@
     dutyTerm: vmName === LEADER ? 4 : 0,
   });
   await exchange.start({
+    ...IDLE_LISTENER,
     getStatus: () => status,
-    getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
-    getEvidence: () => NO_EVIDENCE,
-    takeAdvisories: () => NO_NOTICES,
-    getProgress: () => [],
-    handleStatus: () => undefined,
-    handleLoadReport: () => undefined,
-    handleSuspects: () => undefined,
-    handleEvidence: () => false,
-    handleAdvisories: () => false,
-    handleProgress: () => undefined,
     takeUsage: book.takeUsage,
     handleUsage: book.receiveUsage,
   });
--- a/test/bounds/peers.test.ts
+++ b/test/bounds/peers.test.ts
@@ -14,6 +14,7 @@
 import { NO_EVIDENCE } from '../../src/core/quarantine/index.ts';
 import { createManualTimers, createTimerService } from '../../src/core/timers/index.ts';
 import { measureHeapBytes } from './measure-heap.ts';
+import { IDLE_LISTENER } from '../../src/core/peers/fixtures/idle-listener.ts';
 
 const HOST = '127.0.0.32';
 const PORT = 7_343;
@@ -93,21 +94,7 @@
         logger: createLogger('test'),
         errorReporter: createErrorReporter(() => undefined),
       });
-      await exchange.start({
-        getStatus: () => buildPeerStatus('self'),
-        getLoadReport: () => ({ loads: [], suspectIds: [], demands: [] }),
-        getEvidence: () => NO_EVIDENCE,
-        takeAdvisories: () => NO_NOTICES,
-        getProgress: () => [],
-        handleStatus: () => undefined,
-        handleLoadReport: () => undefined,
-        handleSuspects: () => undefined,
-        handleEvidence: () => false,
-        handleAdvisories: () => false,
-        handleProgress: () => undefined,
-        takeUsage: () => [],
-        handleUsage: () => undefined,
-      });
+      await exchange.start(IDLE_LISTENER);
       const socket = createSocket('udp4');
       const send = (sender: PeerPacket['sender']): void =>
         socket.send(encodePacket(buildPacket({ sender })), PORT + offset, HOST);
