--- a/src/core/configuration-check/configuration-check.test.ts
+++ b/src/core/configuration-check/configuration-check.test.ts
@@ -126,6 +126,11 @@
     changed: withEngine({ loadsPerSecond: 1 }),
     expected: ['warning limits services/assistant'],
   },
+  {
+    name: 'bounds on the number of targets that cannot be met',
+    changed: { services: [{ ...service, scalingProblem: 'min is above max' }] },
+    expected: ['error limits services/assistant'],
+  },
   {
     name: 'a key of two customers, and a customer without a key',
     changed: {
--- a/src/core/configuration-check/list-findings.ts
+++ b/src/core/configuration-check/list-findings.ts
@@ -154,6 +154,10 @@
   return [
     ...listProblems([
       [!usedNames.has(service.name), () => reportUnused(path, 'no route uses it')],
+      [
+        service.scalingProblem !== undefined,
+        () => reportLimits(path, `its targets are not ordered: ${service.scalingProblem ?? ''}`),
+      ],
       [
         service.coldRequestsPerSecond < 0,
         () => reportLimits(path, 'the limit of cold targets is negative'),
