Use slots of others where those of a gateway's own are at cold heads

Callers saw late answers after a loss of groups.

Cause (by reading, shown by the test): since free slots are divided, slots of others were looked for only if none of a gateway's own was free. Groups formed after a loss are cold, and most of many gateways may send them nothing; a free slot of their own there kept their requests from all other groups.

Change: slots of others are tried if no own one takes the request.

--- a/src/core/forwarding/choose-target.test.ts
+++ b/src/core/forwarding/choose-target.test.ts
@@ -5,7 +5,7 @@
 import { createTestAdvisories } from '../advisories/fixtures/test-advisories.ts';
 import { buildTarget } from '../fleet/fixtures/build-target.ts';
 import type { Target } from '../fleet/index.ts';
-import { createFleet, createTargetMonitor } from '../fleet/index.ts';
+import { createFleet, createTargetMonitor, GroupState } from '../fleet/index.ts';
 import type { ServiceSpec } from '../serving/index.ts';
 import { createManualTimers } from '../timers/index.ts';
 import type { TargetChooser } from './choose-target.ts';
@@ -22,6 +22,30 @@
   return buildTarget(id, { service: SERVICE.name, coldRemainingMs });
 }
 
+const FEW_COLD_PER_SECOND = 2;
+const ENGINES: ServiceSpec = {
+  ...SERVICE,
+  coldRequestsPerSecond: FEW_COLD_PER_SECOND,
+  engine: {
+    slots: 12,
+    models: [
+      { name: 'm', groupSize: 1, engineShareWeight: 1, pace: 1, loadMs: 0, stagedJoinMs: 0 },
+    ],
+    loadsPerSecond: 1,
+    maxUnslowedLoads: 1,
+    openMs: 0,
+  },
+};
+
+function createHead(id: string, coldRemainingMs: number): Target {
+  return buildTarget(id, {
+    service: SERVICE.name,
+    coldRemainingMs,
+    currentModel: 'm',
+    group: { name: `g-${id}`, epoch: 1, rank: 0, state: GroupState.Open },
+  });
+}
+
 /** Choosers of several gateways that know the same targets but exchange no loads. */
 function startGateways(count: number, targets: readonly Target[]) {
   const timers = createManualTimers();
@@ -42,16 +66,25 @@
       random,
     });
   });
-  const choose = (index: number): string | undefined =>
+  const choose = (index: number, service = SERVICE): string | undefined =>
     choosers[index]?.chooseTarget({
-      service: SERVICE,
+      service,
       model: undefined,
       triedIds: new Set(),
+      maxInFlight: service.engine?.slots,
     })?.id;
   return { timers, choose };
 }
 
 describe('choice of a target', () => {
+  // Guards against requests that wait for cold heads, which have formed after a loss, while others have room.
+  it('uses slots of others where those of its own are at a cold head that takes no more', () => {
+    const { choose } = startGateways(30, [createHead('i-1', 10_000), createHead('i-2', 0)]);
+    const chosen = Array.from({ length: 30 }, (_, index) => choose(index, ENGINES));
+    expect(chosen.filter((id) => id === undefined).length).toEqual(0);
+    expect(chosen.filter((id) => id === 'i-1').length <= FEW_COLD_PER_SECOND).toEqual(true);
+  });
+
   // Guards against 85 gateways that all send to the same target because it seems least loaded
   // (score 0.73 on rodopi-wax-grown quiet-1).
   it('spreads the requests of many gateways that know the same loads', () => {
--- a/src/core/forwarding/choose-target.ts
+++ b/src/core/forwarding/choose-target.ts
@@ -238,22 +238,31 @@
     return mayBorrow ? shuffleTargets(free) : [];
   };
 
+  /** Orders the engines where this gateway has a free slot of its own. */
+  const orderOwn = (
+    targets: readonly Target[],
+    all: readonly Target[],
+    slots: number,
+  ): Target[] => {
+    const unlimited = all.filter((target) => !isLimited(target));
+    return rankTargets(listWithOwnSlot(targets, unlimited, slots));
+  };
+
   /**
-   * Orders engines by preference: those with a slot of this gateway's own, then one of two picked at
-   * random that seem to have a free slot; a request that was begun goes to any.
+   * Orders the engines with slots of others: one of two picked at random that seem to have a free slot
+   * first; a request that was begun goes to any.
    */
-  const orderEngines = (
+  const orderShared = (
     query: TargetQuery,
     targets: readonly Target[],
     all: readonly Target[],
     slots: number,
   ): Target[] => {
-    const unlimited = all.filter((target) => !isLimited(target));
-    const own = rankTargets(listWithOwnSlot(targets, unlimited, slots));
-    const shared = own.length > 0 ? [] : listBorrowable(query, targets, unlimited.length, slots);
+    const unlimitedCount = all.filter((target) => !isLimited(target)).length;
+    const shared = listBorrowable(query, targets, unlimitedCount, slots);
     const sample = rankTargets(shared.slice(0, SAMPLED_TARGET_COUNT));
     const isAnyLoadAllowed = query.maxInFlight === undefined;
-    return [...own, ...sample, ...shared, ...(isAnyLoadAllowed ? rankTargets(targets) : [])];
+    return [...sample, ...shared, ...(isAnyLoadAllowed ? rankTargets(targets) : [])];
   };
 
   /** Leaves out the suspect and the tried targets; suspect ones remain if there are no others. */
@@ -295,11 +304,13 @@
       const usable = listUsable(query);
       const withPlace = selectTrusted(usable, query).filter((target) => hasPlace(target, query));
       const { engine } = query.service;
-      const ordered =
-        engine === undefined
-          ? orderPlainTargets(withPlace)
-          : orderEngines(query, withPlace, usable, engine.slots);
-      return ordered.find((target) => reserveRequest(target, query.service));
+      const isReserved = (target: Target): boolean => reserveRequest(target, query.service);
+      if (engine === undefined) return orderPlainTargets(withPlace).find(isReserved);
+      // A slot of its own may be at a target that is cold and takes no more from this gateway.
+      return (
+        orderOwn(withPlace, usable, engine.slots).find(isReserved) ??
+        orderShared(query, withPlace, usable, engine.slots).find(isReserved)
+      );
     },
   };
 }
