Revert the division of engines by tokens

Cause: dividing the engines by the tokens to read and to write gave engines of the small model to the large one.

Tests of formation: 21 of 21.

--- a/src/core/formation/engine-shares.ts
+++ b/src/core/formation/engine-shares.ts
@@ -1,16 +1,13 @@
 import type { EngineSpec, ModelSpec } from '../serving/index.ts';
-import { computeBusyGroups } from '../work/index.ts';
 import type { ModelDemand } from '../work/index.ts';
 
+const MS_PER_SECOND = 1_000;
 /** Requests per second of a service below which its configured shares apply. */
 const MIN_REQUESTS_PER_SECOND = 2;
 /** Bounds of a share, as factors of the configured one, so that a wrong estimate does little harm. */
 const MIN_SHARE_FACTOR = 0.6;
 const MAX_SHARE_FACTOR = 1.5;
 
-/** Groups of each model that may be about to be formed anew, where the work of groups is known. */
-const GROUPS_IN_REPAIR = 1;
-
 /** Returns the share of the engines that the configuration gives a model, from 0 to 1. */
 function computeConfiguredShare(spec: EngineSpec, model: ModelSpec): number {
   const total = spec.models.reduce((sum, one) => sum + one.engineShareWeight, 0);
@@ -18,13 +15,12 @@
 }
 
 /**
- * Computes how many engines a model needs: for the work that arrives and for the usual variation of the
- * number of requests at once, which is its square root.
+ * Computes how many engines a model needs: slots for the mean number of requests at once and for its
+ * usual variation, which is its square root.
  */
 function computeNeededEngines(spec: EngineSpec, model: ModelSpec, demand: ModelDemand): number {
-  const atOnce = computeBusyGroups(spec, model, demand) * spec.slots;
-  const groups = (atOnce + Math.sqrt(atOnce)) / spec.slots;
-  return (groups + (spec.stepModel === undefined ? 0 : GROUPS_IN_REPAIR)) * model.groupSize;
+  const atOnce = (demand.requestsPerSecond * demand.durationMs) / MS_PER_SECOND;
+  return ((atOnce + Math.sqrt(atOnce)) / spec.slots) * model.groupSize;
 }
 
 /**
