--- a/review/stand-ins-2/groups.mjs
+++ b/review/stand-ins-2/groups.mjs
@@ -88,6 +88,17 @@
   const groupCount = ZONES.length * Math.floor(enginesPerZone / GROUP_SIZE);
   const { record, save } = createRecorder(`${folder}/record.txt`);
   const stops = [];
+  const stopAll = async () => {
+    for (const stop of stops.splice(0).reverse()) await stop();
+    save();
+  };
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => {
+      record('the case was ended', { signal });
+      // eslint-disable-next-line n/no-process-exit -- The play would go on.
+      stopAll().finally(() => process.exit(2));
+    });
+  }
   try {
     const store = await startStore({ host: HOST, heartbeatMs: HEARTBEAT_MS });
     stops.push(store.stop);
@@ -161,7 +172,6 @@
     record('the case could not run', { problem: error.message });
     return 2;
   } finally {
-    for (const stop of stops.reverse()) await stop();
-    save();
+    await stopAll();
   }
 }
