Tell the head of a group in its name, and ask engines before they join another

Cause: only the head's own entry, or a location stored by an earlier leader, told who the head of a group is. A head that lost the store while its group was formed was unknown, and its group counted as ended after 10 s. On related paths, an engine whose own entry is older than its group was joined by that entry.

Four new tests of formation.test.ts (same leader, new leader at two moments, outdated entries) failed before and pass now.

Why it works: each member's entry now names the engine to ask, whatever the leader knows; and each engine states its group right before it joins another one, so that no entry has to be recent.

--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -7,6 +7,11 @@
 const DOMAINS = ['a-d0', 'a-d1', 'b-d0', 'b-d1', 'c-d0', 'c-d1'];
 /** A fabric domain with groups of the small model only. */
 const SMALL_DOMAIN = 'b-d1';
+/** Engines that lose the store; they are the heads of the next groups of their domains. */
+const CUT_IDS = ['b-d0-0', 'b-d1-0', 'b-d1-2'];
+const STORE_CUT_MS = 10_000;
+/** Time after which the entry of an engine that does not reach the store lapses. */
+const ENTRY_TTL_MS = 3_600;
 /** Time until the first plan is made and all its groups are open. */
 const START_MS = 5_000;
 
@@ -26,6 +31,24 @@
   return { head, member };
 }
 
+/** Takes the zone of the small domain out of use for a time; replaces the leader meanwhile if asked. */
+async function evacuate(
+  harness: FormationHarness,
+  forMs: number,
+  isLeaderReplaced = false,
+): Promise<void> {
+  harness.setEvacuated(SMALL_DOMAIN.slice(0, 1), true);
+  await harness.timers.runForAsync(forMs / 2);
+  if (isLeaderReplaced) harness.replaceLeader();
+  await harness.timers.runForAsync(forMs / 2);
+  harness.setEvacuated(SMALL_DOMAIN.slice(0, 1), false);
+}
+
+/** Counts the engines of open groups, which have two members of the small model or four of the large one. */
+function countServingEngines(harness: FormationHarness): number {
+  return harness.listOpenHeads('small').length * 2 + harness.listOpenHeads('large').length * 4;
+}
+
 describe('formation of groups', () => {
   // The 60 engines form 7 groups of 4 and 16 groups of 2.
   it('opens groups of both models according to their shares before traffic', async () => {
@@ -241,6 +264,58 @@
     harness.formation.stop();
   });
 
+  // Guards against taking a group for ended while its head, which has lost the store and so has no
+  // entry in the group, is open (rule TWO, review/7).
+  const changes = [
+    { name: 'with the same leader', leaderLastsMs: undefined },
+    { name: 'with a new leader as the groups open', leaderLastsMs: 600 },
+    { name: 'with a new leader once the entries have lapsed', leaderLastsMs: 5_000 },
+  ];
+  for (const { name, leaderLastsMs } of changes) {
+    it(`uses no members of a group whose head lost the store as it was formed, ${name}`, async () => {
+      const harness = await startServing();
+      await evacuate(harness, 4_000);
+      const cut = [...harness.engines.values()].filter(({ id }) => CUT_IDS.includes(id));
+      cut.forEach((engine) => {
+        engine.isCutFromStore = true;
+      });
+      harness.timers.scheduleOnce(ENTRY_TTL_MS, () => {
+        cut.forEach((engine) => {
+          engine.hasEntry = false;
+        });
+        harness.setEntryUpdatesEnabled(true);
+      });
+      if (leaderLastsMs !== undefined) {
+        harness.timers.scheduleOnce(leaderLastsMs, harness.replaceLeader);
+      }
+      await harness.timers.runForAsync(2 * STORE_CUT_MS);
+      cut.forEach((engine) => {
+        engine.hasEntry = true;
+        engine.isCutFromStore = false;
+      });
+      harness.setEntryUpdatesEnabled(true);
+      await harness.timers.runForAsync(5_000);
+      expect(harness.violations).toEqual([]);
+      expect(countServingEngines(harness)).toEqual(harness.engines.size);
+      harness.formation.stop();
+    });
+  }
+
+  // Guards against joining an engine by an entry that is older than its group: the store may come back
+  // from a copy, and an engine may have lost it (rule TWO, by the same cause as review/7).
+  it('asks engines before it joins them, as their entries may be older than their groups', async () => {
+    const harness = await startServing();
+    await evacuate(harness, 4_000);
+    const zone = [...harness.engines.values()].filter(({ domain }) => domain === SMALL_DOMAIN);
+    zone.forEach((engine) => {
+      engine.isCutFromStore = true;
+    });
+    await harness.timers.runForAsync(12_000);
+    expect(harness.violations).toEqual([]);
+    expect(countServingEngines(harness)).toEqual(harness.engines.size);
+    harness.formation.stop();
+  });
+
   it('forms a new group from the survivors of lost groups within a second', async () => {
     const harness = await startServing();
     const pairs = harness
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -1,4 +1,4 @@
-import type { EngineGroup, Target } from '../fleet/index.ts';
+import type { EngineGroup, GroupMembership, Target } from '../fleet/index.ts';
 import { ACTIVE_HEAD_STATES, GroupState } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { ModelSpec } from '../serving/index.ts';
@@ -14,6 +14,8 @@
   findTarget(id: string): Target | undefined;
   /** Whether this process may send orders now. */
   canSendOrders(): boolean;
+  /** Whether a member of a group may join another one, as the group is not and will not be open. */
+  mayLeaveGroup(member: Target, group: GroupMembership): boolean;
 }
 
 /**
@@ -63,7 +65,7 @@
  */
 export interface GroupOperations {
   /**
-   * Forms a group and orders its head to open it. Returns whether the head accepted that order, and
+   * Forms a group of engines that say that they are free, and orders its head to open it. Returns whether the head accepted that order, and
    * the engines that failed an order; an accepted group serves only `EngineSpec.openMs` later.
    */
   formGroup(
@@ -85,7 +87,7 @@
 
 /** Creates the group operations. */
 export function createGroupOperations(options: GroupOperationOptions): GroupOperations {
-  const { timers, control, logger, findTarget, canSendOrders } = options;
+  const { timers, control, logger, findTarget, canSendOrders, mayLeaveGroup } = options;
 
   const sendOrderWithRetries = async (target: Target, order: EngineOrder): Promise<OrderResult> => {
     let result = OrderResult.NotSent;
@@ -155,9 +157,33 @@
   const hasResponded = async (target: Target): Promise<boolean> =>
     (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
 
+  /**
+   * Returns the engines that cannot join a group: those that do not respond, and members of groups that
+   * may be open. An engine's entry may be older than its group if the engine or the store lost data.
+   */
+  const listUnavailableIds = async (members: readonly Target[]): Promise<string[]> => {
+    const areAvailable = await Promise.all(
+      members.map(async (member) => {
+        const state =
+          (await control.queryState(member, STATE_QUERY_TIMEOUT_MS)) ??
+          (await control.queryState(member, STATE_QUERY_TIMEOUT_MS));
+        if (state?.group === undefined) return state !== undefined;
+        const isAvailable = mayLeaveGroup(member, state.group);
+        const context = { engine: member.id, group: state.group.name };
+        if (!isAvailable) logger.warn('an engine is in a group that may be open', context);
+        return isAvailable;
+      }),
+    );
+    return members.filter((_, index) => areAvailable[index] !== true).map(({ id }) => id);
+  };
+
   return {
     async formGroup(name, epoch, model, members, expectedMs) {
       const ids = members.map(({ id }) => id);
+      const unavailableIds = await listUnavailableIds(members);
+      if (unavailableIds.length > 0) {
+        return { isOpenOrderAccepted: false, failedIds: unavailableIds };
+      }
       const order: EngineOrder = {
         kind: 'join',
         group: name,
--- a/src/core/formation/head-registry.ts
+++ b/src/core/formation/head-registry.ts
@@ -2,6 +2,8 @@
 import type { EngineGroup, Target } from '../fleet/index.ts';
 import { ACTIVE_HEAD_STATES, formatGroupKey, GroupState } from '../fleet/index.ts';
 import type { TimerService } from '../timers/index.ts';
+import type { GroupHead } from './group-name.ts';
+import { parseGroupHead } from './group-name.ts';
 
 /** Location of the head of a group; stored so that a new leader knows it. */
 export const headLocationSchema = z.object({
@@ -40,6 +42,8 @@
    *   connections (stall time), or if this process does not know the head.
    */
   mayBeOpen(group: EngineGroup): boolean;
+  /** Returns the id of the head of a group, if this process knows it. */
+  findHeadId(group: EngineGroup): string | undefined;
   /** Returns the head of a group if its entry is gone and it has not been ordered to close yet. */
   findHeadToClose(group: EngineGroup): Target | undefined;
   /** Records that the head is being ordered to close the group. */
@@ -64,14 +68,15 @@
 /** Dependencies and settings of a head registry. */
 export interface HeadRegistryOptions {
   timers: Pick<TimerService, 'getMonotonicMs'>;
+  findTarget(id: string): Target | undefined;
   isUnreachable(targetId: string): boolean;
   /** Time after which a group breaks when its head or another member does not respond, in ms. */
   stallMs: number;
 }
 
 /**
- * A new leader that has never seen the head of a group does not use its members for this long:
- * twice the time after which a head that lost its members breaks its group.
+ * The members of a group whose name and entries do not tell its head are not used for this long: twice
+ * the time after which a head that lost its members breaks its group.
  */
 const UNKNOWN_HEAD_WAIT_MS = 10_000;
 /**
@@ -115,28 +120,55 @@
  * Builds a stand-in target for a head whose entry this process never saw: only id and address are
  * the head's, the other fields are those of another member. Undefined without any member.
  */
-function buildHeadTarget(location: HeadLocation, group: EngineGroup): Target | undefined {
+function buildHeadTarget({ id, address }: GroupHead, group: EngineGroup): Target | undefined {
   const member = group.membersByRank.find((one) => one !== undefined);
-  return member && { ...member, id: location.headId, address: location.address };
+  return member && { ...member, id, address };
 }
 
 /** Creates an empty head registry. */
 export function createHeadRegistry(options: HeadRegistryOptions): HeadRegistry {
-  const { timers, isUnreachable, stallMs } = options;
+  const { timers, findTarget, isUnreachable, stallMs } = options;
   const records = new Map<string, HeadRecord>();
 
+  const findHead = (group: EngineGroup, record: HeadRecord | undefined): GroupHead | undefined => {
+    const stored = record?.storedLocation;
+    return (
+      group.headEngine ??
+      record?.head ??
+      parseGroupHead(group.name) ??
+      (stored && { id: stored.headId, address: stored.address })
+    );
+  };
+
+  /** Whether the entry of the head shows it in a later group. It can't return to an earlier one. */
+  const hasHeadMovedOn = (group: EngineGroup, record: HeadRecord | undefined): boolean => {
+    const head = findHead(group, record);
+    const shown = head && findTarget(head.id)?.group;
+    return shown !== undefined && shown.epoch > group.epoch;
+  };
+
+  const computeEnd = (
+    record: HeadRecord | undefined,
+    hasReachableEntry: boolean,
+    hasMovedOn: boolean,
+  ): GroupEnd => {
+    if (hasMovedOn) return GroupEnd.Confirmed;
+    return record === undefined || hasReachableEntry ? GroupEnd.NotEnded : record.end;
+  };
+
   const updateGroup = (group: EngineGroup, now: number): void => {
     const key = formatGroupKey(group);
     const record = records.get(key);
     const { headEngine } = group;
     const hasReachableEntry = headEngine !== undefined && !isUnreachable(headEngine.id);
+    const hasMovedOn = hasHeadMovedOn(group, record);
     records.set(key, {
       head: headEngine ?? record?.head,
       storedLocation: record?.storedLocation,
       seenMs: now,
       missingSinceMs: hasReachableEntry ? undefined : (record?.missingSinceMs ?? now),
       notListeningSinceMs: hasReachableEntry ? undefined : record?.notListeningSinceMs,
-      end: hasReachableEntry ? GroupEnd.NotEnded : (record?.end ?? GroupEnd.NotEnded),
+      end: computeEnd(record, hasReachableEntry, hasMovedOn),
       endPresumedMs: record?.endPresumedMs ?? -Infinity,
       isCloseRequested: record?.isCloseRequested === true && !hasReachableEntry,
       isNotServing:
@@ -148,8 +180,10 @@
     end === GroupEnd.Confirmed ||
     (end === GroupEnd.Presumed && timers.getMonotonicMs() - endPresumedMs <= PRESUMED_END_MS);
 
-  const findKnownHead = (group: EngineGroup, record: HeadRecord): Target | undefined =>
-    record.head ?? (record.storedLocation && buildHeadTarget(record.storedLocation, group));
+  const findHeadTarget = (group: EngineGroup, record: HeadRecord): Target | undefined => {
+    const head = findHead(group, record);
+    return record.head ?? (head && buildHeadTarget(head, group));
+  };
 
   const setRecord = (group: EngineGroup, change: Partial<HeadRecord>): void => {
     const record = records.get(formatGroupKey(group));
@@ -178,14 +212,14 @@
       if (record.notListeningSinceMs !== undefined) {
         return timers.getMonotonicMs() - record.notListeningSinceMs <= stallMs;
       }
-      if (findKnownHead(group, record) === undefined) return missingMs <= UNKNOWN_HEAD_WAIT_MS;
-      return true;
+      return findHead(group, record) !== undefined || missingMs <= UNKNOWN_HEAD_WAIT_MS;
     },
+    findHeadId: (group) => findHead(group, records.get(formatGroupKey(group)))?.id,
     findHeadToClose(group) {
       const record = records.get(formatGroupKey(group));
       if (record === undefined || group.headEngine !== undefined || record.isCloseRequested)
         return undefined;
-      return findKnownHead(group, record);
+      return findHeadTarget(group, record);
     },
     findHeadToQuery(group) {
       const record = records.get(formatGroupKey(group));
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -1,10 +1,11 @@
 import type { EngineGroup, Fleet, Target } from '../fleet/index.ts';
-import { formatGroupKey } from '../fleet/index.ts';
+import { ACTIVE_HEAD_STATES, formatGroupKey } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { ModelDemand } from '../work/index.ts';
 import { computeEngineShares } from './engine-shares.ts';
+import { formatGroupName } from './group-name.ts';
 import { createHeadRegistry, GroupEnd } from './head-registry.ts';
 import type { HeadLocation } from './head-registry.ts';
 import { CloseResult, createGroupOperations } from './group-operations.ts';
@@ -137,6 +138,7 @@
   const closedGroups = new Map<string, number>();
   const headRegistry = createHeadRegistry({
     timers,
+    findTarget: (id) => fleet.findTarget(id),
     isUnreachable: (id) => excludedUntilMs.has(id),
     stallMs,
   });
@@ -160,6 +162,14 @@
     logger,
     findTarget: (id) => fleet.findTarget(id),
     canSendOrders,
+    mayLeaveGroup: ({ service }, { name, epoch }) => {
+      const group = fleet
+        .listServiceGroups(service)
+        .find((one) => one.name === name && one.epoch === epoch);
+      if (group === undefined || ACTIVE_HEAD_STATES.has(group.headEngine?.group?.state))
+        return false;
+      return !headRegistry.mayBeOpen(group);
+    },
   });
 
   const excludeEngines = (ids: readonly string[], forMs: number): void => {
@@ -195,11 +205,13 @@
       logger.error('the epochs of this term are used up; restart the gateway', { term });
       return;
     }
-    const domain = members[0]?.fabricDomain ?? '';
+    const [head] = members;
+    if (head === undefined) return;
+    const domain = head.fabricDomain;
     if (domainReservations.get(domain)?.model === model.name) domainReservations.delete(domain);
     const epoch = term * EPOCHS_PER_TERM + epochCount++;
-    const name = `g${epoch}`;
     const ids = members.map(({ id }) => id);
+    const name = formatGroupName(epoch, head);
     runOperation(ids, model.name, async () => {
       const startMs = timers.getMonotonicMs();
       ids.forEach((id) => orderedEpochs.set(id, { epoch, untilMs: startMs + ENTRY_LAG_MS }));
@@ -218,7 +230,7 @@
         domain,
         tookMs,
       });
-      await timers.waitFor(getOpenMs(members[0]) + 200);
+      await timers.waitFor(getOpenMs(head) + 200);
     });
   };
 
@@ -347,6 +359,10 @@
   const hasActiveOperation = (group: EngineGroup): boolean =>
     [...activeOperations].some(({ ids }) => listMembers(group).some(({ id }) => ids.includes(id)));
 
+  /** Whether the entry of an engine was last written before the engine joined a group. */
+  const isAwaitingEntry = ({ id }: Target, { epoch }: EngineGroup): boolean =>
+    orderedEpochs.get(id)?.epoch === epoch && fleet.findTarget(id) !== undefined;
+
   /**
    * Returns the members of groups that may still be open although their entries do not show it.
    * Also starts to close those groups whose head has no entry, and to query the other heads.
@@ -357,9 +373,13 @@
       if (!headRegistry.mayBeOpen(group)) continue;
       // A running operation does not cover members whose entries reappeared after it started.
       listMembers(group).forEach(({ id }) => possiblyOpenIds.add(id));
+      const headId = headRegistry.findHeadId(group);
+      if (headId !== undefined) possiblyOpenIds.add(headId);
       if (hasActiveOperation(group)) continue;
       const head = headRegistry.findHeadToClose(group);
-      if (head !== undefined) closeGroupWithoutHeadEntry(group, head);
+      if (head !== undefined && !isAwaitingEntry(head, group)) {
+        closeGroupWithoutHeadEntry(group, head);
+      }
       queryHead(group);
     }
     return possiblyOpenIds;
