End a group only when its head has left it

Cause: a group counted as ended once its head had stopped serving it. A closed head stays a member and is ready, so an order to open that got no response can open the group at any later time. The plan hid closed groups for 6 s, which is no bound.

Change: the leader orders a closed head, and any other head that does not serve, to leave its group, and uses the members only then. The fleet keeps the model that a process start served last, as an engine without a group names none.

Why it works: open affects only a member that is ready, whenever it is carried out.

The test "closes a group whose head has no entry" expected the closed head to stay in its group; it now expects it to have left.

--- a/src/core/fleet/fleet.test.ts
+++ b/src/core/fleet/fleet.test.ts
@@ -46,4 +46,28 @@
       }
     });
   }
+
+  // Guards against loading a model anew on an engine that has left its group: its entry names no model
+  // then, but it joins a group of the same one at once.
+  const SERVING = buildTarget('i-1', { currentModel: 'm' });
+  const models = [
+    { name: 'keeps the last model of a target', entry: READY, model: 'm' },
+    { name: 'replaces it', entry: buildTarget('i-1', { currentModel: 'n' }), model: 'n' },
+    {
+      name: 'drops it at a new start',
+      entry: buildTarget('i-1', { startedWallMs: 6 }),
+      model: undefined,
+    },
+  ];
+  for (const { name, entry, model } of models) {
+    it(name, () => {
+      for (const hasList of [false, true]) {
+        const fleet = createFleet();
+        fleet.setTarget(SERVING);
+        if (hasList) fleet.resetTargets([entry]);
+        else fleet.setTarget(entry);
+        expect(fleet.findTarget('i-1')?.currentModel).toEqual(model);
+      }
+    });
+  }
 });
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -54,7 +54,15 @@
     if (markedKeys.size > MAX_MARKED_LEAVING && oldest !== undefined) markedKeys.delete(oldest);
   };
 
-  const setTarget = (target: Target): void => {
+  /** Fills in the model that a process start served last, which its entry names only within a group. */
+  const withLastModel = (target: Target, known: Target | undefined): Target => {
+    const isSameStart = target.startedWallMs > 0 && known?.startedWallMs === target.startedWallMs;
+    if (target.currentModel !== undefined || !isSameStart) return target;
+    return { ...target, currentModel: known.currentModel };
+  };
+
+  const addTarget = (entry: Target, known: Target | undefined): void => {
+    const target = withLastModel(entry, known);
     // A process start that leaves never returns, although an older entry may come back that does not
     // say so. Entries without a start time do not tell process starts apart.
     if (target.isLeaving && target.startedWallMs > 0) addMarkedKey(formatTargetKey(target));
@@ -65,11 +73,14 @@
     revision++;
   };
 
+  const setTarget = (target: Target): void => addTarget(target, targets.get(target.id));
+
   return {
     resetTargets(list) {
+      const known = new Map(targets);
       targets.clear();
       markedIds.clear();
-      list.forEach(setTarget);
+      list.forEach((target) => addTarget(target, known.get(target.id)));
       revision++;
     },
     setTarget,
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -39,7 +39,7 @@
   fabricDomain: string;
   /** Models whose weights are stored on the engine's host. */
   stagedModels: string[];
-  /** Model that the engine serves or is loading; undefined without one. */
+  /** Model that the engine serves or is loading, or served last; undefined without one. */
   currentModel: string | undefined;
   group: GroupMembership | undefined;
 }
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -51,7 +51,7 @@
 
 /** Result of ordering the head of a group to close it. */
 export enum CloseResult {
-  /** The head has stopped serving the group, or has joined a group of a later epoch. */
+  /** The head has stopped serving the group and has left it, so that no late order opens it again. */
   Closed = 'closed',
   /** The head did not close the group, or did not respond. */
   NotConfirmed = 'unclear',
@@ -77,8 +77,11 @@
   ): Promise<{ isOpenOrderAccepted: boolean; failedIds: string[] }>;
   /** Closes a group through its head; if graceful, after its requests are done. */
   closeGroup(group: EngineGroup, isGraceful: boolean): Promise<CloseResult>;
-  /** Queries a head whether it has stopped serving a group; false if it does not respond. */
-  hasStoppedServing(head: Target, name: string, epoch: number): Promise<boolean>;
+  /**
+   * Orders a head that does not serve its group to leave it, so that no late order opens it again.
+   * Returns whether it has left; false if it serves, or does not respond.
+   */
+  releaseHead(head: Target, name: string, epoch: number): Promise<boolean>;
   /** Queries an engine once; returns whether it responded. */
   hasResponded(target: Target): Promise<boolean>;
   /** Queries an engine up to twice; returns whether it responded. */
@@ -154,6 +157,22 @@
     );
   };
 
+  /** Whether an engine says that it is not a member of a group; false if it does not respond. */
+  const isOutsideGroup = async (target: Target, name: string, epoch: number): Promise<boolean> => {
+    const engineState = await control.queryState(target, STATE_QUERY_TIMEOUT_MS);
+    if (engineState === undefined) return false;
+    return engineState.group?.name !== name || engineState.group.epoch !== epoch;
+  };
+
+  /**
+   * Orders the head of a closed group to leave it. An order to open the group that got no response may
+   * be carried out at any later time, but affects only a head that is still a member.
+   */
+  const leaveClosedGroup = async (head: Target, name: string, epoch: number): Promise<boolean> => {
+    const result = await sendOrderWithRetries(head, { kind: 'leave', group: name, epoch });
+    return result === OrderResult.Accepted || isOutsideGroup(head, name, epoch);
+  };
+
   const hasResponded = async (target: Target): Promise<boolean> =>
     (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
 
@@ -231,12 +250,10 @@
         epoch,
         isGraceful,
       });
-      // The head knows a later epoch, so it no longer serves this group.
-      if (result === OrderResult.Outdated) return CloseResult.Closed;
       if (result === OrderResult.NotListening) return CloseResult.NotListening;
       const timeoutMs = isGraceful ? GRACEFUL_CLOSE_TIMEOUT_MS : CLOSE_TIMEOUT_MS;
       const isClosed =
-        result === OrderResult.Refused
+        result === OrderResult.Refused || result === OrderResult.Outdated
           ? await hasStoppedServing(headEngine, name, epoch)
           : result === OrderResult.Accepted &&
             (await waitForState(
@@ -247,9 +264,11 @@
               timeoutMs,
               STATE_QUERY_PERIOD_MS,
             ));
-      return isClosed ? CloseResult.Closed : CloseResult.NotConfirmed;
+      const hasLeft = isClosed && (await leaveClosedGroup(headEngine, name, epoch));
+      return hasLeft ? CloseResult.Closed : CloseResult.NotConfirmed;
     },
-    hasStoppedServing,
+    releaseHead: async (head, name, epoch) =>
+      (await hasStoppedServing(head, name, epoch)) && leaveClosedGroup(head, name, epoch),
     hasResponded,
     isReachable: async (target) => (await hasResponded(target)) || hasResponded(target),
   };
--- a/src/core/formation/head-registry.ts
+++ b/src/core/formation/head-registry.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { EngineGroup, Target } from '../fleet/index.ts';
-import { ACTIVE_HEAD_STATES, formatGroupKey, GroupState } from '../fleet/index.ts';
+import { ACTIVE_HEAD_STATES, formatGroupKey } from '../fleet/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { GroupHead } from './group-name.ts';
 import { parseGroupHead } from './group-name.ts';
@@ -18,7 +18,7 @@
 
 /** Whether a group has ended, as far as an order to close it has shown. */
 export enum GroupEnd {
-  /** The head has stopped serving it. */
+  /** The head has left it, so that no order can open it again. */
   Confirmed = 'confirmed',
   /**
    * The head has no entry and does not respond. It may be dead, or cut off together with members
@@ -28,20 +28,22 @@
   NotEnded = 'not-ended',
 }
 
+/** What identifies a group. */
+export type GroupKey = Pick<EngineGroup, 'service' | 'name' | 'epoch'>;
+
 /** Tracks the heads of groups, also after their store entries are gone. */
 export interface HeadRegistry {
   /** Records the groups that the entries show now. */
   update(groups: readonly EngineGroup[]): void;
+  /** Whether the end of a group is confirmed, whatever the entries show. */
+  hasEnded(group: GroupKey): boolean;
   /**
-   * Whether a group may be open although the entries do not show it as open:
-   * - The head is reachable, its entry shows joining or ready, and the head has not confirmed that
-   *   it does not serve.
-   * - The head is unreachable, its entry shows open or closing, and the stall time has not passed.
-   * - The head has no entry, and the group has not ended; a presumed end holds for a short time and
-   *   must then be checked again. The wait is limited if the head refuses
-   *   connections (stall time), or if this process does not know the head.
+   * Whether a group may be open, now or later: until it has ended, since an order to open it may be
+   * carried out late. A presumed end holds for a short time and must then be checked again. If the
+   * head has no entry, the wait is limited when it refuses connections (stall time), or when this
+   * process does not know the head.
    */
-  mayBeOpen(group: EngineGroup): boolean;
+  mayBeOpen(group: GroupKey): boolean;
   /** Returns the id of the head of a group, if this process knows it. */
   findHeadId(group: EngineGroup): string | undefined;
   /** Returns the head of a group if its entry is gone and it has not been ordered to close yet. */
@@ -52,13 +54,8 @@
   markNotListening(group: EngineGroup): void;
   /** Records what a close has shown; unless the end is confirmed, the head is ordered to close again. */
   recordCloseResult(group: EngineGroup, end: GroupEnd): void;
-  /**
-   * Returns the head of a group if its entry shows joining or ready and the head has not confirmed
-   * that it does not serve.
-   */
-  findHeadToQuery(group: EngineGroup): Target | undefined;
-  /** Records whether the head itself reported that it does not serve the group. */
-  setNotServing(group: EngineGroup, isNotServing: boolean): void;
+  /** Returns the head of a group that has not ended if its entry does not show it as serving. */
+  findHeadToRelease(group: EngineGroup): Target | undefined;
   /** Returns the head locations of the groups that have not ended, for the next leader. */
   listLocations(): HeadLocation[];
   /** Adds the locations that another leader stored; heads that this process saw take precedence. */
@@ -92,6 +89,8 @@
   head: Target | undefined;
   /** Location stored by another leader. */
   storedLocation: HeadLocation | undefined;
+  /** Whether the entries show the head in the group. */
+  hasHeadEntry: boolean;
   seenMs: number;
   /** Since when the head has had no entry or has been unreachable. */
   missingSinceMs: number | undefined;
@@ -102,18 +101,6 @@
   endPresumedMs: number;
   /** Whether the head has been ordered to close the group. */
   isCloseRequested: boolean;
-  /** Whether the head itself reported that it does not serve the group. */
-  isNotServing: boolean;
-}
-
-/** States in an entry after which the head may have opened its group since. */
-const POSSIBLY_OPEN_STATES: ReadonlySet<GroupState | undefined> = new Set([
-  GroupState.Ready,
-  GroupState.Joining,
-]);
-
-function mayHaveOpened(head: Target | undefined): boolean {
-  return POSSIBLY_OPEN_STATES.has(head?.group?.state);
 }
 
 /**
@@ -130,10 +117,9 @@
   const { timers, findTarget, isUnreachable, stallMs } = options;
   const records = new Map<string, HeadRecord>();
 
-  const findHead = (group: EngineGroup, record: HeadRecord | undefined): GroupHead | undefined => {
+  const findHead = (group: GroupKey, record: HeadRecord | undefined): GroupHead | undefined => {
     const stored = record?.storedLocation;
     return (
-      group.headEngine ??
       record?.head ??
       parseGroupHead(group.name) ??
       (stored && { id: stored.headId, address: stored.address })
@@ -142,7 +128,7 @@
 
   /** Whether the entry of the head shows it in a later group. It can't return to an earlier one. */
   const hasHeadMovedOn = (group: EngineGroup, record: HeadRecord | undefined): boolean => {
-    const head = findHead(group, record);
+    const head = group.headEngine ?? findHead(group, record);
     const shown = head && findTarget(head.id)?.group;
     return shown !== undefined && shown.epoch > group.epoch;
   };
@@ -152,7 +138,8 @@
     hasReachableEntry: boolean,
     hasMovedOn: boolean,
   ): GroupEnd => {
-    if (hasMovedOn) return GroupEnd.Confirmed;
+    // An entry that shows the head in a group that has ended is older than the end.
+    if (hasMovedOn || record?.end === GroupEnd.Confirmed) return GroupEnd.Confirmed;
     return record === undefined || hasReachableEntry ? GroupEnd.NotEnded : record.end;
   };
 
@@ -165,14 +152,13 @@
     records.set(key, {
       head: headEngine ?? record?.head,
       storedLocation: record?.storedLocation,
+      hasHeadEntry: headEngine !== undefined,
       seenMs: now,
       missingSinceMs: hasReachableEntry ? undefined : (record?.missingSinceMs ?? now),
       notListeningSinceMs: hasReachableEntry ? undefined : record?.notListeningSinceMs,
       end: computeEnd(record, hasReachableEntry, hasMovedOn),
       endPresumedMs: record?.endPresumedMs ?? -Infinity,
       isCloseRequested: record?.isCloseRequested === true && !hasReachableEntry,
-      isNotServing:
-        record?.isNotServing === true && !ACTIVE_HEAD_STATES.has(headEngine?.group?.state),
     });
   };
 
@@ -197,22 +183,18 @@
       for (const [key, { seenMs }] of records)
         if (now - seenMs > RECORD_TTL_MS) records.delete(key);
     },
+    hasEnded: (group) => records.get(formatGroupKey(group))?.end === GroupEnd.Confirmed,
     mayBeOpen(group) {
       const record = records.get(formatGroupKey(group));
-      if (record === undefined || hasEnded(record)) return false;
-      const { headEngine } = group;
-      // An entry may be older than the order that opened the group.
-      if (record.missingSinceMs === undefined)
-        return mayHaveOpened(headEngine) && !record.isNotServing;
-      if (headEngine !== undefined && !ACTIVE_HEAD_STATES.has(headEngine.group?.state))
-        return false;
-      const missingMs = timers.getMonotonicMs() - record.missingSinceMs;
-      // An unreachable head breaks its group by itself after the stall time.
-      if (headEngine !== undefined) return missingMs <= stallMs;
+      if (record === undefined) return true;
+      if (hasEnded(record)) return false;
+      if (record.missingSinceMs === undefined || record.hasHeadEntry) return true;
+      const now = timers.getMonotonicMs();
       if (record.notListeningSinceMs !== undefined) {
-        return timers.getMonotonicMs() - record.notListeningSinceMs <= stallMs;
+        return now - record.notListeningSinceMs <= stallMs;
       }
-      return findHead(group, record) !== undefined || missingMs <= UNKNOWN_HEAD_WAIT_MS;
+      const isHeadKnown = findHead(group, record) !== undefined;
+      return isHeadKnown || now - record.missingSinceMs <= UNKNOWN_HEAD_WAIT_MS;
     },
     findHeadId: (group) => findHead(group, records.get(formatGroupKey(group)))?.id,
     findHeadToClose(group) {
@@ -221,14 +203,14 @@
         return undefined;
       return findHeadTarget(group, record);
     },
-    findHeadToQuery(group) {
+    findHeadToRelease(group) {
       const record = records.get(formatGroupKey(group));
-      if (record === undefined || record.missingSinceMs !== undefined || record.isNotServing) {
+      if (record === undefined || record.missingSinceMs !== undefined || hasEnded(record)) {
         return undefined;
       }
-      return mayHaveOpened(group.headEngine) ? group.headEngine : undefined;
+      const isServing = ACTIVE_HEAD_STATES.has(group.headEngine?.group?.state);
+      return isServing ? undefined : group.headEngine;
     },
-    setNotServing: (group, isNotServing) => setRecord(group, { isNotServing }),
     markNotListening: (group) => {
       const record = records.get(formatGroupKey(group));
       if (record !== undefined) record.notListeningSinceMs ??= timers.getMonotonicMs();
@@ -256,13 +238,13 @@
           records.set(location.group, {
             head: undefined,
             storedLocation: location,
+            hasHeadEntry: false,
             seenMs: now,
             missingSinceMs: undefined,
             notListeningSinceMs: undefined,
             end: GroupEnd.NotEnded,
             endPresumedMs: -Infinity,
             isCloseRequested: false,
-            isNotServing: false,
           });
         }
       }
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -1,5 +1,4 @@
 import type { EngineGroup, Fleet, Target } from '../fleet/index.ts';
-import { ACTIVE_HEAD_STATES, formatGroupKey } from '../fleet/index.ts';
 import type { Logger } from '../logs/index.ts';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
@@ -98,7 +97,7 @@
 
 /** Interval at which the entry of an engine that stages a model is checked. */
 const STAGING_CHECK_PERIOD_MS = 100;
-/** Delay before a head that serves, or did not respond, is queried again. */
+/** Delay before a head that serves, or did not respond, is asked to leave again. */
 const HEAD_QUERY_PERIOD_MS = 400;
 /**
  * A fabric domain that retired groups for a model but could not form a group of it forms groups of
@@ -134,8 +133,6 @@
   const orderedEpochs = new Map<string, { epoch: number; untilMs: number }>();
   /** Fabric domains that retire groups in favour of a model, until its group is formed. */
   const domainReservations = new Map<string, { model: string; untilMs: number }>();
-  /** Monotonic times at which groups were closed, by group key; dropped after the entry lag. */
-  const closedGroups = new Map<string, number>();
   const headRegistry = createHeadRegistry({
     timers,
     findTarget: (id) => fleet.findTarget(id),
@@ -162,14 +159,8 @@
     logger,
     findTarget: (id) => fleet.findTarget(id),
     canSendOrders,
-    mayLeaveGroup: ({ service }, { name, epoch }) => {
-      const group = fleet
-        .listServiceGroups(service)
-        .find((one) => one.name === name && one.epoch === epoch);
-      if (group === undefined || ACTIVE_HEAD_STATES.has(group.headEngine?.group?.state))
-        return false;
-      return !headRegistry.mayBeOpen(group);
-    },
+    mayLeaveGroup: ({ service }, { name, epoch }) =>
+      !headRegistry.mayBeOpen({ service, name, epoch }),
   });
 
   const excludeEngines = (ids: readonly string[], forMs: number): void => {
@@ -281,7 +272,7 @@
     runOperation(ids, undefined, async () => {
       const isClosed = (await groupOperations.closeGroup(group, isGraceful)) === CloseResult.Closed;
       logger.info('closed a group', { group: group.name, isGraceful, isClosed });
-      if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
+      if (isClosed) headRegistry.recordCloseResult(group, GroupEnd.Confirmed);
       if (!isClosed && group.headEngine !== undefined)
         await excludeUnresponsive([group.headEngine]);
     });
@@ -298,7 +289,7 @@
       const isClosed = (await groupOperations.closeGroup(group, true)) === CloseResult.Closed;
       const context = { group: group.name, domain, forModel: model.name, isClosed };
       logger.info('retired a group for another model', context);
-      if (isClosed) closedGroups.set(formatGroupKey(group), timers.getMonotonicMs());
+      if (isClosed) headRegistry.recordCloseResult(group, GroupEnd.Confirmed);
       else domainReservations.delete(domain);
     });
   };
@@ -344,15 +335,15 @@
     });
   };
 
-  /** Queries a head whose entry does not show an open group whether it has opened it since. */
-  const queryHead = (group: EngineGroup): void => {
-    const head = headRegistry.findHeadToQuery(group);
+  /** Orders a head whose entry does not show an open group to leave it, unless it has opened it since. */
+  const releaseHead = (group: EngineGroup): void => {
+    const head = headRegistry.findHeadToRelease(group);
     if (head === undefined) return;
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
-      const isNotServing = await groupOperations.hasStoppedServing(head, group.name, group.epoch);
-      headRegistry.setNotServing(group, isNotServing);
-      if (!isNotServing) await timers.waitFor(HEAD_QUERY_PERIOD_MS);
+      const hasLeft = await groupOperations.releaseHead(head, group.name, group.epoch);
+      if (hasLeft) headRegistry.recordCloseResult(group, GroupEnd.Confirmed);
+      else await timers.waitFor(HEAD_QUERY_PERIOD_MS);
     });
   };
 
@@ -364,8 +355,8 @@
     orderedEpochs.get(id)?.epoch === epoch && fleet.findTarget(id) !== undefined;
 
   /**
-   * Returns the members of groups that may still be open although their entries do not show it.
-   * Also starts to close those groups whose head has no entry, and to query the other heads.
+   * Returns the members of groups that may be open or may still open. Also starts to close those
+   * groups whose head has no entry, and orders the other heads that do not serve to leave.
    */
   const resolvePossiblyOpenGroups = (service: string): Set<string> => {
     const possiblyOpenIds = new Set<string>();
@@ -380,24 +371,14 @@
       if (head !== undefined && !isAwaitingEntry(head, group)) {
         closeGroupWithoutHeadEntry(group, head);
       }
-      queryHead(group);
+      releaseHead(group);
     }
     return possiblyOpenIds;
   };
 
-  /**
-   * Returns the groups that the entries show, without those closed since. Also drops the records of
-   * closed groups that are older than the entry lag.
-   */
-  const listUnclosedGroups = (service: string): EngineGroup[] => {
-    const now = timers.getMonotonicMs();
-    for (const [key, closedMs] of closedGroups) {
-      if (now - closedMs > ENTRY_LAG_MS) closedGroups.delete(key);
-    }
-    return fleet
-      .listServiceGroups(service)
-      .filter((group) => !closedGroups.has(formatGroupKey(group)));
-  };
+  /** Returns the groups that the entries show, without those that have ended since. */
+  const listCurrentGroups = (service: string): EngineGroup[] =>
+    fleet.listServiceGroups(service).filter((group) => !headRegistry.hasEnded(group));
 
   /**
    * Returns the engines whose entries do not show the ordered join yet. Also drops the records of
@@ -442,7 +423,7 @@
     const actions = planFormation({
       spec,
       engines: fleet.listTargets(service.name),
-      groups: listUnclosedGroups(service.name),
+      groups: listCurrentGroups(service.name),
       reservedEngineIds: new Set([
         ...[...activeOperations].flatMap(({ ids }) => ids),
         ...listIdsAwaitingEntry(),
