Join the head of a group once for each epoch

Cause: an order to join that got no response was repeated with the same epoch. Carried out late, it brings the head back into a group that it has left, where a late order to open opens it. The leader takes the group for ended then, and joins the head and its members to others.

Change: each attempt to join a head has an epoch of its own, and the other members follow with the one that the head has accepted.

Why it works: a head that has accepted a join refuses those of earlier epochs, so that none can come after it has left.

--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -370,6 +370,28 @@
     });
   }
 
+  // Guards against an order to join, carried out late and after its repetition, that brings a head back
+  // into the group that it has left, where a late order opens it (rule TWO, by the cause of review/9).
+  for (const { name, isLeaderReplaced } of lateOpens) {
+    it(`brings no head back into a group that it has left, ${name}`, async () => {
+      for (const delayMs of [3_000, 4_000, 6_000]) {
+        const harness = await startServing();
+        await evacuate(harness, 1_000);
+        harness.setOrderDelay((_engine, order, count) =>
+          ['join', 'open'].includes(order.kind) && count === 1 ? delayMs : undefined,
+        );
+        // The first attempts to join are late, the first to open follow 0.8 s later.
+        await harness.timers.runForAsync(2_500);
+        harness.setOrderDelay(() => undefined);
+        await evacuate(harness, delayMs, isLeaderReplaced);
+        await harness.timers.runForAsync(3_000);
+        expect(harness.lateResults.length).toBeGreaterThan(0);
+        expect(harness.violations).toEqual([]);
+        harness.formation.stop();
+      }
+    });
+  }
+
   it('forms a new group from the survivors of lost groups within a second', async () => {
     const harness = await startServing();
     const pairs = harness
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -19,8 +19,9 @@
 }
 
 /**
- * Attempts to send one order. An engine that did not respond may still execute the order later;
- * orders are idempotent, so sending one again is safe.
+ * Attempts to send one order. An engine that did not respond may still execute the order later. That is
+ * safe for members, which may rejoin a group that has ended, and for orders to a head that has left; see
+ * `joinHead` for the order that must not come twice.
  */
 const ORDER_ATTEMPTS = 4;
 /** Interval at which an engine's entry is checked for the expected state. */
@@ -59,22 +60,37 @@
   NotListening = 'not-listening',
 }
 
+/** Name and epoch of a group that is to be formed. */
+export type NewGroup = Pick<EngineGroup, 'name' | 'epoch'>;
+
+type JoinOrder = Extract<EngineOrder, { kind: 'join' }>;
+
+function buildJoinOrder(
+  group: NewGroup | undefined,
+  model: ModelSpec,
+  members: string[],
+): JoinOrder | undefined {
+  if (group === undefined) return undefined;
+  return { kind: 'join', group: group.name, epoch: group.epoch, model: model.name, members };
+}
+
 /**
  * Operations that change groups. When leadership is lost, each sends no more orders and may be
  * abandoned at any step; the next leader plans from the state that the engines are then in.
  */
 export interface GroupOperations {
   /**
-   * Forms a group of engines that say that they are free, and orders its head to open it. Returns whether the head accepted that order, and
-   * the engines that failed an order; an accepted group serves only `EngineSpec.openMs` later.
+   * Forms a group of engines that say that they are free, and orders its head to open it. `issueGroup`
+   * returns the name and epoch for each attempt to join the head, or undefined if there are no more.
+   * Returns the group if its head accepted the order to open it, so that it serves `EngineSpec.openMs`
+   * later, and the engines that failed an order.
    */
   formGroup(
-    name: string,
-    epoch: number,
     model: ModelSpec,
     members: readonly Target[],
     expectedMs: number,
-  ): Promise<{ isOpenOrderAccepted: boolean; failedIds: string[] }>;
+    issueGroup: () => NewGroup | undefined,
+  ): Promise<{ group: string | undefined; failedIds: string[] }>;
   /** Closes a group through its head; if graceful, after its requests are done. */
   closeGroup(group: EngineGroup, isGraceful: boolean): Promise<CloseResult>;
   /**
@@ -176,6 +192,25 @@
   const hasResponded = async (target: Target): Promise<boolean> =>
     (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
 
+  /**
+   * Orders the head of a new group to join it, and returns the order that it accepted. Each attempt has
+   * an epoch of its own: an attempt that got no response and names the same epoch as an accepted one
+   * could bring the head back after it has left the group, and a late order could then open it.
+   */
+  const joinHead = async (
+    head: Target,
+    issueOrder: () => JoinOrder | undefined,
+  ): Promise<JoinOrder | undefined> => {
+    for (let count = 0; count < ORDER_ATTEMPTS && canSendOrders(); count++) {
+      const order = issueOrder();
+      if (order === undefined) return undefined;
+      const result = await control.sendOrder(head, order);
+      if (result === OrderResult.Accepted) return order;
+      if (result !== OrderResult.Unknown) return undefined;
+    }
+    return undefined;
+  };
+
   /**
    * Returns the engines that cannot join a group: those that do not respond, and members of groups that
    * may be open. An engine's entry may be older than its group if the engine or the store lost data.
@@ -197,20 +232,23 @@
   };
 
   return {
-    async formGroup(name, epoch, model, members, expectedMs) {
+    async formGroup(model, members, expectedMs, issueGroup) {
       const ids = members.map(({ id }) => id);
       const unavailableIds = await listUnavailableIds(members);
-      if (unavailableIds.length > 0) {
-        return { isOpenOrderAccepted: false, failedIds: unavailableIds };
+      const [head, ...others] = members;
+      if (head === undefined || unavailableIds.length > 0) {
+        return { group: undefined, failedIds: unavailableIds };
       }
-      const order: EngineOrder = {
-        kind: 'join',
-        group: name,
-        epoch,
-        model: model.name,
-        members: ids,
-      };
-      const results = await Promise.all(members.map((one) => sendOrderWithRetries(one, order)));
+      const order = await joinHead(head, () => buildJoinOrder(issueGroup(), model, ids));
+      if (order === undefined) {
+        logger.warn('failed to form a group', { model: model.name, failed: head.id });
+        return { group: undefined, failedIds: [head.id] };
+      }
+      const { group: name, epoch } = order;
+      const results = [
+        OrderResult.Accepted,
+        ...(await Promise.all(others.map((one) => sendOrderWithRetries(one, order)))),
+      ];
       let failedIds = ids.filter((_, index) => results[index] !== OrderResult.Accepted);
       if (failedIds.length === 0) {
         const ready = await Promise.all(
@@ -228,10 +266,9 @@
         // A member whose entry disappeared in the meantime is leaving or disconnected.
         failedIds = ids.filter((id, index) => !ready[index] || findTarget(id) === undefined);
       }
-      const [head] = members;
       const isOpenOrderAccepted =
-        failedIds.length === 0 && head !== undefined && (await sendOpenOrder(head, name, epoch));
-      if (isOpenOrderAccepted) return { isOpenOrderAccepted, failedIds };
+        failedIds.length === 0 && (await sendOpenOrder(head, name, epoch));
+      if (isOpenOrderAccepted) return { group: name, failedIds };
       logger.warn('failed to form a group', {
         group: name,
         epoch,
@@ -240,7 +277,7 @@
         results: results.join(' '),
       });
       if (canSendOrders()) await sendLeaveOrders(members, name, epoch);
-      return { isOpenOrderAccepted, failedIds };
+      return { group: undefined, failedIds };
     },
     async closeGroup({ name, epoch, headEngine }, isGraceful) {
       if (headEngine === undefined) return CloseResult.NotConfirmed;
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -7,6 +7,7 @@
 import { formatGroupName } from './group-name.ts';
 import { createHeadRegistry, GroupEnd } from './head-registry.ts';
 import type { HeadLocation } from './head-registry.ts';
+import type { NewGroup } from './group-operations.ts';
 import { CloseResult, createGroupOperations } from './group-operations.ts';
 import type { FormationAction } from './plan-formation.ts';
 import { planFormation } from './plan-formation.ts';
@@ -190,32 +191,39 @@
   const getOpenMs = (member: Target | undefined): number =>
     options.listServices().find(({ name }) => name === member?.service)?.engine?.openMs ?? 0;
 
-  const formGroup = (model: ModelSpec, members: Target[]): void => {
+  /** Issues the next epoch and its name for a group, or undefined if the epochs are used up. */
+  const issueGroup = (head: Target, ids: readonly string[]): NewGroup | undefined => {
     if (epochCount >= EPOCHS_PER_TERM) {
       // Epochs of the next term would repeat those of this one; a new term has its own.
       logger.error('the epochs of this term are used up; restart the gateway', { term });
-      return;
+      return undefined;
     }
+    const epoch = term * EPOCHS_PER_TERM + epochCount++;
+    const untilMs = timers.getMonotonicMs() + ENTRY_LAG_MS;
+    ids.forEach((id) => orderedEpochs.set(id, { epoch, untilMs }));
+    return { name: formatGroupName(epoch, head), epoch };
+  };
+
+  const formGroup = (model: ModelSpec, members: Target[]): void => {
     const [head] = members;
     if (head === undefined) return;
     const domain = head.fabricDomain;
     if (domainReservations.get(domain)?.model === model.name) domainReservations.delete(domain);
-    const epoch = term * EPOCHS_PER_TERM + epochCount++;
     const ids = members.map(({ id }) => id);
-    const name = formatGroupName(epoch, head);
     runOperation(ids, model.name, async () => {
       const startMs = timers.getMonotonicMs();
-      ids.forEach((id) => orderedEpochs.set(id, { epoch, untilMs: startMs + ENTRY_LAG_MS }));
       const expectedMs = computeExpectedMs(model, members);
-      const result = await groupOperations.formGroup(name, epoch, model, members, expectedMs);
-      excludeEngines(result.failedIds, FAILED_ORDER_EXCLUSION_MS);
-      if (!result.isOpenOrderAccepted) {
+      const { group, failedIds } = await groupOperations.formGroup(model, members, expectedMs, () =>
+        issueGroup(head, ids),
+      );
+      excludeEngines(failedIds, FAILED_ORDER_EXCLUSION_MS);
+      if (group === undefined) {
         ids.forEach((id) => orderedEpochs.delete(id));
         return;
       }
       const tookMs = Math.round(timers.getMonotonicMs() - startMs);
       logger.info('formed a group', {
-        group: name,
+        group,
         model: model.name,
         members: ids.join(' '),
         domain,
