Soak the formation of groups with late orders, lost stores and changes of leader

Cause: the soak checked that no engine joins a group while its own is open, but its engines carried out each order at once, none lost the store alone, and faults hit leaders by chance only.

Engines without a group name no model, as those of the platform do. Two runs of 25 s are part of the tests, one of them with a store that comes back from a copy.

--- a/src/cli/soak/index.ts
+++ b/src/cli/soak/index.ts
@@ -69,6 +69,11 @@
         long: 'early-signals',
         description: 'with slow peers: send SIGHUP also before a program has set its handler',
       }),
+      hasGroupFaults: flag({
+        long: 'group-faults',
+        description:
+          'evacuate zones, cut engines from the store, delay orders, and pause and kill leaders',
+      }),
       hasDuties: flag({
         long: 'duties',
         description: 'let the gateways report the usage of customers, and check the duties',
@@ -85,7 +90,7 @@
           const [peakMb, lateMs] = [result.peakMemoryMb, result.maxLoopDelayMs].map(Math.round);
           const outcome = violations.length === 0 ? 'no rule violated' : 'RULES VIOLATED';
           process.stdout.write(
-            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${result.usageWindows} usage windows, ${peakMb} MB at most, soak late by ${lateMs} ms at most, ${workFolder}\n`,
+            `seed ${seed}: ${outcome}, ${answered} of ${requests} answered, ${engineCrashes} engines crashed by requests, ${result.lateOrders} late orders, groups ${result.areGroupsOpen ? 'open' : 'NOT OPEN'} at the end, ${result.usageWindows} usage windows, ${peakMb} MB at most, soak late by ${lateMs} ms at most, ${workFolder}\n`,
           );
           if (violations.length === 0) continue;
           process.exitCode = ExitStatus.Failure;
--- a/src/stand-ins/soak/observations.ts
+++ b/src/stand-ins/soak/observations.ts
@@ -136,6 +136,8 @@
   responses: ObservedResponse[];
   runs: TargetRun[];
   conflictingJoins: ConflictingJoin[];
+  /** Number of orders that engines carried out late. */
+  lateOrders: number;
   plannedStops: PlannedStop[];
   deadlyArrivals: DeadlyArrival[];
   limitedArrivals: LimitedArrival[];
@@ -157,6 +159,7 @@
     responses: [],
     runs: [],
     conflictingJoins: [],
+    lateOrders: 0,
     plannedStops: [],
     deadlyArrivals: [],
     limitedArrivals: [],
--- /dev/null
+++ b/src/stand-ins/soak/plan-group-faults.ts
@@ -0,0 +1,57 @@
+/** Faults that hit the formation of groups. */
+export enum GroupFaultKind {
+  /** Takes a zone out of use and back. */
+  EvacuateZone = 'evacuate-zone',
+  /** Cuts some engines from the store, while requests and orders still reach them. */
+  CutEngines = 'cut-engines',
+  /** Lets some orders get no response, and be carried out seconds later. */
+  DelayOrders = 'delay-orders',
+  /** Pauses the gateway that is the leader, and resumes it. */
+  PauseLeader = 'pause-leader',
+  /** Kills the gateway that is the leader, and restarts it. */
+  KillLeader = 'kill-leader',
+}
+
+/** One fault of a run; times are in milliseconds since the start of the faults. */
+export interface PlannedGroupFault {
+  kind: GroupFaultKind;
+  atMs: number;
+  forMs: number;
+  /** Random number in [0, 1) that selects the zone or the engines. */
+  selector: number;
+}
+
+/** Shortest and longest time of each kind, in milliseconds. */
+const DURATIONS: Record<GroupFaultKind, [number, number]> = {
+  [GroupFaultKind.EvacuateZone]: [1_500, 6_000],
+  [GroupFaultKind.CutEngines]: [2_000, 10_000],
+  [GroupFaultKind.DelayOrders]: [2_000, 5_500],
+  [GroupFaultKind.PauseLeader]: [1_000, 4_000],
+  [GroupFaultKind.KillLeader]: [0, 0],
+};
+/** Zones are taken out and orders are late more often than the other faults come. */
+const KINDS: readonly GroupFaultKind[] = [
+  ...Object.values(GroupFaultKind),
+  GroupFaultKind.EvacuateZone,
+  GroupFaultKind.EvacuateZone,
+  GroupFaultKind.DelayOrders,
+];
+const FIRST_FAULT_MS = 500;
+/** Time at the end without faults, in which the groups have to form again. */
+const RECOVERY_MS = 6_000;
+const MAX_GAP_MS = 1_500;
+
+/** Plans the faults of a run; the plan is deterministic for a given sequence of random numbers. */
+export function planGroupFaults(durationMs: number, random: () => number): PlannedGroupFault[] {
+  const faults: PlannedGroupFault[] = [];
+  let atMs = FIRST_FAULT_MS;
+  while (atMs < durationMs - RECOVERY_MS) {
+    const kind = KINDS[Math.floor(random() * KINDS.length)] ?? GroupFaultKind.EvacuateZone;
+    const [minMs, maxMs] = DURATIONS[kind];
+    const drawnMs = minMs + random() * (maxMs - minMs);
+    const forMs = Math.min(drawnMs, durationMs - RECOVERY_MS - atMs);
+    faults.push({ kind, atMs, forMs, selector: random() });
+    atMs += random() * MAX_GAP_MS;
+  }
+  return faults;
+}
--- a/src/stand-ins/soak/plans.test.ts
+++ b/src/stand-ins/soak/plans.test.ts
@@ -4,6 +4,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { planFaults } from './plan-faults.ts';
+import { GroupFaultKind, planGroupFaults } from './plan-group-faults.ts';
 import { PeerFaultKind, planPeerFaults } from './plan-peer-faults.ts';
 
 function createRandom(seed: number): () => number {
@@ -31,6 +32,18 @@
   }
 });
 
+describe('planGroupFaults', () => {
+  // Guards against faults of groups that no run meets.
+  it('draws each kind within ten runs, and ends them before the run does', () => {
+    const plans = Array.from({ length: 10 }, (_, seed) =>
+      planGroupFaults(25_000, createRandom(seed)),
+    );
+    const kinds = new Set(plans.flat().map(({ kind }) => kind));
+    expect(kinds).toEqual(new Set(Object.values(GroupFaultKind)));
+    expect(plans.flat().every(({ atMs, forMs }) => atMs + forMs <= 19_000)).toEqual(true);
+  });
+});
+
 describe('planPeerFaults', () => {
   // Guards against kinds of slow peers that no run meets.
   it('draws each kind within ten runs', () => {
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -21,9 +21,12 @@
 import type { SoakGateway } from './gateways.ts';
 import { startSoakGateway } from './gateways.ts';
 import { RequestClass, ResponseEnd, createObservations } from './observations.ts';
+import { injectGroupFaults } from './inject-group-faults.ts';
 import { injectPeerFaults } from './inject-peer-faults.ts';
 import { findHangingViolations, findStarvationViolations } from './peer-checks.ts';
+import { createOrderDelays } from './order-delays.ts';
 import { planFaults } from './plan-faults.ts';
+import { planGroupFaults } from './plan-group-faults.ts';
 import { planPeerFaults } from './plan-peer-faults.ts';
 import { sendHangup, sendSignalSeries } from './signal-series.ts';
 import { createSlowCallers } from './slow-callers.ts';
@@ -48,6 +51,8 @@
   areEarlySignalsSent?: boolean;
   /** Whether the gateways report the usage of customers. */
   hasDuties?: boolean;
+  /** Whether zones, engines, orders and leaders fail in ways that hit the formation of groups. */
+  hasGroupFaults?: boolean;
   /** Fault that hits a holder of the duties once, at the given moment. */
   holderFault?: Pick<HolderFaultOptions, 'moment' | 'kind'>;
   timers: TimerService;
@@ -66,6 +71,10 @@
   engineCrashes: number;
   /** Requests that reached engines after these had stated a limit. */
   limitedArrivals: number;
+  /** Orders that engines carried out late. */
+  lateOrders: number;
+  /** Whether each model has an open group at the end. */
+  areGroupsOpen: boolean;
   /** Usage windows that the platform accepted. */
   usageWindows: number;
   /** Windows between the first and the last accepted one that were not reported. */
@@ -83,6 +92,7 @@
 
 /** Odd factor that spreads consecutive seeds, whose generators would begin alike. */
 const PEER_SEED_FACTOR = 0x9e3779b1;
+const GROUP_SEED_FACTOR = 0x85ebca6b;
 const OUTPUT_FOLDER = 'out';
 const ZONES = ['a', 'b', 'c'];
 const GROUPS_TIMEOUT_MS = 20_000;
@@ -130,6 +140,12 @@
   const peerFaults = hasSlowPeers
     ? planPeerFaults(durationMs, () => uniformFloat64(peerGenerator))
     : [];
+  const groupGenerator = xoroshiro128plus(Math.imul(seed, GROUP_SEED_FACTOR));
+  const drawForGroups = (): number => uniformFloat64(groupGenerator);
+  const groupFaults =
+    options.hasGroupFaults === true ? planGroupFaults(durationMs, drawForGroups) : [];
+  const orderDelays = createOrderDelays(drawForGroups);
+  let areGroupsOpen = false;
   const loopDelay = monitorEventLoopDelay();
   const observations = createObservations();
   const store = await createStandInStore();
@@ -144,6 +160,7 @@
     limitedShare: options.limitedShare ?? 0,
     hasBulkTargets: hasSlowPeers,
     zones: ZONES,
+    drawOrderDelayMs: orderDelays.drawDelayMs,
   });
   let holderFault: HolderFault | undefined;
   const dutyPlatform =
@@ -220,6 +237,17 @@
           sendSignalSeries({ timers, observations, areEarlySignalsSent }, one, variant),
         ),
     });
+    const injectedGroupFaults = injectGroupFaults({
+      faults: groupFaults,
+      timers,
+      store,
+      environment,
+      orderDelays,
+      gateways,
+      observations,
+      zones: ZONES,
+      runOnGateway: injected.runOnGateway,
+    });
     if (options.isStoreRestored === true) {
       scheduleRestorations({ timers, store, environment, durationMs });
     }
@@ -227,6 +255,8 @@
     await timers.waitFor(durationMs);
     await injected.finish();
     await injectedPeerFaults.finish();
+    await injectedGroupFaults.finish();
+    areGroupsOpen = environment.hasOpenGroups();
     await callers.stop();
     loopDelay.disable();
   } finally {
@@ -270,6 +300,8 @@
       ...(faults.length === 0 ? findLimitViolations(observations) : []),
     ],
     engineCrashes: observations.engineCrashesMs.length,
+    lateOrders: observations.lateOrders,
+    areGroupsOpen,
     limitedArrivals: observations.limitedArrivals.length,
     usageWindows: windows.size,
     missingWindows:
@@ -279,7 +311,7 @@
     answered: answered.length,
     peakMemoryMb: Math.max(...observations.peakMemoryMb.values()),
     maxLoopDelayMs: loopDelay.max / NS_PER_MS,
-    faults: [...faults, ...peerFaults].map(({ kind, atMs, forMs, selector }) => {
+    faults: [...faults, ...peerFaults, ...groupFaults].map(({ kind, atMs, forMs, selector }) => {
       const [from, length] = [atMs, forMs].map((ms) => (ms / MS_PER_SECOND).toFixed(1));
       const gateway = Math.floor(selector * gateways.length);
       return `${from} s ${kind} for ${length} s (gateway-${gateway}, if on a gateway)`;
--- a/src/stand-ins/soak/soak-engines.ts
+++ b/src/stand-ins/soak/soak-engines.ts
@@ -3,6 +3,7 @@
 import type { ResponseBody, TargetEnvironment, SoakTarget } from './soak-targets.ts';
 import {
   buildLifecycle,
+  ENTRY_EXPIRY_MS,
   checkExpectedInstance,
   getAttemptId,
   HTTP_MISDIRECTED,
@@ -34,6 +35,8 @@
   requestsPerSecond: number | undefined;
   /** When it stated its limit first; undefined before. */
   limitStatedMs: number | undefined;
+  /** Whether it is cut from the store. */
+  isCut: boolean;
 }
 
 interface GroupOrder {
@@ -63,6 +66,8 @@
   startEngine(id: string, zone: string, domain: string): Promise<SoakTarget>;
   /** Returns the models that have an open group. */
   listOpenModels(): string[];
+  /** Cuts an engine from the store, so that its entry stays as it is and then lapses, or heals it. */
+  setCut(id: string, isCut: boolean): void;
   /** Has all engines write their entries again, as after a restoration of the store. */
   publishAll(): void;
 }
@@ -103,6 +108,17 @@
   };
 
   return {
+    setCut(id, isCut) {
+      const engine = engines.get(id);
+      if (engine === undefined || engine.isCut === isCut) return;
+      engine.isCut = isCut;
+      if (!isCut) publishers.get(id)?.();
+      else {
+        timers.scheduleOnce(ENTRY_EXPIRY_MS, () => {
+          if (engine.isCut) store.removeObject('servers', id);
+        });
+      }
+    },
     publishAll: () => publishers.forEach((publish) => publish()),
     listOpenModels() {
       const open = [...engines.values()].filter(({ group }) => group?.state === 'open');
@@ -119,18 +135,21 @@
         running: 0,
         requestsPerSecond: drawLimit(),
         limitStatedMs: undefined,
+        isCut: false,
       };
 
       const buildReport = (): object => ({
         domain,
         staged: engine.staged,
         models:
-          engine.model === undefined ? [] : [{ name: engine.model, version: 1, adapters: [] }],
+          engine.model === undefined || engine.group === undefined
+            ? []
+            : [{ name: engine.model, version: 1, adapters: [] }],
         ...(engine.group && { group: engine.group }),
       });
       const publish = (state: 'ready' | 'draining' = engine.state): void => {
         engine.state = state;
-        if (!engines.has(id)) return;
+        if (!engines.has(id) || engine.isCut) return;
         const { address } = engine;
         store.putObject('servers', id, { service, address, zone, state, ...buildReport() });
       };
@@ -284,9 +303,16 @@
           const body = await readBody(incoming);
           if (incoming.url === '/report') sendJson(response, HTTP_OK, buildReport());
           else if (incoming.url === '/order') {
-            const status = applyOrder(JSON.parse(body) as GroupOrder);
+            const order = JSON.parse(body) as GroupOrder;
+            const delayMs = environment.drawOrderDelayMs();
+            if (delayMs !== undefined) {
+              await timers.waitFor(delayMs);
+              if (engines.get(id) !== engine) return;
+              observations.lateOrders++;
+            }
+            const status = applyOrder(order);
             publish();
-            sendJson(response, status, {});
+            if (delayMs === undefined) sendJson(response, status, {});
           } else await serveStream(incoming, response);
         },
       );
--- a/src/stand-ins/soak/soak-environment.ts
+++ b/src/stand-ins/soak/soak-environment.ts
@@ -13,6 +13,8 @@
   apiKey: string;
   /** `Host` header of the requests. */
   host: string;
+  /** Cuts some engines, which `selector` from 0 to 1 selects, from the store; returns what heals them. */
+  cutEngines(selector: number): () => void;
   /** Whether each model has an open group. */
   hasOpenGroups(): boolean;
   listTargets(): SoakTarget[];
@@ -36,6 +38,8 @@
   zones: readonly string[];
   /** Whether there are targets for large bodies and answers. */
   hasBulkTargets: boolean;
+  /** Returns the delay of the next order to an engine in ms; undefined for a prompt one. */
+  drawOrderDelayMs(): number | undefined;
 }
 
 const HOST = '127.0.0.1';
@@ -53,6 +57,14 @@
 const LARGE_MODEL = { name: 'large', size: 3, share: 0.5, load_s: 0.3, warm_s: 0.1 };
 const SMALL_MODEL = { name: 'small', size: 2, share: 0.5, load_s: 0.3, warm_s: 0.1 };
 
+const ENGINE_PREFIX = 'engine-';
+/** Share of the engines that a fault cuts from the store. */
+const CUT_SHARE = 0.25;
+
+function isEngineId(id: string): boolean {
+  return id.startsWith(ENGINE_PREFIX);
+}
+
 function formatReadService(index: number): string {
   return `read-${index}`;
 }
@@ -140,7 +152,7 @@
   let plainCount = 0;
 
   const startEngine = (zone: string) => (): Promise<SoakTarget> =>
-    engineFleet.startEngine(`engine-${engineCount++}`, zone, `${zone}-d0`);
+    engineFleet.startEngine(`${ENGINE_PREFIX}${engineCount++}`, zone, `${zone}-d0`);
   const startPlain = (service: string, zone: string, version: number) => (): Promise<SoakTarget> =>
     startPlainTarget(targetEnvironment, `plain-${plainCount++}`, service, zone, version);
 
@@ -165,6 +177,14 @@
     apiKey: API_KEY,
     host: ROUTE_HOST,
     hasOpenGroups: () => engineFleet.listOpenModels().length === 2,
+    cutEngines(selector) {
+      const ids = [...starters.keys()].map(({ id }) => id).filter(isEngineId);
+      const first = Math.floor(selector * ids.length);
+      const step = Math.round(1 / CUT_SHARE);
+      const cutIds = ids.filter((_, index) => index % step === first % step);
+      cutIds.forEach((id) => engineFleet.setCut(id, true));
+      return () => cutIds.forEach((id) => engineFleet.setCut(id, false));
+    },
     listTargets: () => [...starters.keys()],
     replaceTarget,
     rewriteStore() {
--- a/src/stand-ins/soak/soak-targets.ts
+++ b/src/stand-ins/soak/soak-targets.ts
@@ -15,6 +15,8 @@
   observations: Observations;
   /** Share of the engines that limit their requests. */
   limitedShare: number;
+  /** Returns the delay of the next order to an engine in ms; undefined for a prompt one. */
+  drawOrderDelayMs(): number | undefined;
   random(): number;
 }
 
@@ -33,7 +35,7 @@
 
 const PLAIN_WORK_MS = 30;
 /** Store entries of dead targets expire after three missed heartbeats. */
-const ENTRY_EXPIRY_MS = 1_500;
+export const ENTRY_EXPIRY_MS = 1_500;
 const DRAIN_MS = 3_000;
 export const HTTP_OK = 200;
 export const HTTP_MISDIRECTED = 421;
--- a/test/processes/soak.test.ts
+++ b/test/processes/soak.test.ts
@@ -73,6 +73,30 @@
   }
 });
 
+/** Runs that hit the formation of groups; the first seed broke the rule on groups before it was mended. */
+const GROUP_RUNS = [
+  { seed: 700_001, isStoreRestored: false },
+  { seed: 700_002, isStoreRestored: true },
+];
+
+describe('groups of real processes', () => {
+  // Guards against engines that join a group while the head of their own is open (rule TWO, review/6,
+  // review/7 and review/9).
+  for (const { seed, isStoreRestored } of GROUP_RUNS) {
+    const store = isStoreRestored ? ', with a store from an older copy' : '';
+    it(`form again under late orders, lost stores and changes of leader${store}, with seed ${seed}`, async () => {
+      const timers = createTimerService();
+      const size = { durationMs: 25_000, gateways: 4, callers: 12, buildFolder: 'dist' };
+      const options = { ...size, seed, isStoreRestored, isFaultFree: true, hasGroupFaults: true };
+      const result = await runSoak({ ...options, timers });
+      expect(result.violations).toEqual([]);
+      expect(result.lateOrders > 0).toEqual(true);
+      expect(result.areGroupsOpen).toEqual(true);
+      expect(result.answered > 0).toEqual(true);
+    });
+  }
+});
+
 /** Runs with duties; holders are paused, killed and cut off in the second one. */
 const DUTY_RUNS = [
   { seed: 600_001, isFaultFree: true, isStoreRestored: false },
