Let engines of the soak tell their start, and give groups the platform's time to recover

Its engines told no start time, so that the gateways did not keep the model of engines that had left their groups, and the run looked at the groups 6 s after the last fault.

Change: engines report `born`, as those of the platform always do, and a run waits for the groups until `recovery_s` (12 s) after the last fault of groups.

--- a/src/stand-ins/soak/plan-group-faults.ts
+++ b/src/stand-ins/soak/plan-group-faults.ts
@@ -37,19 +37,19 @@
   GroupFaultKind.DelayOrders,
 ];
 const FIRST_FAULT_MS = 500;
-/** Time at the end without faults, in which the groups have to form again. */
-const RECOVERY_MS = 6_000;
+/** Time at the end of a run without faults, in which the groups form again. */
+export const GROUP_RECOVERY_MS = 6_000;
 const MAX_GAP_MS = 1_500;
 
 /** Plans the faults of a run; the plan is deterministic for a given sequence of random numbers. */
 export function planGroupFaults(durationMs: number, random: () => number): PlannedGroupFault[] {
   const faults: PlannedGroupFault[] = [];
   let atMs = FIRST_FAULT_MS;
-  while (atMs < durationMs - RECOVERY_MS) {
+  while (atMs < durationMs - GROUP_RECOVERY_MS) {
     const kind = KINDS[Math.floor(random() * KINDS.length)] ?? GroupFaultKind.EvacuateZone;
     const [minMs, maxMs] = DURATIONS[kind];
     const drawnMs = minMs + random() * (maxMs - minMs);
-    const forMs = Math.min(drawnMs, durationMs - RECOVERY_MS - atMs);
+    const forMs = Math.min(drawnMs, durationMs - GROUP_RECOVERY_MS - atMs);
     faults.push({ kind, atMs, forMs, selector: random() });
     atMs += random() * MAX_GAP_MS;
   }
--- a/src/stand-ins/soak/run-soak.ts
+++ b/src/stand-ins/soak/run-soak.ts
@@ -26,7 +26,7 @@
 import { findHangingViolations, findStarvationViolations } from './peer-checks.ts';
 import { createOrderDelays } from './order-delays.ts';
 import { planFaults } from './plan-faults.ts';
-import { planGroupFaults } from './plan-group-faults.ts';
+import { GROUP_RECOVERY_MS, planGroupFaults } from './plan-group-faults.ts';
 import { planPeerFaults } from './plan-peer-faults.ts';
 import { sendHangup, sendSignalSeries } from './signal-series.ts';
 import { createSlowCallers } from './slow-callers.ts';
@@ -73,7 +73,7 @@
   limitedArrivals: number;
   /** Orders that engines carried out late. */
   lateOrders: number;
-  /** Whether each model has an open group at the end. */
+  /** Whether each model has an open group within `recovery_s` after the last fault of groups. */
   areGroupsOpen: boolean;
   /** Usage windows that the platform accepted. */
   usageWindows: number;
@@ -96,6 +96,9 @@
 const OUTPUT_FOLDER = 'out';
 const ZONES = ['a', 'b', 'c'];
 const GROUPS_TIMEOUT_MS = 20_000;
+/** The platform's bound `recovery_s`. */
+const RECOVERY_LIMIT_MS = 12_000;
+const RECOVERY_POLL_MS = 100;
 const MS_PER_SECOND = 1_000;
 const NS_PER_MS = 1_000_000;
 
@@ -129,6 +132,19 @@
   }
 }
 
+/** Waits until each model has an open group; returns whether that was in time. */
+async function hasOpenGroupsInTime(
+  timers: TimerService,
+  environment: SoakEnvironment,
+): Promise<boolean> {
+  const limitMs = timers.getMonotonicMs() + RECOVERY_LIMIT_MS - GROUP_RECOVERY_MS;
+  while (!environment.hasOpenGroups()) {
+    if (timers.getMonotonicMs() > limitMs) return false;
+    await timers.waitFor(RECOVERY_POLL_MS);
+  }
+  return true;
+}
+
 /** Runs gateways under the faults of one seed and checks what callers and targets observed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, durationMs, timers, hasSlowPeers = false, areEarlySignalsSent = false } = options;
@@ -256,7 +272,10 @@
     await injected.finish();
     await injectedPeerFaults.finish();
     await injectedGroupFaults.finish();
-    areGroupsOpen = environment.hasOpenGroups();
+    areGroupsOpen =
+      options.hasGroupFaults === true
+        ? await hasOpenGroupsInTime(timers, environment)
+        : environment.hasOpenGroups();
     await callers.stop();
     loopDelay.disable();
   } finally {
--- a/src/stand-ins/soak/soak-engines.ts
+++ b/src/stand-ins/soak/soak-engines.ts
@@ -37,6 +37,8 @@
   limitStatedMs: number | undefined;
   /** Whether it is cut from the store. */
   isCut: boolean;
+  /** Wall time of its start, which tells it from others under its id. */
+  bornMs: number;
 }
 
 interface GroupOrder {
@@ -136,10 +138,12 @@
         requestsPerSecond: drawLimit(),
         limitStatedMs: undefined,
         isCut: false,
+        bornMs: Math.round(timers.getWallMs()),
       };
 
       const buildReport = (): object => ({
         domain,
+        born: engine.bornMs,
         staged: engine.staged,
         models:
           engine.model === undefined || engine.group === undefined
