--- a/src/stand-ins/soak/holder-fault.ts
+++ b/src/stand-ins/soak/holder-fault.ts
@@ -2,6 +2,7 @@
 import type { StandInStore } from '../store/index.ts';
 import type { SoakGateway } from './gateways.ts';
 import type { Observations } from './observations.ts';
+import { pauseGateway } from './pause-gateway.ts';
 import { restartGateway } from './restart-gateway.ts';
 
 /** Moment at which a holder of the duties is hit. */
@@ -49,19 +50,11 @@
   const startMs = timers.getMonotonicMs();
   let isInjected = false;
 
-  const pause = async (gateway: SoakGateway): Promise<void> => {
-    const fromMs = timers.getMonotonicMs();
-    gateway.process.sendSignal('SIGSTOP');
-    await timers.waitFor(PAUSE_MS);
-    gateway.process.sendSignal('SIGCONT');
-    const toMs = timers.getMonotonicMs();
-    observations.pauses.push({ gateway: gateway.callersAddress, fromMs, toMs });
-  };
   const hit = (holder: string): void => {
     const gateway = gateways.find(({ name }) => name === holder);
     if (isInjected || gateway === undefined || timers.getMonotonicMs() - startMs < AFTER_MS) return;
     isInjected = true;
-    if (kind === HolderFaultKind.Pause) void pause(gateway);
+    if (kind === HolderFaultKind.Pause) void pauseGateway(timers, observations, gateway, PAUSE_MS);
     else {
       gateway.process.sendSignal('SIGKILL');
       void restartGateway(timers, gateway);
--- a/src/stand-ins/soak/inject-faults.ts
+++ b/src/stand-ins/soak/inject-faults.ts
@@ -3,6 +3,7 @@
 import { StoreFault } from '../store/index.ts';
 import type { SoakGateway } from './gateways.ts';
 import type { Observations, PlannedStop } from './observations.ts';
+import { pauseGateway } from './pause-gateway.ts';
 import type { PlannedFault } from './plan-faults.ts';
 import { FaultKind } from './plan-faults.ts';
 import { restartGateway } from './restart-gateway.ts';
@@ -101,14 +102,7 @@
     const link = pickFrom(LINK_FAULTS, variant) ?? ProxyMode.Reset;
     switch (kind) {
       case FaultKind.PauseGateway:
-        return runOnGateway(gateway, async (one) => {
-          const fromMs = timers.getMonotonicMs();
-          one.process.sendSignal('SIGSTOP');
-          await timers.waitFor(forMs);
-          one.process.sendSignal('SIGCONT');
-          const toMs = timers.getMonotonicMs();
-          observations.pauses.push({ gateway: one.callersAddress, fromMs, toMs });
-        });
+        return runOnGateway(gateway, (one) => pauseGateway(timers, observations, one, forMs));
       case FaultKind.KillGateway:
         return runOnGateway(gateway, async (one) => {
           one.process.sendSignal('SIGKILL');
--- a/src/stand-ins/soak/inject-group-faults.ts
+++ b/src/stand-ins/soak/inject-group-faults.ts
@@ -4,6 +4,7 @@
 import type { InjectedFaults, InjectedGatewayFaults } from './inject-faults.ts';
 import type { Observations } from './observations.ts';
 import type { OrderDelays } from './order-delays.ts';
+import { pauseGateway } from './pause-gateway.ts';
 import type { PlannedGroupFault } from './plan-group-faults.ts';
 import { GroupFaultKind } from './plan-group-faults.ts';
 import { restartGateway } from './restart-gateway.ts';
@@ -44,15 +45,6 @@
     else if (count === change) store.putObject(EVACUATIONS, zone, {});
   };
 
-  const pause = async (gateway: SoakGateway, forMs: number): Promise<void> => {
-    const fromMs = timers.getMonotonicMs();
-    gateway.process.sendSignal('SIGSTOP');
-    await timers.waitFor(forMs);
-    gateway.process.sendSignal('SIGCONT');
-    const toMs = timers.getMonotonicMs();
-    observations.pauses.push({ gateway: gateway.callersAddress, fromMs, toMs });
-  };
-
   const runFault = async ({ kind, forMs, selector }: PlannedGroupFault): Promise<void> => {
     const zone = zones[Math.floor(selector * zones.length)] ?? '';
     switch (kind) {
@@ -70,7 +62,9 @@
         await timers.waitFor(forMs);
         return orderDelays.setActive(false);
       case GroupFaultKind.PauseLeader:
-        return options.runOnGateway(findLeader(), (leader) => pause(leader, forMs));
+        return options.runOnGateway(findLeader(), (leader) =>
+          pauseGateway(timers, observations, leader, forMs),
+        );
       default:
         return options.runOnGateway(findLeader(), async (leader) => {
           leader.process.sendSignal('SIGKILL');
