Order members to leave a group whose head can't be asked

Cause: silence counted as death. A head without an entry that did not respond while a member did was presumed dead for 0.6 s. A member that responds shows that the leader's path to the member is sound, not that the head is gone. In the same way a head that refused connections, and one that no one knew, counted as ended after a time.

Change: a group ends only by the word of its head. If the head can't be asked, its members are ordered to leave, which needs no path to the head. An engine that has left is in no group; the group it left breaks after the stall time that the platform states, and until then the engine is not used. Each gateway learns of it from the entries, so that a new leader waits too. The presumed end and its 0.6 s are gone.

--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -392,6 +392,104 @@
     });
   }
 
+  // Guards against taking a head for dead that only the leader and the store do not reach: it is open
+  // where other gateways reach it (rule TWO, review/8).
+  const unreachableHeads = [
+    { name: 'with the same leader' },
+    { name: 'with a new leader as the head is cut off', handOverMs: 100 },
+    { name: 'with a new leader once the members have left', handOverMs: 2_000 },
+    { name: 'with a new process as leader once the members have left', replacedMs: 2_000 },
+    { name: 'if the first order to leave is 2 s late', lateOrder: 'leave', delayMs: 2_000 },
+    { name: 'if the first order to leave is 12 s late', lateOrder: 'leave', delayMs: 12_000 },
+    { name: 'if a late join brings the member back at once', lateOrder: 'join', delayMs: 7_500 },
+    { name: 'if a late join brings the member back later', lateOrder: 'join', delayMs: 10_500 },
+    { name: 'if the member loses the store too', isMemberCut: true },
+  ] as const;
+  for (const { name, ...play } of unreachableHeads) {
+    it(`joins no member of a group whose head neither the store nor the leader reaches, ${name}`, async () => {
+      const harness = createFormationHarness(DOMAINS);
+      if ('lateOrder' in play) {
+        harness.setOrderDelay((engine, order, count) => {
+          const isToHead = order.kind === 'join' && order.members[0] === engine.id;
+          const isLate = order.kind === play.lateOrder && count === 1 && !isToHead;
+          return isLate && engine.domain === SMALL_DOMAIN ? play.delayMs : undefined;
+        });
+      }
+      await harness.timers.runForAsync(START_MS);
+      harness.setInitialFormationOver(true);
+      const { head, member } = findOpenPair(harness);
+      // Another group loses a member, so that its head is free to form a group with this one.
+      const partner = [...harness.engines.values()].find(
+        ({ domain, group }) =>
+          domain === SMALL_DOMAIN && group?.rank === 1 && group.name !== member.group?.name,
+      );
+      harness.engines.delete(partner?.id ?? '');
+      head.isReachable = false;
+      head.hasEntry = false;
+      member.isCutFromStore = 'isMemberCut' in play;
+      harness.setEntryUpdatesEnabled(true);
+      if ('handOverMs' in play) harness.timers.scheduleOnce(play.handOverMs, harness.handOver);
+      if ('replacedMs' in play) harness.timers.scheduleOnce(play.replacedMs, harness.replaceLeader);
+      await harness.timers.runForAsync(STORE_CUT_MS);
+      head.isReachable = true;
+      head.hasEntry = true;
+      member.isCutFromStore = false;
+      harness.setEntryUpdatesEnabled(true);
+      await harness.timers.runForAsync(2 * STORE_CUT_MS);
+      expect(harness.violations).toEqual([]);
+      // A new process does not know that the engine has left a group, but the engine says that it is free.
+      if (!('replacedMs' in play)) expect(harness.earlyJoins).toEqual([]);
+      expect(member.group === undefined).toEqual(false);
+      // The domain has lost one engine and keeps another one without a partner.
+      expect(countServingEngines(harness)).toEqual(harness.engines.size - 1);
+      harness.formation.stop();
+    });
+  }
+
+  // Guards against taking a group for ended after some time without news of its head, which may still
+  // be open (rule TWO, by the cause of review/8).
+  const silentHeads = [
+    {
+      name: 'refuses connections and finishes requests',
+      hideHead({ head }: ReturnType<typeof findOpenPair>) {
+        head.isListening = false;
+        head.inFlight = 1;
+      },
+    },
+    {
+      name: 'no one knows',
+      hideHead({ head, member }: ReturnType<typeof findOpenPair>) {
+        // Earlier versions formed groups whose names do not tell the head.
+        [head, member].forEach(({ group }) => Object.assign(group ?? {}, { name: 'g1' }));
+      },
+    },
+  ];
+  for (const { name, hideHead } of silentHeads) {
+    it(`joins no member of a group whose head ${name}`, async () => {
+      const harness = await startServing();
+      const pair = findOpenPair(harness);
+      const { head, member } = pair;
+      const partner = [...harness.engines.values()].find(
+        ({ domain, group }) =>
+          domain === SMALL_DOMAIN && group?.rank === 1 && group.name !== member.group?.name,
+      );
+      harness.engines.delete(partner?.id ?? '');
+      hideHead(pair);
+      head.hasEntry = false;
+      harness.replaceLeader();
+      harness.setEntryUpdatesEnabled(true);
+      await harness.timers.runForAsync(9_000);
+      // The head is still open, so that the member is neither joined nor taken from it.
+      expect(member.group?.name).toEqual(head.group?.name);
+      head.inFlight = 0;
+      await harness.timers.runForAsync(9_000);
+      expect(harness.violations).toEqual([]);
+      expect(harness.earlyJoins).toEqual([]);
+      expect(member.group === undefined || member.group.name === head.group?.name).toEqual(false);
+      harness.formation.stop();
+    });
+  }
+
   it('forms a new group from the survivors of lost groups within a second', async () => {
     const harness = await startServing();
     const pairs = harness
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -63,6 +63,16 @@
 /** Name and epoch of a group that is to be formed. */
 export type NewGroup = Pick<EngineGroup, 'name' | 'epoch'>;
 
+/** Result of forming a group. */
+export interface FormationResult {
+  /** Name of the group if its head accepted the order to open it, so that it serves `openMs` later. */
+  group: string | undefined;
+  /** Engines that failed an order. */
+  failedIds: string[];
+  /** A group that was given up before its head was ordered to open it, so that it never opens. */
+  unopened: NewGroup | undefined;
+}
+
 type JoinOrder = Extract<EngineOrder, { kind: 'join' }>;
 
 function buildJoinOrder(
@@ -82,15 +92,13 @@
   /**
    * Forms a group of engines that say that they are free, and orders its head to open it. `issueGroup`
    * returns the name and epoch for each attempt to join the head, or undefined if there are no more.
-   * Returns the group if its head accepted the order to open it, so that it serves `EngineSpec.openMs`
-   * later, and the engines that failed an order.
    */
   formGroup(
     model: ModelSpec,
     members: readonly Target[],
     expectedMs: number,
     issueGroup: () => NewGroup | undefined,
-  ): Promise<{ group: string | undefined; failedIds: string[] }>;
+  ): Promise<FormationResult>;
   /** Closes a group through its head; if graceful, after its requests are done. */
   closeGroup(group: EngineGroup, isGraceful: boolean): Promise<CloseResult>;
   /**
@@ -98,8 +106,11 @@
    * Returns whether it has left; false if it serves, or does not respond.
    */
   releaseHead(head: Target, name: string, epoch: number): Promise<boolean>;
-  /** Queries an engine once; returns whether it responded. */
-  hasResponded(target: Target): Promise<boolean>;
+  /**
+   * Orders engines to leave a group. Returns the ids of those that have left it; an engine that did not
+   * respond may leave later.
+   */
+  orderToLeave(members: readonly Target[], name: string, epoch: number): Promise<string[]>;
   /** Queries an engine up to twice; returns whether it responded. */
   isReachable(target: Target): Promise<boolean>;
 }
@@ -150,10 +161,16 @@
     }
   };
 
-  const sendLeaveOrders = async (members: readonly Target[], group: string, epoch: number) => {
-    await Promise.all(
+  const orderToLeave = async (
+    members: readonly Target[],
+    group: string,
+    epoch: number,
+  ): Promise<string[]> => {
+    const results = await Promise.all(
       members.map((member) => control.sendOrder(member, { kind: 'leave', group, epoch })),
     );
+    const leftIds = members.filter((_, index) => results[index] === OrderResult.Accepted);
+    return leftIds.map(({ id }) => id);
   };
 
   const sendOpenOrder = async (head: Target, group: string, epoch: number): Promise<boolean> => {
@@ -237,12 +254,12 @@
       const unavailableIds = await listUnavailableIds(members);
       const [head, ...others] = members;
       if (head === undefined || unavailableIds.length > 0) {
-        return { group: undefined, failedIds: unavailableIds };
+        return { group: undefined, failedIds: unavailableIds, unopened: undefined };
       }
       const order = await joinHead(head, () => buildJoinOrder(issueGroup(), model, ids));
       if (order === undefined) {
         logger.warn('failed to form a group', { model: model.name, failed: head.id });
-        return { group: undefined, failedIds: [head.id] };
+        return { group: undefined, failedIds: [head.id], unopened: undefined };
       }
       const { group: name, epoch } = order;
       const results = [
@@ -268,7 +285,7 @@
       }
       const isOpenOrderAccepted =
         failedIds.length === 0 && (await sendOpenOrder(head, name, epoch));
-      if (isOpenOrderAccepted) return { group: name, failedIds };
+      if (isOpenOrderAccepted) return { group: name, failedIds, unopened: undefined };
       logger.warn('failed to form a group', {
         group: name,
         epoch,
@@ -276,8 +293,9 @@
         failed: failedIds.join(' '),
         results: results.join(' '),
       });
-      if (canSendOrders()) await sendLeaveOrders(members, name, epoch);
-      return { group: undefined, failedIds };
+      if (canSendOrders()) await orderToLeave(members, name, epoch);
+      const unopened = failedIds.length > 0 ? { name, epoch } : undefined;
+      return { group: undefined, failedIds, unopened };
     },
     async closeGroup({ name, epoch, headEngine }, isGraceful) {
       if (headEngine === undefined) return CloseResult.NotConfirmed;
@@ -306,7 +324,7 @@
     },
     releaseHead: async (head, name, epoch) =>
       (await hasStoppedServing(head, name, epoch)) && leaveClosedGroup(head, name, epoch),
-    hasResponded,
+    orderToLeave,
     isReachable: async (target) => (await hasResponded(target)) || hasResponded(target),
   };
 }
--- a/src/core/formation/head-registry.ts
+++ b/src/core/formation/head-registry.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { EngineGroup, Target } from '../fleet/index.ts';
-import { ACTIVE_HEAD_STATES, formatGroupKey } from '../fleet/index.ts';
+import { ACTIVE_HEAD_STATES, formatGroupKey, GroupState } from '../fleet/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { GroupHead } from './group-name.ts';
 import { parseGroupHead } from './group-name.ts';
@@ -16,18 +16,6 @@
 /** Location of the head of a group. */
 export type HeadLocation = z.infer<typeof headLocationSchema>;
 
-/** Whether a group has ended, as far as an order to close it has shown. */
-export enum GroupEnd {
-  /** The head has left it, so that no order can open it again. */
-  Confirmed = 'confirmed',
-  /**
-   * The head has no entry and does not respond. It may be dead, or cut off together with members
-   * that come back before it.
-   */
-  Presumed = 'presumed',
-  NotEnded = 'not-ended',
-}
-
 /** What identifies a group. */
 export type GroupKey = Pick<EngineGroup, 'service' | 'name' | 'epoch'>;
 
@@ -35,25 +23,28 @@
 export interface HeadRegistry {
   /** Records the groups that the entries show now. */
   update(groups: readonly EngineGroup[]): void;
-  /** Whether the end of a group is confirmed, whatever the entries show. */
+  /**
+   * Whether a group has ended, whatever the entries show: its head has left it, or it was never ordered
+   * to open. Until then it may be open, now or later, as an order to open it may be carried out late.
+   */
   hasEnded(group: GroupKey): boolean;
   /**
-   * Whether a group may be open, now or later: until it has ended, since an order to open it may be
-   * carried out late. A presumed end holds for a short time and must then be checked again. If the
-   * head has no entry, the wait is limited when it refuses connections (stall time), or when this
-   * process does not know the head.
+   * Whether the head of a group that members have left may still hold requests: the group has not ended,
+   * and the head's entry does not show that it has broken or that the head is in a later group.
    */
-  mayBeOpen(group: GroupKey): boolean;
+  mayHoldRequests(group: GroupKey): boolean;
   /** Returns the id of the head of a group, if this process knows it. */
   findHeadId(group: EngineGroup): string | undefined;
   /** Returns the head of a group if its entry is gone and it has not been ordered to close yet. */
   findHeadToClose(group: EngineGroup): Target | undefined;
   /** Records that the head is being ordered to close the group. */
   markCloseRequested(group: EngineGroup): void;
-  /** Records that the head refuses connections: it may be leaving with requests that stall. */
-  markNotListening(group: EngineGroup): void;
-  /** Records what a close has shown; unless the end is confirmed, the head is ordered to close again. */
-  recordCloseResult(group: EngineGroup, end: GroupEnd): void;
+  /** Records that the group has ended. */
+  recordEnd(group: GroupKey): void;
+  /** Records that the head has not closed the group, so that it is ordered to again. */
+  resetCloseRequest(group: GroupKey): void;
+  /** Whether this process does not know the head of a group, and has not for some time. */
+  isHeadUnknown(group: EngineGroup): boolean;
   /** Returns the head of a group that has not ended if its entry does not show it as serving. */
   findHeadToRelease(group: EngineGroup): Target | undefined;
   /** Returns the head locations of the groups that have not ended, for the next leader. */
@@ -67,20 +58,10 @@
   timers: Pick<TimerService, 'getMonotonicMs'>;
   findTarget(id: string): Target | undefined;
   isUnreachable(targetId: string): boolean;
-  /** Time after which a group breaks when its head or another member does not respond, in ms. */
-  stallMs: number;
 }
 
-/**
- * The members of a group whose name and entries do not tell its head are not used for this long: twice
- * the time after which a head that lost its members breaks its group.
- */
+/** A group without a known head is given up after this time. */
 const UNKNOWN_HEAD_WAIT_MS = 10_000;
-/**
- * How long the members of a group may be used after its head did not respond. Later, a partition that
- * hid the head may be over, so it is asked again.
- */
-const PRESUMED_END_MS = 600;
 /** The record of a group is removed when no entry has named the group for this long. */
 const RECORD_TTL_MS = 60_000;
 
@@ -94,11 +75,7 @@
   seenMs: number;
   /** Since when the head has had no entry or has been unreachable. */
   missingSinceMs: number | undefined;
-  /** Since when the head has refused connections. */
-  notListeningSinceMs: number | undefined;
-  end: GroupEnd;
-  /** When the end was presumed. */
-  endPresumedMs: number;
+  hasEnded: boolean;
   /** Whether the head has been ordered to close the group. */
   isCloseRequested: boolean;
 }
@@ -114,7 +91,7 @@
 
 /** Creates an empty head registry. */
 export function createHeadRegistry(options: HeadRegistryOptions): HeadRegistry {
-  const { timers, findTarget, isUnreachable, stallMs } = options;
+  const { timers, findTarget, isUnreachable } = options;
   const records = new Map<string, HeadRecord>();
 
   const findHead = (group: GroupKey, record: HeadRecord | undefined): GroupHead | undefined => {
@@ -133,45 +110,29 @@
     return shown !== undefined && shown.epoch > group.epoch;
   };
 
-  const computeEnd = (
-    record: HeadRecord | undefined,
-    hasReachableEntry: boolean,
-    hasMovedOn: boolean,
-  ): GroupEnd => {
-    // An entry that shows the head in a group that has ended is older than the end.
-    if (hasMovedOn || record?.end === GroupEnd.Confirmed) return GroupEnd.Confirmed;
-    return record === undefined || hasReachableEntry ? GroupEnd.NotEnded : record.end;
-  };
-
   const updateGroup = (group: EngineGroup, now: number): void => {
     const key = formatGroupKey(group);
     const record = records.get(key);
     const { headEngine } = group;
     const hasReachableEntry = headEngine !== undefined && !isUnreachable(headEngine.id);
-    const hasMovedOn = hasHeadMovedOn(group, record);
     records.set(key, {
       head: headEngine ?? record?.head,
       storedLocation: record?.storedLocation,
       hasHeadEntry: headEngine !== undefined,
       seenMs: now,
       missingSinceMs: hasReachableEntry ? undefined : (record?.missingSinceMs ?? now),
-      notListeningSinceMs: hasReachableEntry ? undefined : record?.notListeningSinceMs,
-      end: computeEnd(record, hasReachableEntry, hasMovedOn),
-      endPresumedMs: record?.endPresumedMs ?? -Infinity,
+      // An entry that shows the head in a group that has ended is older than the end.
+      hasEnded: record?.hasEnded === true || hasHeadMovedOn(group, record),
       isCloseRequested: record?.isCloseRequested === true && !hasReachableEntry,
     });
   };
 
-  const hasEnded = ({ end, endPresumedMs }: HeadRecord): boolean =>
-    end === GroupEnd.Confirmed ||
-    (end === GroupEnd.Presumed && timers.getMonotonicMs() - endPresumedMs <= PRESUMED_END_MS);
-
   const findHeadTarget = (group: EngineGroup, record: HeadRecord): Target | undefined => {
     const head = findHead(group, record);
     return record.head ?? (head && buildHeadTarget(head, group));
   };
 
-  const setRecord = (group: EngineGroup, change: Partial<HeadRecord>): void => {
+  const setRecord = (group: GroupKey, change: Partial<HeadRecord>): void => {
     const record = records.get(formatGroupKey(group));
     if (record !== undefined) Object.assign(record, change);
   };
@@ -183,18 +144,19 @@
       for (const [key, { seenMs }] of records)
         if (now - seenMs > RECORD_TTL_MS) records.delete(key);
     },
-    hasEnded: (group) => records.get(formatGroupKey(group))?.end === GroupEnd.Confirmed,
-    mayBeOpen(group) {
+    hasEnded: (group) => records.get(formatGroupKey(group))?.hasEnded === true,
+    mayHoldRequests(group) {
       const record = records.get(formatGroupKey(group));
-      if (record === undefined) return true;
-      if (hasEnded(record)) return false;
-      if (record.missingSinceMs === undefined || record.hasHeadEntry) return true;
-      const now = timers.getMonotonicMs();
-      if (record.notListeningSinceMs !== undefined) {
-        return now - record.notListeningSinceMs <= stallMs;
-      }
-      const isHeadKnown = findHead(group, record) !== undefined;
-      return isHeadKnown || now - record.missingSinceMs <= UNKNOWN_HEAD_WAIT_MS;
+      if (record?.hasEnded === true) return false;
+      const head = findHead(group, record);
+      const entry = head && findTarget(head.id);
+      if (entry === undefined) return true;
+      const { group: shown } = entry;
+      // An entry without a group is older than this one, unless an earlier entry has shown the group.
+      if (shown === undefined) return record?.head === undefined;
+      return shown.epoch === group.epoch
+        ? shown.state !== GroupState.Broken
+        : shown.epoch < group.epoch;
     },
     findHeadId: (group) => findHead(group, records.get(formatGroupKey(group)))?.id,
     findHeadToClose(group) {
@@ -205,26 +167,24 @@
     },
     findHeadToRelease(group) {
       const record = records.get(formatGroupKey(group));
-      if (record === undefined || record.missingSinceMs !== undefined || hasEnded(record)) {
+      if (record === undefined || record.missingSinceMs !== undefined || record.hasEnded) {
         return undefined;
       }
       const isServing = ACTIVE_HEAD_STATES.has(group.headEngine?.group?.state);
       return isServing ? undefined : group.headEngine;
     },
-    markNotListening: (group) => {
+    isHeadUnknown(group) {
       const record = records.get(formatGroupKey(group));
-      if (record !== undefined) record.notListeningSinceMs ??= timers.getMonotonicMs();
+      if (record?.missingSinceMs === undefined || record.hasHeadEntry) return false;
+      if (findHead(group, record) !== undefined) return false;
+      return timers.getMonotonicMs() - record.missingSinceMs > UNKNOWN_HEAD_WAIT_MS;
     },
     markCloseRequested: (group) => setRecord(group, { isCloseRequested: true }),
-    recordCloseResult: (group, end) =>
-      setRecord(group, {
-        end,
-        endPresumedMs: timers.getMonotonicMs(),
-        isCloseRequested: end === GroupEnd.Confirmed,
-      }),
+    recordEnd: (group) => setRecord(group, { hasEnded: true, isCloseRequested: true }),
+    resetCloseRequest: (group) => setRecord(group, { isCloseRequested: false }),
     listLocations: () =>
-      [...records].flatMap(([group, { head, storedLocation, end }]) => {
-        if (end === GroupEnd.Confirmed) return [];
+      [...records].flatMap(([group, { head, storedLocation, hasEnded }]) => {
+        if (hasEnded) return [];
         return head === undefined
           ? (storedLocation ?? [])
           : { group, headId: head.id, address: head.address };
@@ -241,9 +201,7 @@
             hasHeadEntry: false,
             seenMs: now,
             missingSinceMs: undefined,
-            notListeningSinceMs: undefined,
-            end: GroupEnd.NotEnded,
-            endPresumedMs: -Infinity,
+            hasEnded: false,
             isCloseRequested: false,
           });
         }
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -3,9 +3,10 @@
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { ModelDemand } from '../work/index.ts';
+import { createDepartures } from './departures.ts';
 import { computeEngineShares } from './engine-shares.ts';
 import { formatGroupName } from './group-name.ts';
-import { createHeadRegistry, GroupEnd } from './head-registry.ts';
+import { createHeadRegistry } from './head-registry.ts';
 import type { HeadLocation } from './head-registry.ts';
 import type { NewGroup } from './group-operations.ts';
 import { CloseResult, createGroupOperations } from './group-operations.ts';
@@ -138,6 +139,10 @@
     timers,
     findTarget: (id) => fleet.findTarget(id),
     isUnreachable: (id) => excludedUntilMs.has(id),
+  });
+  const departures = createDepartures({
+    timers,
+    mayHoldRequests: headRegistry.mayHoldRequests,
     stallMs,
   });
   const engineCounts = new Map<
@@ -161,7 +166,7 @@
     findTarget: (id) => fleet.findTarget(id),
     canSendOrders,
     mayLeaveGroup: ({ service }, { name, epoch }) =>
-      !headRegistry.mayBeOpen({ service, name, epoch }),
+      headRegistry.hasEnded({ service, name, epoch }),
   });
 
   const excludeEngines = (ids: readonly string[], forMs: number): void => {
@@ -213,9 +218,13 @@
     runOperation(ids, model.name, async () => {
       const startMs = timers.getMonotonicMs();
       const expectedMs = computeExpectedMs(model, members);
-      const { group, failedIds } = await groupOperations.formGroup(model, members, expectedMs, () =>
-        issueGroup(head, ids),
+      const { group, failedIds, unopened } = await groupOperations.formGroup(
+        model,
+        members,
+        expectedMs,
+        () => issueGroup(head, ids),
       );
+      if (unopened !== undefined) headRegistry.recordEnd({ service: head.service, ...unopened });
       excludeEngines(failedIds, FAILED_ORDER_EXCLUSION_MS);
       if (group === undefined) {
         ids.forEach((id) => orderedEpochs.delete(id));
@@ -280,7 +289,7 @@
     runOperation(ids, undefined, async () => {
       const isClosed = (await groupOperations.closeGroup(group, isGraceful)) === CloseResult.Closed;
       logger.info('closed a group', { group: group.name, isGraceful, isClosed });
-      if (isClosed) headRegistry.recordCloseResult(group, GroupEnd.Confirmed);
+      if (isClosed) headRegistry.recordEnd(group);
       if (!isClosed && group.headEngine !== undefined)
         await excludeUnresponsive([group.headEngine]);
     });
@@ -297,7 +306,7 @@
       const isClosed = (await groupOperations.closeGroup(group, true)) === CloseResult.Closed;
       const context = { group: group.name, domain, forModel: model.name, isClosed };
       logger.info('retired a group for another model', context);
-      if (isClosed) headRegistry.recordCloseResult(group, GroupEnd.Confirmed);
+      if (isClosed) headRegistry.recordEnd(group);
       else domainReservations.delete(domain);
     });
   };
@@ -309,40 +318,56 @@
     else dissolveGroup(action);
   };
 
-  /** Asks a head without an entry, and the members with one, whether they respond. */
-  const assessHead = async (head: Target, members: readonly Target[]): Promise<GroupEnd> => {
-    if (options.hasRequestsOfOtherGateways(head.id)) return GroupEnd.NotEnded;
-    // The head is asked twice, so that it is asked again after any query that a member answers.
-    const [isHeadReachable, responses] = await Promise.all([
-      groupOperations.isReachable(head),
-      Promise.all(members.map((member) => groupOperations.hasResponded(member))),
-    ]);
-    return isHeadReachable || !responses.includes(true) ? GroupEnd.NotEnded : GroupEnd.Presumed;
+  /**
+   * Whether a head without an entry, which has not confirmed that it closed its group, is given up: it does
+   * not respond, and no requests are in progress that it may still answer.
+   */
+  const isHeadLost = async (head: Target, result: CloseResult): Promise<boolean> => {
+    // A head that this process does not reach can't answer this process's own requests.
+    const hasRequests =
+      result === CloseResult.NotListening
+        ? options.countInFlight(head.id) > 0
+        : options.hasRequestsOfOtherGateways(head.id);
+    return !hasRequests && !(await groupOperations.isReachable(head));
+  };
+
+  /**
+   * Orders the members of a group to leave it, as its head cannot be asked. The head may be alive where
+   * only this process and the store do not reach it; without its members it breaks the group after the
+   * stall time.
+   */
+  const orderMembersToLeave = async (group: EngineGroup): Promise<void> => {
+    const leftIds = await groupOperations.orderToLeave(listMembers(group), group.name, group.epoch);
+    logger.warn('ordered the members of a group without a head to leave it', {
+      group: group.name,
+      left: leftIds.join(' '),
+    });
   };
 
   /**
-   * Closes a group whose head has no store entry. A head that does not respond while another member
-   * does, and to which no other gateway has requests, counts as dead; if no member responds, they may
-   * all be cut off from this process. A head that refuses connections may be leaving with requests in
-   * progress, so its members are not used until the stall time has passed.
+   * Closes a group whose head has no store entry. If the head is lost, its members leave the group, and
+   * are used when it has broken.
    */
   const closeGroupWithoutHeadEntry = (group: EngineGroup, head: Target): void => {
     headRegistry.markCloseRequested(group);
-    const members = listMembers(group);
-    const ids = members.map(({ id }) => id);
+    const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
       const result = await groupOperations.closeGroup({ ...group, headEngine: head }, false);
-      const end =
-        result === CloseResult.Closed ? GroupEnd.Confirmed : await assessHead(head, members);
-      if (result === CloseResult.NotListening && end !== GroupEnd.NotEnded) {
-        headRegistry.markNotListening(group);
-      } else headRegistry.recordCloseResult(group, end);
-      const isAlive = end === GroupEnd.NotEnded;
-      const context = { group: group.name, head: head.id, result, isAlive, end };
+      const isClosed = result === CloseResult.Closed;
+      const isLost = !isClosed && (await isHeadLost(head, result));
+      const context = { group: group.name, head: head.id, result, isLost };
       logger.info('tried to close a group whose head has no entry', context);
+      if (isLost) await orderMembersToLeave(group);
+      if (isClosed) headRegistry.recordEnd(group);
+      else headRegistry.resetCloseRequest(group);
     });
   };
 
+  const endGroupOfUnknownHead = (group: EngineGroup): void => {
+    const ids = listMembers(group).map(({ id }) => id);
+    runOperation(ids, undefined, () => orderMembersToLeave(group));
+  };
+
   /** Orders a head whose entry does not show an open group to leave it, unless it has opened it since. */
   const releaseHead = (group: EngineGroup): void => {
     const head = headRegistry.findHeadToRelease(group);
@@ -350,7 +375,7 @@
     const ids = listMembers(group).map(({ id }) => id);
     runOperation(ids, undefined, async () => {
       const hasLeft = await groupOperations.releaseHead(head, group.name, group.epoch);
-      if (hasLeft) headRegistry.recordCloseResult(group, GroupEnd.Confirmed);
+      if (hasLeft) headRegistry.recordEnd(group);
       else await timers.waitFor(HEAD_QUERY_PERIOD_MS);
     });
   };
@@ -363,13 +388,14 @@
     orderedEpochs.get(id)?.epoch === epoch && fleet.findTarget(id) !== undefined;
 
   /**
-   * Returns the members of groups that may be open or may still open. Also starts to close those
-   * groups whose head has no entry, and orders the other heads that do not serve to leave.
+   * Returns the members of groups that may be open or may still open, and engines that have left a group
+   * that may not be broken yet. Also starts to close those groups whose head has no entry, and orders the
+   * other heads that do not serve to leave.
    */
   const resolvePossiblyOpenGroups = (service: string): Set<string> => {
     const possiblyOpenIds = new Set<string>();
     for (const group of fleet.listServiceGroups(service)) {
-      if (!headRegistry.mayBeOpen(group)) continue;
+      if (headRegistry.hasEnded(group)) continue;
       // A running operation does not cover members whose entries reappeared after it started.
       listMembers(group).forEach(({ id }) => possiblyOpenIds.add(id));
       const headId = headRegistry.findHeadId(group);
@@ -378,9 +404,12 @@
       const head = headRegistry.findHeadToClose(group);
       if (head !== undefined && !isAwaitingEntry(head, group)) {
         closeGroupWithoutHeadEntry(group, head);
-      }
+      } else if (headRegistry.isHeadUnknown(group)) endGroupOfUnknownHead(group);
       releaseHead(group);
     }
+    for (const { id } of fleet.listTargets(service)) {
+      if (departures.isRecent(id)) possiblyOpenIds.add(id);
+    }
     return possiblyOpenIds;
   };
 
@@ -474,9 +503,10 @@
     for (const [domain, { untilMs }] of domainReservations) {
       if (now >= untilMs) domainReservations.delete(domain);
     }
-    options
-      .listServices()
-      .forEach(({ name }) => headRegistry.update(fleet.listServiceGroups(name)));
+    for (const { name } of options.listServices()) {
+      headRegistry.update(fleet.listServiceGroups(name));
+      departures.update(fleet.listTargets(name));
+    }
     if (term === 0 || !options.isTargetCopyFresh()) return;
     if (options.hasPredecessor() && now - termSinceMs < TAKEOVER_DELAY_MS) return;
     for (const service of options.listServices()) {
