Order no member to leave without the lease

A leader that lost its lease while it found out that a head is lost still sent the orders to leave. The orders are now sent only while orders may be sent, as all others are. The new test of formation.test.ts ("orders no member to leave when it is no longer the leader") failed before.

--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -446,6 +446,22 @@
     });
   }
 
+  // Guards against orders of a leader whose lease ended while it found out that a head is lost.
+  it('orders no member to leave when it is no longer the leader', async () => {
+    const harness = await startServing();
+    const { head } = findOpenPair(harness);
+    harness.setOrderDelay((_engine, order) => (order.kind === 'close' ? 60_000 : undefined));
+    head.hasEntry = false;
+    harness.setEntryUpdatesEnabled(true);
+    await harness.timers.runForAsync(1_000);
+    head.isReachable = false;
+    harness.setTerm(0);
+    await harness.timers.runForAsync(5_000);
+    const ordered = harness.orders.filter(({ atMs }) => atMs > START_MS);
+    expect(new Set(ordered.map(({ order }) => order.kind))).toEqual(new Set(['close']));
+    harness.formation.stop();
+  });
+
   // Guards against taking a group for ended after some time without news of its head, which may still
   // be open (rule TWO, by the cause of review/8).
   const silentHeads = [
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -166,6 +166,7 @@
     group: string,
     epoch: number,
   ): Promise<string[]> => {
+    if (!canSendOrders()) return [];
     const results = await Promise.all(
       members.map((member) => control.sendOrder(member, { kind: 'leave', group, epoch })),
     );
@@ -293,7 +294,7 @@
         failed: failedIds.join(' '),
         results: results.join(' '),
       });
-      if (canSendOrders()) await orderToLeave(members, name, epoch);
+      await orderToLeave(members, name, epoch);
       const unopened = failedIds.length > 0 ? { name, epoch } : undefined;
       return { group: undefined, failedIds, unopened };
     },
