Wait before a lost head is asked again

A head that refuses connections responds at once, so that the leader would have asked it in each plan (every 60 ms) while its requests are in progress. It now waits 400 ms, as before it asks a head to leave again.

--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -99,7 +99,7 @@
 
 /** Interval at which the entry of an engine that stages a model is checked. */
 const STAGING_CHECK_PERIOD_MS = 100;
-/** Delay before a head that serves, or did not respond, is asked to leave again. */
+/** Delay before the head or the members of a group that did not leave it are asked again. */
 const HEAD_QUERY_PERIOD_MS = 400;
 /**
  * A fabric domain that retired groups for a model but could not form a group of it forms groups of
@@ -338,6 +338,7 @@
    */
   const orderMembersToLeave = async (group: EngineGroup): Promise<void> => {
     const leftIds = await groupOperations.orderToLeave(listMembers(group), group.name, group.epoch);
+    if (leftIds.length === 0) return;
     logger.warn('ordered the members of a group without a head to leave it', {
       group: group.name,
       left: leftIds.join(' '),
@@ -359,13 +360,19 @@
       logger.info('tried to close a group whose head has no entry', context);
       if (isLost) await orderMembersToLeave(group);
       if (isClosed) headRegistry.recordEnd(group);
-      else headRegistry.resetCloseRequest(group);
+      else {
+        await timers.waitFor(HEAD_QUERY_PERIOD_MS);
+        headRegistry.resetCloseRequest(group);
+      }
     });
   };
 
   const endGroupOfUnknownHead = (group: EngineGroup): void => {
     const ids = listMembers(group).map(({ id }) => id);
-    runOperation(ids, undefined, () => orderMembersToLeave(group));
+    runOperation(ids, undefined, async () => {
+      await orderMembersToLeave(group);
+      await timers.waitFor(HEAD_QUERY_PERIOD_MS);
+    });
   };
 
   /** Orders a head whose entry does not show an open group to leave it, unless it has opened it since. */
