Order each engine to join once per epoch, and use members that have left

Cause: an order to join a member that got no response was repeated with the same epoch. A late one could bring the member back into its group after it had left it.

Change: an attempt to join that gets no response from one member is followed by one with a new epoch for all members, so that no order to join an open group is under way. A member that has left is out for good, by its own word, for any leader; the wait and departures.ts are gone. A head that refuses connections is given up after the stall time, as before, and not while it has requests.

Evidence: formation.test.ts, "opens a group only if each of its members got one order to join it", failed before; all 45 pass. Without the wait, lost-heads.pml passes with orders sent once (1162 states), and fails with a repeated one (BREAK_REPEAT) or without the question before the join (BREAK_ASK). groups.pml passes (317887 states).

--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -19,9 +19,8 @@
 }
 
 /**
- * Attempts to send one order. An engine that did not respond may still execute the order later. That is
- * safe for members, which may rejoin a group that has ended, and for orders to a head that has left; see
- * `joinHead` for the order that must not come twice.
+ * Attempts to send one order. An engine that did not respond may still execute the order later; see
+ * `joinMembers` for the order that must not come twice.
  */
 const ORDER_ATTEMPTS = 4;
 /** Interval at which an engine's entry is checked for the expected state. */
@@ -41,6 +40,11 @@
 /** The longest expected stream, which has 87 events at intervals of 50 ms, plus a margin. */
 const GRACEFUL_CLOSE_TIMEOUT_MS = 6_000;
 
+/** Results after which an order to join is sent again, with a new epoch. */
+const RETRIED_JOIN_RESULTS: ReadonlySet<OrderResult> = new Set([
+  OrderResult.Accepted,
+  OrderResult.Unknown,
+]);
 /** States of a member that has completed its join. */
 const OPERATIONAL_STATES: ReadonlySet<GroupState> = new Set([GroupState.Ready, GroupState.Open]);
 /** States of a head that does not serve its group: closed, broken or not opened yet. */
@@ -63,6 +67,14 @@
 /** Name and epoch of a group that is to be formed. */
 export type NewGroup = Pick<EngineGroup, 'name' | 'epoch'>;
 
+/** Result of ordering engines to join a group. */
+interface JoinResult {
+  /** The last order that was sent; undefined if there was none. */
+  order: JoinOrder | undefined;
+  /** Result of this order for each engine. */
+  results: OrderResult[];
+}
+
 /** Result of forming a group. */
 export interface FormationResult {
   /** Name of the group if its head accepted the order to open it, so that it serves `openMs` later. */
@@ -91,7 +103,7 @@
 export interface GroupOperations {
   /**
    * Forms a group of engines that say that they are free, and orders its head to open it. `issueGroup`
-   * returns the name and epoch for each attempt to join the head, or undefined if there are no more.
+   * returns the name and epoch for each attempt to join, or undefined if there are no more.
    */
   formGroup(
     model: ModelSpec,
@@ -211,22 +223,26 @@
     (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
 
   /**
-   * Orders the head of a new group to join it, and returns the order that it accepted. Each attempt has
-   * an epoch of its own: an attempt that got no response and names the same epoch as an accepted one
-   * could bring the head back after it has left the group, and a late order could then open it.
+   * Orders engines to join a group, and returns the order that all have accepted. Each attempt has an epoch
+   * of its own, so that no order to join a group that is opened is under way: it could bring an engine back
+   * after it has left the group.
    */
-  const joinHead = async (
-    head: Target,
+  const joinMembers = async (
+    members: readonly Target[],
     issueOrder: () => JoinOrder | undefined,
-  ): Promise<JoinOrder | undefined> => {
+  ): Promise<JoinResult> => {
+    let attempt: JoinResult = { order: undefined, results: [] };
     for (let count = 0; count < ORDER_ATTEMPTS && canSendOrders(); count++) {
       const order = issueOrder();
-      if (order === undefined) return undefined;
-      const result = await control.sendOrder(head, order);
-      if (result === OrderResult.Accepted) return order;
-      if (result !== OrderResult.Unknown) return undefined;
+      if (order === undefined) return attempt;
+      const results = await Promise.all(members.map((one) => control.sendOrder(one, order)));
+      attempt = { order, results };
+      const isRetried =
+        results.includes(OrderResult.Unknown) &&
+        results.every((result) => RETRIED_JOIN_RESULTS.has(result));
+      if (!isRetried) return attempt;
     }
-    return undefined;
+    return attempt;
   };
 
   /**
@@ -253,20 +269,15 @@
     async formGroup(model, members, expectedMs, issueGroup) {
       const ids = members.map(({ id }) => id);
       const unavailableIds = await listUnavailableIds(members);
-      const [head, ...others] = members;
+      const [head] = members;
       if (head === undefined || unavailableIds.length > 0) {
         return { group: undefined, failedIds: unavailableIds, unopened: undefined };
       }
-      const order = await joinHead(head, () => buildJoinOrder(issueGroup(), model, ids));
-      if (order === undefined) {
-        logger.warn('failed to form a group', { model: model.name, failed: head.id });
-        return { group: undefined, failedIds: [head.id], unopened: undefined };
-      }
+      const { order, results } = await joinMembers(members, () =>
+        buildJoinOrder(issueGroup(), model, ids),
+      );
+      if (order === undefined) return { group: undefined, failedIds: [], unopened: undefined };
       const { group: name, epoch } = order;
-      const results = [
-        OrderResult.Accepted,
-        ...(await Promise.all(others.map((one) => sendOrderWithRetries(one, order)))),
-      ];
       let failedIds = ids.filter((_, index) => results[index] !== OrderResult.Accepted);
       if (failedIds.length === 0) {
         const ready = await Promise.all(
--- a/src/core/formation/head-registry.ts
+++ b/src/core/formation/head-registry.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { EngineGroup, Target } from '../fleet/index.ts';
-import { ACTIVE_HEAD_STATES, formatGroupKey, GroupState } from '../fleet/index.ts';
+import { ACTIVE_HEAD_STATES, formatGroupKey } from '../fleet/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { GroupHead } from './group-name.ts';
 import { parseGroupHead } from './group-name.ts';
@@ -28,17 +28,17 @@
    * to open. Until then it may be open, now or later, as an order to open it may be carried out late.
    */
   hasEnded(group: GroupKey): boolean;
-  /**
-   * Whether the head of a group that members have left may still hold requests: the group has not ended,
-   * and the head's entry does not show that it has broken or that the head is in a later group.
-   */
-  mayHoldRequests(group: GroupKey): boolean;
   /** Returns the id of the head of a group, if this process knows it. */
   findHeadId(group: EngineGroup): string | undefined;
   /** Returns the head of a group if its entry is gone and it has not been ordered to close yet. */
   findHeadToClose(group: EngineGroup): Target | undefined;
   /** Records that the head is being ordered to close the group. */
   markCloseRequested(group: EngineGroup): void;
+  /**
+   * Records that the head refuses connections, so that it may be leaving with requests in progress. Returns
+   * whether it has done so for the stall time.
+   */
+  recordNotListening(group: GroupKey): boolean;
   /** Records that the group has ended. */
   recordEnd(group: GroupKey): void;
   /** Records that the head has not closed the group, so that it is ordered to again. */
@@ -58,6 +58,8 @@
   timers: Pick<TimerService, 'getMonotonicMs'>;
   findTarget(id: string): Target | undefined;
   isUnreachable(targetId: string): boolean;
+  /** Time after which a group breaks when its head or another member does not respond, in ms. */
+  stallMs: number;
 }
 
 /** A group without a known head is given up after this time. */
@@ -75,6 +77,8 @@
   seenMs: number;
   /** Since when the head has had no entry or has been unreachable. */
   missingSinceMs: number | undefined;
+  /** Since when the head has refused connections. */
+  notListeningSinceMs: number | undefined;
   hasEnded: boolean;
   /** Whether the head has been ordered to close the group. */
   isCloseRequested: boolean;
@@ -91,7 +95,7 @@
 
 /** Creates an empty head registry. */
 export function createHeadRegistry(options: HeadRegistryOptions): HeadRegistry {
-  const { timers, findTarget, isUnreachable } = options;
+  const { timers, findTarget, isUnreachable, stallMs } = options;
   const records = new Map<string, HeadRecord>();
 
   const findHead = (group: GroupKey, record: HeadRecord | undefined): GroupHead | undefined => {
@@ -121,6 +125,7 @@
       hasHeadEntry: headEngine !== undefined,
       seenMs: now,
       missingSinceMs: hasReachableEntry ? undefined : (record?.missingSinceMs ?? now),
+      notListeningSinceMs: hasReachableEntry ? undefined : record?.notListeningSinceMs,
       // An entry that shows the head in a group that has ended is older than the end.
       hasEnded: record?.hasEnded === true || hasHeadMovedOn(group, record),
       isCloseRequested: record?.isCloseRequested === true && !hasReachableEntry,
@@ -145,19 +150,6 @@
         if (now - seenMs > RECORD_TTL_MS) records.delete(key);
     },
     hasEnded: (group) => records.get(formatGroupKey(group))?.hasEnded === true,
-    mayHoldRequests(group) {
-      const record = records.get(formatGroupKey(group));
-      if (record?.hasEnded === true) return false;
-      const head = findHead(group, record);
-      const entry = head && findTarget(head.id);
-      if (entry === undefined) return true;
-      const { group: shown } = entry;
-      // An entry without a group is older than this one, unless an earlier entry has shown the group.
-      if (shown === undefined) return record?.head === undefined;
-      return shown.epoch === group.epoch
-        ? shown.state !== GroupState.Broken
-        : shown.epoch < group.epoch;
-    },
     findHeadId: (group) => findHead(group, records.get(formatGroupKey(group)))?.id,
     findHeadToClose(group) {
       const record = records.get(formatGroupKey(group));
@@ -179,6 +171,12 @@
       if (findHead(group, record) !== undefined) return false;
       return timers.getMonotonicMs() - record.missingSinceMs > UNKNOWN_HEAD_WAIT_MS;
     },
+    recordNotListening(group) {
+      const now = timers.getMonotonicMs();
+      const sinceMs = records.get(formatGroupKey(group))?.notListeningSinceMs ?? now;
+      setRecord(group, { notListeningSinceMs: sinceMs });
+      return now - sinceMs > stallMs;
+    },
     markCloseRequested: (group) => setRecord(group, { isCloseRequested: true }),
     recordEnd: (group) => setRecord(group, { hasEnded: true, isCloseRequested: true }),
     resetCloseRequest: (group) => setRecord(group, { isCloseRequested: false }),
@@ -201,6 +199,7 @@
             hasHeadEntry: false,
             seenMs: now,
             missingSinceMs: undefined,
+            notListeningSinceMs: undefined,
             hasEnded: false,
             isCloseRequested: false,
           });
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -3,7 +3,6 @@
 import type { EngineSpec, ModelSpec, ServiceSpec } from '../serving/index.ts';
 import type { TimerService } from '../timers/index.ts';
 import type { ModelDemand } from '../work/index.ts';
-import { createDepartures } from './departures.ts';
 import { computeEngineShares } from './engine-shares.ts';
 import { formatGroupName } from './group-name.ts';
 import { createHeadRegistry } from './head-registry.ts';
@@ -139,10 +138,6 @@
     timers,
     findTarget: (id) => fleet.findTarget(id),
     isUnreachable: (id) => excludedUntilMs.has(id),
-  });
-  const departures = createDepartures({
-    timers,
-    mayHoldRequests: headRegistry.mayHoldRequests,
     stallMs,
   });
   const engineCounts = new Map<
@@ -319,22 +314,26 @@
   };
 
   /**
-   * Whether a head without an entry, which has not confirmed that it closed its group, is given up: it does
-   * not respond, and no requests are in progress that it may still answer.
+   * Whether a head without an entry, which has not confirmed that it closed its group, is given up. A head
+   * that refuses connections may be leaving: it is given up when it has no more requests, and not before
+   * the stall time.
    */
-  const isHeadLost = async (head: Target, result: CloseResult): Promise<boolean> => {
-    // A head that this process does not reach can't answer this process's own requests.
-    const hasRequests =
-      result === CloseResult.NotListening
-        ? options.countInFlight(head.id) > 0
-        : options.hasRequestsOfOtherGateways(head.id);
-    return !hasRequests && !(await groupOperations.isReachable(head));
+  const isHeadLost = async (
+    group: EngineGroup,
+    head: Target,
+    result: CloseResult,
+  ): Promise<boolean> => {
+    if (result === CloseResult.NotListening) {
+      return headRegistry.recordNotListening(group) && options.countInFlight(head.id) === 0;
+    }
+    return (
+      !options.hasRequestsOfOtherGateways(head.id) && !(await groupOperations.isReachable(head))
+    );
   };
 
   /**
    * Orders the members of a group to leave it, as its head cannot be asked. The head may be alive where
-   * only this process and the store do not reach it; without its members it breaks the group after the
-   * stall time.
+   * only this process and the store do not reach it, so that a member is free only by its own word.
    */
   const orderMembersToLeave = async (group: EngineGroup): Promise<void> => {
     const leftIds = await groupOperations.orderToLeave(listMembers(group), group.name, group.epoch);
@@ -346,8 +345,7 @@
   };
 
   /**
-   * Closes a group whose head has no store entry. If the head is lost, its members leave the group, and
-   * are used when it has broken.
+   * Closes a group whose head has no store entry. If the head is lost, its members leave the group.
    */
   const closeGroupWithoutHeadEntry = (group: EngineGroup, head: Target): void => {
     headRegistry.markCloseRequested(group);
@@ -355,7 +353,7 @@
     runOperation(ids, undefined, async () => {
       const result = await groupOperations.closeGroup({ ...group, headEngine: head }, false);
       const isClosed = result === CloseResult.Closed;
-      const isLost = !isClosed && (await isHeadLost(head, result));
+      const isLost = !isClosed && (await isHeadLost(group, head, result));
       const context = { group: group.name, head: head.id, result, isLost };
       logger.info('tried to close a group whose head has no entry', context);
       if (isLost) await orderMembersToLeave(group);
@@ -395,9 +393,8 @@
     orderedEpochs.get(id)?.epoch === epoch && fleet.findTarget(id) !== undefined;
 
   /**
-   * Returns the members of groups that may be open or may still open, and engines that have left a group
-   * that may not be broken yet. Also starts to close those groups whose head has no entry, and orders the
-   * other heads that do not serve to leave.
+   * Returns the members of groups that may be open or may still open. Also starts to close those
+   * groups whose head has no entry, and orders the other heads that do not serve to leave.
    */
   const resolvePossiblyOpenGroups = (service: string): Set<string> => {
     const possiblyOpenIds = new Set<string>();
@@ -414,9 +411,6 @@
       } else if (headRegistry.isHeadUnknown(group)) endGroupOfUnknownHead(group);
       releaseHead(group);
     }
-    for (const { id } of fleet.listTargets(service)) {
-      if (departures.isRecent(id)) possiblyOpenIds.add(id);
-    }
     return possiblyOpenIds;
   };
 
@@ -510,10 +504,9 @@
     for (const [domain, { untilMs }] of domainReservations) {
       if (now >= untilMs) domainReservations.delete(domain);
     }
-    for (const { name } of options.listServices()) {
-      headRegistry.update(fleet.listServiceGroups(name));
-      departures.update(fleet.listTargets(name));
-    }
+    options
+      .listServices()
+      .forEach(({ name }) => headRegistry.update(fleet.listServiceGroups(name)));
     if (term === 0 || !options.isTargetCopyFresh()) return;
     if (options.hasPredecessor() && now - termSinceMs < TAKEOVER_DELAY_MS) return;
     for (const service of options.listServices()) {
