Use members that have left as soon as their entries show it

After its members had left, a group was asked again until the entries showed it, and each round kept the members from plans for 400 ms or more. The operation now ends when the entries show the members as free, and the pause before the next round is only made if nobody has left.

formation.test.ts, "uses the members of a silent head within a second of the loss of its entry", holds.

--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -100,6 +100,10 @@
 const STAGING_CHECK_PERIOD_MS = 100;
 /** Delay before the head or the members of a group that did not leave it are asked again. */
 const HEAD_QUERY_PERIOD_MS = 400;
+/** Time within which the entries of engines show that they have left a group. */
+const DEPARTURE_ENTRY_WAIT_MS = 1_000;
+/** Interval at which these entries are checked. */
+const DEPARTURE_CHECK_PERIOD_MS = 40;
 /**
  * A fabric domain that retired groups for a model but could not form a group of it forms groups of
  * other models again after this time.
@@ -333,15 +337,24 @@
 
   /**
    * Orders the members of a group to leave it, as its head cannot be asked. The head may be alive where
-   * only this process and the store do not reach it, so that a member is free only by its own word.
+   * only this process and the store do not reach it, so that a member is free only by its own word. Waits
+   * until the entries show the members that have left as free.
    */
   const orderMembersToLeave = async (group: EngineGroup): Promise<void> => {
     const leftIds = await groupOperations.orderToLeave(listMembers(group), group.name, group.epoch);
-    if (leftIds.length === 0) return;
+    if (leftIds.length === 0) {
+      await timers.waitFor(HEAD_QUERY_PERIOD_MS);
+      return;
+    }
     logger.warn('ordered the members of a group without a head to leave it', {
       group: group.name,
       left: leftIds.join(' '),
     });
+    const untilMs = timers.getMonotonicMs() + DEPARTURE_ENTRY_WAIT_MS;
+    const isShown = (id: string): boolean => fleet.findTarget(id)?.group?.epoch === group.epoch;
+    while (leftIds.some(isShown) && timers.getMonotonicMs() < untilMs) {
+      await timers.waitFor(DEPARTURE_CHECK_PERIOD_MS);
+    }
   };
 
   /**
@@ -356,21 +369,19 @@
       const isLost = !isClosed && (await isHeadLost(group, head, result));
       const context = { group: group.name, head: head.id, result, isLost };
       logger.info('tried to close a group whose head has no entry', context);
-      if (isLost) await orderMembersToLeave(group);
-      if (isClosed) headRegistry.recordEnd(group);
-      else {
-        await timers.waitFor(HEAD_QUERY_PERIOD_MS);
-        headRegistry.resetCloseRequest(group);
+      if (isClosed) {
+        headRegistry.recordEnd(group);
+        return;
       }
+      if (isLost) await orderMembersToLeave(group);
+      else await timers.waitFor(HEAD_QUERY_PERIOD_MS);
+      headRegistry.resetCloseRequest(group);
     });
   };
 
   const endGroupOfUnknownHead = (group: EngineGroup): void => {
     const ids = listMembers(group).map(({ id }) => id);
-    runOperation(ids, undefined, async () => {
-      await orderMembersToLeave(group);
-      await timers.waitFor(HEAD_QUERY_PERIOD_MS);
-    });
+    runOperation(ids, undefined, () => orderMembersToLeave(group));
   };
 
   /** Orders a head whose entry does not show an open group to leave it, unless it has opened it since. */
