--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -367,7 +367,8 @@
       const result = await groupOperations.closeGroup({ ...group, headEngine: head }, false);
       const isClosed = result === CloseResult.Closed;
       const isLost = !isClosed && (await isHeadLost(group, head, result));
-      const context = { group: group.name, head: head.id, result, isLost };
+      const isAlive = !isClosed && !isLost;
+      const context = { group: group.name, head: head.id, result, isAlive };
       logger.info('tried to close a group whose head has no entry', context);
       if (isClosed) {
         headRegistry.recordEnd(group);
