--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -3,6 +3,7 @@
 import { GroupState } from '../fleet/index.ts';
 import type { FakeEngine, FormationHarness } from './fixtures/formation-harness.ts';
 import { createFormationHarness } from './fixtures/formation-harness.ts';
+import type { EngineOrder } from './types.ts';
 
 const DOMAINS = ['a-d0', 'a-d1', 'b-d0', 'b-d1', 'c-d0', 'c-d1'];
 /** A fabric domain with groups of the small model only. */
@@ -31,6 +32,29 @@
   return { head, member };
 }
 
+/** Removes a member of another group in the domain, so that its head is free to form one with `engine`. */
+function removeOtherMember(harness: FormationHarness, engine: FakeEngine): void {
+  const other = [...harness.engines.values()].find(
+    ({ domain, group }) =>
+      domain === engine.domain && group?.rank === 1 && group.name !== engine.group?.name,
+  );
+  harness.engines.delete(other?.id ?? '');
+}
+
+/** Delays the first matching order to each engine, which then gets no response. */
+function delayFirstOrders(
+  harness: FormationHarness,
+  delayMs: number,
+  isDelayed: (engine: FakeEngine, order: EngineOrder) => boolean,
+): void {
+  const delayedIds = new Set<string>();
+  harness.setOrderDelay((engine, order) => {
+    if (!isDelayed(engine, order) || delayedIds.has(engine.id)) return undefined;
+    delayedIds.add(engine.id);
+    return delayMs;
+  });
+}
+
 /** Takes the zone of the small domain out of use for a time; replaces the leader meanwhile if asked. */
 async function evacuate(
   harness: FormationHarness,
@@ -168,12 +192,7 @@
   it('does not reuse members of a head that refuses connections until the stall time has passed', async () => {
     const harness = await startServing();
     const { head, member } = findOpenPair(harness);
-    // Another group loses a member, so that its head is free to form a group with this one.
-    const partner = [...harness.engines.values()].find(
-      ({ domain, group }) =>
-        domain === head.domain && group?.rank === 1 && group.name !== head.group?.name,
-    );
-    harness.engines.delete(partner?.id ?? '');
+    removeOtherMember(harness, member);
     head.hasEntry = false;
     head.isListening = false;
     harness.setEntryUpdatesEnabled(true);
@@ -409,25 +428,15 @@
     it(`joins no member of a group whose head neither the store nor the leader reaches, ${name}`, async () => {
       const harness = createFormationHarness(DOMAINS);
       if ('lateOrder' in play) {
-        const delayedIds = new Set<string>();
-        harness.setOrderDelay(({ id, domain }, order) => {
+        delayFirstOrders(harness, play.delayMs, ({ id, domain }, order) => {
           const isToHead = order.kind === 'join' && order.members[0] === id;
-          if (domain !== SMALL_DOMAIN || order.kind !== play.lateOrder || isToHead)
-            return undefined;
-          if (delayedIds.has(id)) return undefined;
-          delayedIds.add(id);
-          return play.delayMs;
+          return domain === SMALL_DOMAIN && order.kind === play.lateOrder && !isToHead;
         });
       }
       await harness.timers.runForAsync(START_MS);
       harness.setInitialFormationOver(true);
       const { head, member } = findOpenPair(harness);
-      // Another group loses a member, so that its head is free to form a group with this one.
-      const partner = [...harness.engines.values()].find(
-        ({ domain, group }) =>
-          domain === SMALL_DOMAIN && group?.rank === 1 && group.name !== member.group?.name,
-      );
-      harness.engines.delete(partner?.id ?? '');
+      removeOtherMember(harness, member);
       head.isReachable = false;
       head.hasEntry = false;
       member.isCutFromStore = 'isMemberCut' in play;
@@ -451,12 +460,7 @@
   // leave (rule TWO, by the cause of review/9).
   it('opens a group only if each of its members got one order to join it', async () => {
     const harness = createFormationHarness(DOMAINS);
-    const delayedIds = new Set<string>();
-    harness.setOrderDelay(({ id }, order) => {
-      if (order.kind !== 'join' || delayedIds.has(id)) return undefined;
-      delayedIds.add(id);
-      return 3_000;
-    });
+    delayFirstOrders(harness, 3_000, (_engine, order) => order.kind === 'join');
     await harness.timers.runForAsync(START_MS);
     const joins = harness.orders.flatMap(({ engineId, order }) =>
       order.kind === 'join' ? `${engineId} ${order.epoch}` : [],
@@ -524,11 +528,7 @@
       const harness = await startServing();
       const pair = findOpenPair(harness);
       const { head, member } = pair;
-      const partner = [...harness.engines.values()].find(
-        ({ domain, group }) =>
-          domain === SMALL_DOMAIN && group?.rank === 1 && group.name !== member.group?.name,
-      );
-      harness.engines.delete(partner?.id ?? '');
+      removeOtherMember(harness, member);
       hideHead(pair);
       head.hasEntry = false;
       harness.replaceLeader();
