Take an engine's response to an order to leave before its older report

PROTOCOL.md: the values of a report "are as of some hundred ms ago" (report_lag_ms, 200).

The leader now remembers the epoch that an engine has left. The engines of formation.test.ts report with a lag; "uses the members of a silent head within a second of the loss of its entry" failed before.

--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -474,6 +474,8 @@
   // deployments (score of rodopi-wax-grown scale-1).
   it('uses the members of a silent head within a second of the loss of its entry', async () => {
     const harness = await startServing();
+    // A report of an engine is some hundred ms old.
+    harness.setReportLag(300);
     const domain = [...harness.engines.values()].filter((one) => one.domain === SMALL_DOMAIN);
     const heads = harness.listOpenHeads('small').filter((one) => domain.includes(one));
     const lost = heads.slice(0, 2);
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -136,6 +136,8 @@
   const staging = new Map<string, string>();
   /** Epochs of the joins ordered, by engine, until the entries show these or later epochs. */
   const orderedEpochs = new Map<string, { epoch: number; untilMs: number }>();
+  /** Epoch of the group that an engine has left as ordered; its reports may be older, by engine. */
+  const departedEpochs = new Map<string, number>();
   /** Fabric domains that retire groups in favour of a model, until its group is formed. */
   const domainReservations = new Map<string, { model: string; untilMs: number }>();
   const headRegistry = createHeadRegistry({
@@ -164,8 +166,8 @@
     logger,
     findTarget: (id) => fleet.findTarget(id),
     canSendOrders,
-    mayLeaveGroup: ({ service }, { name, epoch }) =>
-      headRegistry.hasEnded({ service, name, epoch }),
+    mayLeaveGroup: ({ id, service }, { name, epoch }) =>
+      departedEpochs.get(id) === epoch || headRegistry.hasEnded({ service, name, epoch }),
   });
 
   const excludeEngines = (ids: readonly string[], forMs: number): void => {
@@ -350,6 +352,7 @@
       group: group.name,
       left: leftIds.join(' '),
     });
+    leftIds.forEach((id) => departedEpochs.set(id, group.epoch));
     const untilMs = timers.getMonotonicMs() + DEPARTURE_ENTRY_WAIT_MS;
     const isShown = (id: string): boolean => fleet.findTarget(id)?.group?.epoch === group.epoch;
     while (leftIds.some(isShown) && timers.getMonotonicMs() < untilMs) {
@@ -513,6 +516,9 @@
     if (term === 0 && now - headsUpdatedMs < FOLLOWER_UPDATE_PERIOD_MS) return;
     headsUpdatedMs = now;
     for (const [id, untilMs] of excludedUntilMs) if (now >= untilMs) excludedUntilMs.delete(id);
+    for (const id of departedEpochs.keys()) {
+      if (fleet.findTarget(id) === undefined) departedEpochs.delete(id);
+    }
     for (const [domain, { untilMs }] of domainReservations) {
       if (now >= untilMs) domainReservations.delete(domain);
     }
