Repeat a late join for its engine alone

The order is repeated for that member alone again, with the same epoch. The leader remembers the groups that it formed without such a repetition: there, a member that has left is out for good and is used at once.

--- a/models/groups.pml
+++ b/models/groups.pml
@@ -11,7 +11,7 @@
  *
  * Steps and the code that they model:
  *   ASK      listUnavailableIds in src/core/formation/group-operations.ts
- *   JOIN     joinMembers in the same file
+ *   JOIN     joinHead, then sendOrderWithRetries, in the same file
  *   RELEASE  closeGroup and releaseHead in the same file; hasEnded in head-registry.ts
  *   carryOut the engine
  *
@@ -138,7 +138,7 @@
      atomic { SEND(carryOutJoin, lateJoin, other, epoch) }
      if
      :: isAnswered && epochOf[other] == epoch
-     :: !isAnswered -> goto joinHead
+     :: !isAnswered -> goto joinOther
      :: else -> goto next
      fi;
 openHead:
--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -20,7 +20,7 @@
 
 /**
  * Attempts to send one order. An engine that did not respond may still execute the order later; see
- * `joinMembers` for the order that must not come twice.
+ * `joinHead` for the order that must not come twice, and `areJoinsLate` for the one that may.
  */
 const ORDER_ATTEMPTS = 4;
 /** Interval at which an engine's entry is checked for the expected state. */
@@ -40,11 +40,6 @@
 /** The longest expected stream, which has 87 events at intervals of 50 ms, plus a margin. */
 const GRACEFUL_CLOSE_TIMEOUT_MS = 6_000;
 
-/** Results after which an order to join is sent again, with a new epoch. */
-const RETRIED_JOIN_RESULTS: ReadonlySet<OrderResult> = new Set([
-  OrderResult.Accepted,
-  OrderResult.Unknown,
-]);
 /** States of a member that has completed its join. */
 const OPERATIONAL_STATES: ReadonlySet<GroupState> = new Set([GroupState.Ready, GroupState.Open]);
 /** States of a head that does not serve its group: closed, broken or not opened yet. */
@@ -67,24 +62,31 @@
 /** Name and epoch of a group that is to be formed. */
 export type NewGroup = Pick<EngineGroup, 'name' | 'epoch'>;
 
-/** Result of ordering engines to join a group. */
+/** Result of ordering the members of a group, without the head, to join it. */
 interface JoinResult {
-  /** The last order that was sent; undefined if there was none. */
-  order: JoinOrder | undefined;
-  /** Result of this order for each engine. */
+  /** Result for each member. */
   results: OrderResult[];
+  /** Whether an order got no response, so that it may be carried out at any later time. */
+  areJoinsLate: boolean;
 }
 
 /** Result of forming a group. */
 export interface FormationResult {
-  /** Name of the group if its head accepted the order to open it, so that it serves `openMs` later. */
-  group: string | undefined;
+  /** The group if its head accepted the order to open it, so that it serves `EngineSpec.openMs` later. */
+  group: NewGroup | undefined;
+  /** Whether an order to join the group may still bring a member back after it has left. */
+  areJoinsLate: boolean;
   /** Engines that failed an order. */
   failedIds: string[];
   /** A group that was given up before its head was ordered to open it, so that it never opens. */
   unopened: NewGroup | undefined;
 }
 
+/** Builds the result of a formation that ended before any member other than the head joined. */
+function buildFailure(failedIds: string[]): FormationResult {
+  return { group: undefined, areJoinsLate: false, failedIds, unopened: undefined };
+}
+
 type JoinOrder = Extract<EngineOrder, { kind: 'join' }>;
 
 function buildJoinOrder(
@@ -103,7 +105,7 @@
 export interface GroupOperations {
   /**
    * Forms a group of engines that say that they are free, and orders its head to open it. `issueGroup`
-   * returns the name and epoch for each attempt to join, or undefined if there are no more.
+   * returns the name and epoch for each attempt to join the head, or undefined if there are no more.
    */
   formGroup(
     model: ModelSpec,
@@ -223,26 +225,35 @@
     (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
 
   /**
-   * Orders engines to join a group, and returns the order that all have accepted. Each attempt has an epoch
-   * of its own, so that no order to join a group that is opened is under way: it could bring an engine back
-   * after it has left the group.
+   * Orders the head of a new group to join it, and returns the order that it accepted. Each attempt has
+   * an epoch of its own: an attempt that got no response and names the same epoch as an accepted one
+   * could bring the head back after it has left the group, and a late order could then open it.
    */
-  const joinMembers = async (
-    members: readonly Target[],
+  const joinHead = async (
+    head: Target,
     issueOrder: () => JoinOrder | undefined,
-  ): Promise<JoinResult> => {
-    let attempt: JoinResult = { order: undefined, results: [] };
+  ): Promise<JoinOrder | undefined> => {
     for (let count = 0; count < ORDER_ATTEMPTS && canSendOrders(); count++) {
       const order = issueOrder();
-      if (order === undefined) return attempt;
-      const results = await Promise.all(members.map((one) => control.sendOrder(one, order)));
-      attempt = { order, results };
-      const isRetried =
-        results.includes(OrderResult.Unknown) &&
-        results.every((result) => RETRIED_JOIN_RESULTS.has(result));
-      if (!isRetried) return attempt;
+      if (order === undefined) return undefined;
+      const result = await control.sendOrder(head, order);
+      if (result === OrderResult.Accepted) return order;
+      if (result !== OrderResult.Unknown) return undefined;
     }
-    return attempt;
+    return undefined;
+  };
+
+  /** Orders members to join the group of their head; an order that gets no response is repeated. */
+  const joinOthers = async (others: readonly Target[], order: JoinOrder): Promise<JoinResult> => {
+    let areJoinsLate = false;
+    const join = async (member: Target): Promise<OrderResult> => {
+      const result = await control.sendOrder(member, order);
+      if (result !== OrderResult.Unknown) return result;
+      areJoinsLate = true;
+      return sendOrderWithRetries(member, order);
+    };
+    const results = await Promise.all(others.map(join));
+    return { results, areJoinsLate };
   };
 
   /**
@@ -269,15 +280,17 @@
     async formGroup(model, members, expectedMs, issueGroup) {
       const ids = members.map(({ id }) => id);
       const unavailableIds = await listUnavailableIds(members);
-      const [head] = members;
-      if (head === undefined || unavailableIds.length > 0) {
-        return { group: undefined, failedIds: unavailableIds, unopened: undefined };
+      const [head, ...others] = members;
+      if (head === undefined || unavailableIds.length > 0) return buildFailure(unavailableIds);
+      const order = await joinHead(head, () => buildJoinOrder(issueGroup(), model, ids));
+      if (order === undefined) {
+        logger.warn('failed to form a group', { model: model.name, failed: head.id });
+        return buildFailure([head.id]);
       }
-      const { order, results } = await joinMembers(members, () =>
-        buildJoinOrder(issueGroup(), model, ids),
-      );
-      if (order === undefined) return { group: undefined, failedIds: [], unopened: undefined };
       const { group: name, epoch } = order;
+      const joined = await joinOthers(others, order);
+      const { areJoinsLate } = joined;
+      const results = [OrderResult.Accepted, ...joined.results];
       let failedIds = ids.filter((_, index) => results[index] !== OrderResult.Accepted);
       if (failedIds.length === 0) {
         const ready = await Promise.all(
@@ -297,7 +310,9 @@
       }
       const isOpenOrderAccepted =
         failedIds.length === 0 && (await sendOpenOrder(head, name, epoch));
-      if (isOpenOrderAccepted) return { group: name, failedIds, unopened: undefined };
+      if (isOpenOrderAccepted) {
+        return { group: { name, epoch }, areJoinsLate, failedIds, unopened: undefined };
+      }
       logger.warn('failed to form a group', {
         group: name,
         epoch,
@@ -307,7 +322,7 @@
       });
       await orderToLeave(members, name, epoch);
       const unopened = failedIds.length > 0 ? { name, epoch } : undefined;
-      return { group: undefined, failedIds, unopened };
+      return { group: undefined, areJoinsLate, failedIds, unopened };
     },
     async closeGroup({ name, epoch, headEngine }, isGraceful) {
       if (headEngine === undefined) return CloseResult.NotConfirmed;
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -102,6 +102,8 @@
 const HEAD_QUERY_PERIOD_MS = 400;
 /** Time within which the entries of engines show that they have left a group. */
 const DEPARTURE_ENTRY_WAIT_MS = 1_000;
+/** Covers the delay with which an engine notices that the stall time is over. */
+const BREAK_MARGIN_MS = 250;
 /** Interval at which these entries are checked. */
 const DEPARTURE_CHECK_PERIOD_MS = 40;
 /**
@@ -116,6 +118,13 @@
   return group.membersByRank.filter((member) => member !== undefined);
 }
 
+/** A group that an engine has left as ordered. */
+interface Departure {
+  epoch: number;
+  /** Monotonic time from which the engine may be used. */
+  usableFromMs: number;
+}
+
 /** An operation in progress on one group; its engines are not used by plans until it ends. */
 interface ActiveOperation {
   /** Members of the group. */
@@ -136,8 +145,10 @@
   const staging = new Map<string, string>();
   /** Epochs of the joins ordered, by engine, until the entries show these or later epochs. */
   const orderedEpochs = new Map<string, { epoch: number; untilMs: number }>();
-  /** Epoch of the group that an engine has left as ordered; its reports may be older, by engine. */
-  const departedEpochs = new Map<string, number>();
+  /** Epochs of the groups that this process has formed and that no late order to join may refer to. */
+  const settledEpochs = new Set<number>();
+  /** Groups that engines have left as ordered, by engine. */
+  const departures = new Map<string, Departure>();
   /** Fabric domains that retire groups in favour of a model, until its group is formed. */
   const domainReservations = new Map<string, { model: string; untilMs: number }>();
   const headRegistry = createHeadRegistry({
@@ -160,6 +171,10 @@
 
   const canSendOrders = (): boolean => term !== 0 && getTerm() === term;
 
+  /** Whether no order brings an engine back into a group that it has left; its reports may be older. */
+  const hasLeftForGood = (id: string, epoch: number): boolean =>
+    departures.get(id)?.epoch === epoch && settledEpochs.has(epoch);
+
   const groupOperations = createGroupOperations({
     timers,
     control,
@@ -167,7 +182,7 @@
     findTarget: (id) => fleet.findTarget(id),
     canSendOrders,
     mayLeaveGroup: ({ id, service }, { name, epoch }) =>
-      departedEpochs.get(id) === epoch || headRegistry.hasEnded({ service, name, epoch }),
+      hasLeftForGood(id, epoch) || headRegistry.hasEnded({ service, name, epoch }),
   });
 
   const excludeEngines = (ids: readonly string[], forMs: number): void => {
@@ -219,7 +234,7 @@
     runOperation(ids, model.name, async () => {
       const startMs = timers.getMonotonicMs();
       const expectedMs = computeExpectedMs(model, members);
-      const { group, failedIds, unopened } = await groupOperations.formGroup(
+      const { group, areJoinsLate, failedIds, unopened } = await groupOperations.formGroup(
         model,
         members,
         expectedMs,
@@ -231,9 +246,10 @@
         ids.forEach((id) => orderedEpochs.delete(id));
         return;
       }
+      if (!areJoinsLate) settledEpochs.add(group.epoch);
       const tookMs = Math.round(timers.getMonotonicMs() - startMs);
       logger.info('formed a group', {
-        group,
+        group: group.name,
         model: model.name,
         members: ids.join(' '),
         domain,
@@ -339,8 +355,9 @@
 
   /**
    * Orders the members of a group to leave it, as its head cannot be asked. The head may be alive where
-   * only this process and the store do not reach it, so that a member is free only by its own word. Waits
-   * until the entries show the members that have left as free.
+   * only this process and the store do not reach it, so that a member is free only by its own word. If a
+   * late order may bring members back, they are used when the head, which has lost them, has broken the
+   * group. Waits until the entries show the members that have left as free.
    */
   const orderMembersToLeave = async (group: EngineGroup): Promise<void> => {
     const leftIds = await groupOperations.orderToLeave(listMembers(group), group.name, group.epoch);
@@ -352,7 +369,9 @@
       group: group.name,
       left: leftIds.join(' '),
     });
-    leftIds.forEach((id) => departedEpochs.set(id, group.epoch));
+    const breakMs = settledEpochs.has(group.epoch) ? 0 : stallMs + BREAK_MARGIN_MS;
+    const usableFromMs = timers.getMonotonicMs() + breakMs;
+    leftIds.forEach((id) => departures.set(id, { epoch: group.epoch, usableFromMs }));
     const untilMs = timers.getMonotonicMs() + DEPARTURE_ENTRY_WAIT_MS;
     const isShown = (id: string): boolean => fleet.findTarget(id)?.group?.epoch === group.epoch;
     while (leftIds.some(isShown) && timers.getMonotonicMs() < untilMs) {
@@ -408,7 +427,8 @@
     orderedEpochs.get(id)?.epoch === epoch && fleet.findTarget(id) !== undefined;
 
   /**
-   * Returns the members of groups that may be open or may still open. Also starts to close those
+   * Returns the members of groups that may be open or may still open, and those that a late order may
+   * bring back into one. Also starts to close those
    * groups whose head has no entry, and orders the other heads that do not serve to leave.
    */
   const resolvePossiblyOpenGroups = (service: string): Set<string> => {
@@ -426,6 +446,10 @@
       } else if (headRegistry.isHeadUnknown(group)) endGroupOfUnknownHead(group);
       releaseHead(group);
     }
+    const now = timers.getMonotonicMs();
+    for (const [id, { usableFromMs }] of departures) {
+      if (now < usableFromMs) possiblyOpenIds.add(id);
+    }
     return possiblyOpenIds;
   };
 
@@ -516,8 +540,8 @@
     if (term === 0 && now - headsUpdatedMs < FOLLOWER_UPDATE_PERIOD_MS) return;
     headsUpdatedMs = now;
     for (const [id, untilMs] of excludedUntilMs) if (now >= untilMs) excludedUntilMs.delete(id);
-    for (const id of departedEpochs.keys()) {
-      if (fleet.findTarget(id) === undefined) departedEpochs.delete(id);
+    for (const id of departures.keys()) {
+      if (fleet.findTarget(id) === undefined) departures.delete(id);
     }
     for (const [domain, { untilMs }] of domainReservations) {
       if (now >= untilMs) domainReservations.delete(domain);
