--- a/models/groups.pml
+++ b/models/groups.pml
@@ -11,7 +11,7 @@
  *
  * Steps and the code that they model:
  *   ASK      listUnavailableIds in src/core/formation/group-operations.ts
- *   JOIN     joinHead, then sendOrderWithRetries, in the same file
+ *   JOIN     joinHead, then joinOthers, in the same file
  *   RELEASE  closeGroup and releaseHead in the same file; hasEnded in head-registry.ts
  *   carryOut the engine
  *
--- a/models/lost-heads.pml
+++ b/models/lost-heads.pml
@@ -11,14 +11,16 @@
  * Steps and the code that they model:
  *   LEAVE    closeGroupWithoutHeadEntry in src/core/formation/start-formation.ts
  *   ASK      listUnavailableIds in src/core/formation/group-operations.ts
- *   JOIN     joinMembers in the same file
+ *   JOIN     joinHead and joinOthers in the same file
  *   carryOut the engine
  *
+ * Left out: groups whose orders to join were repeated. Their members are used when the head has broken.
+ *
  * Property: the member joins no other group while it is a member of the open one (rule TWO).
  *
  * run: pass
  * run: fail BREAK_LEAVE   a head that does not respond counts as dead, so that its member joins another group
- * run: fail BREAK_REPEAT  an order to join the open group is under way, as it was repeated with the same epoch
+ * run: fail BREAK_REPEAT  an order to join the open group is under way, as it was repeated
  * run: fail BREAK_ASK     the member is joined by its entry alone
  */
 #define FIRST_GROUP 1
