Ask engines twice in one place

isReachable and listUnavailableIds each asked an engine a second time when it did not respond; both now call queryTwice. Behaviour is as before.

--- a/src/core/formation/group-operations.ts
+++ b/src/core/formation/group-operations.ts
@@ -221,8 +221,10 @@
     return result === OrderResult.Accepted || isOutsideGroup(head, name, epoch);
   };
 
-  const hasResponded = async (target: Target): Promise<boolean> =>
-    (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) !== undefined;
+  /** Queries an engine up to twice, as one response may be lost; undefined if it does not respond. */
+  const queryTwice = async (target: Target): Promise<EngineState | undefined> =>
+    (await control.queryState(target, STATE_QUERY_TIMEOUT_MS)) ??
+    control.queryState(target, STATE_QUERY_TIMEOUT_MS);
 
   /**
    * Orders the head of a new group to join it, and returns the order that it accepted. Each attempt has
@@ -263,9 +265,7 @@
   const listUnavailableIds = async (members: readonly Target[]): Promise<string[]> => {
     const areAvailable = await Promise.all(
       members.map(async (member) => {
-        const state =
-          (await control.queryState(member, STATE_QUERY_TIMEOUT_MS)) ??
-          (await control.queryState(member, STATE_QUERY_TIMEOUT_MS));
+        const state = await queryTwice(member);
         if (state?.group === undefined) return state !== undefined;
         const isAvailable = mayLeaveGroup(member, state.group);
         const context = { engine: member.id, group: state.group.name };
@@ -352,6 +352,6 @@
     releaseHead: async (head, name, epoch) =>
       (await hasStoppedServing(head, name, epoch)) && leaveClosedGroup(head, name, epoch),
     orderToLeave,
-    isReachable: async (target) => (await hasResponded(target)) || hasResponded(target),
+    isReachable: async (target) => (await queryTwice(target)) !== undefined,
   };
 }
--- a/src/core/formation/start-formation.ts
+++ b/src/core/formation/start-formation.ts
@@ -428,8 +428,8 @@
 
   /**
    * Returns the members of groups that may be open or may still open, and those that a late order may
-   * bring back into one. Also starts to close those
-   * groups whose head has no entry, and orders the other heads that do not serve to leave.
+   * bring back into one. Also starts to close those groups whose head has no entry, and orders the other
+   * heads that do not serve to leave.
    */
   const resolvePossiblyOpenGroups = (service: string): Set<string> => {
     const possiblyOpenIds = new Set<string>();
