--- a/src/core/formation/formation.test.ts
+++ b/src/core/formation/formation.test.ts
@@ -41,6 +41,12 @@
   harness.engines.delete(other?.id ?? '');
 }
 
+/** Lets neither the store nor the leader reach a head. */
+function hideHead(head: FakeEngine): void {
+  head.isReachable = false;
+  head.hasEntry = false;
+}
+
 /** Delays the first matching order to each engine, which then gets no response. */
 function delayFirstOrders(
   harness: FormationHarness,
@@ -437,8 +443,7 @@
       harness.setInitialFormationOver(true);
       const { head, member } = findOpenPair(harness);
       removeOtherMember(harness, member);
-      head.isReachable = false;
-      head.hasEntry = false;
+      hideHead(head);
       member.isCutFromStore = 'isMemberCut' in play;
       harness.setEntryUpdatesEnabled(true);
       if ('handOverMs' in play) harness.timers.scheduleOnce(play.handOverMs, harness.handOver);
@@ -480,8 +485,7 @@
       harness.setInitialFormationOver(true);
       const { head, member } = findOpenPair(harness);
       removeOtherMember(harness, member);
-      head.isReachable = false;
-      head.hasEntry = false;
+      hideHead(head);
       harness.setEntryUpdatesEnabled(true);
       const isMemberUsed = (): boolean =>
         member.group !== undefined && member.group.name !== head.group?.name;
@@ -503,10 +507,7 @@
     const domain = [...harness.engines.values()].filter((one) => one.domain === SMALL_DOMAIN);
     const heads = harness.listOpenHeads('small').filter((one) => domain.includes(one));
     const lost = heads.slice(0, 2);
-    for (const head of lost) {
-      head.isReachable = false;
-      head.hasEntry = false;
-    }
+    lost.forEach(hideHead);
     harness.setEntryUpdatesEnabled(true);
     await harness.timers.runForAsync(1_000);
     const serving = harness.listOpenHeads('small').filter((one) => domain.includes(one));
@@ -536,26 +537,26 @@
   const silentHeads = [
     {
       name: 'refuses connections and finishes requests',
-      hideHead({ head }: ReturnType<typeof findOpenPair>) {
+      silenceHead({ head }: ReturnType<typeof findOpenPair>) {
         head.isListening = false;
         head.inFlight = 1;
       },
     },
     {
       name: 'no one knows',
-      hideHead({ head, member }: ReturnType<typeof findOpenPair>) {
+      silenceHead({ head, member }: ReturnType<typeof findOpenPair>) {
         // Earlier versions formed groups whose names do not tell the head.
         [head, member].forEach(({ group }) => Object.assign(group ?? {}, { name: 'g1' }));
       },
     },
   ];
-  for (const { name, hideHead } of silentHeads) {
+  for (const { name, silenceHead } of silentHeads) {
     it(`joins no member of a group whose head ${name}`, async () => {
       const harness = await startServing();
       const pair = findOpenPair(harness);
       const { head, member } = pair;
       removeOtherMember(harness, member);
-      hideHead(pair);
+      silenceHead(pair);
       head.hasEntry = false;
       harness.replaceLeader();
       harness.setEntryUpdatesEnabled(true);
