Schedule the faults of a soak in one place

Three injectors each waited for the time of a fault, ran it and awaited all; scheduleFaults does so for them. Plans and times are as before.

--- a/src/stand-ins/soak/inject-faults.ts
+++ b/src/stand-ins/soak/inject-faults.ts
@@ -7,6 +7,8 @@
 import type { PlannedFault } from './plan-faults.ts';
 import { FaultKind } from './plan-faults.ts';
 import { restartGateway } from './restart-gateway.ts';
+import type { InjectedFaults } from './schedule-faults.ts';
+import { scheduleFaults } from './schedule-faults.ts';
 import type { SoakEnvironment } from './soak-environment.ts';
 import { ProxyMode } from './tcp-proxy.ts';
 
@@ -22,12 +24,6 @@
   reload?(gateway: SoakGateway): void;
 }
 
-/** Handle for the faults of a run. */
-export interface InjectedFaults {
-  /** Resolves when all faults have ended. */
-  finish(): Promise<void>;
-}
-
 /** Handle for the faults of a run that stop gateways, or are told to by other faults. */
 export interface InjectedGatewayFaults extends InjectedFaults {
   /** Runs a fault on a gateway, unless another one pauses, stops or kills it at the time. */
@@ -138,14 +134,5 @@
     }
   };
 
-  const running = faults.map(async (fault) => {
-    await timers.waitFor(fault.atMs);
-    await runFault(fault);
-  });
-  return {
-    runOnGateway,
-    async finish() {
-      await Promise.all(running);
-    },
-  };
+  return { runOnGateway, ...scheduleFaults(timers, faults, runFault) };
 }
--- a/src/stand-ins/soak/inject-group-faults.ts
+++ b/src/stand-ins/soak/inject-group-faults.ts
@@ -1,13 +1,15 @@
 import type { TimerService } from '../../core/timers/index.ts';
 import type { StandInStore } from '../store/index.ts';
 import type { SoakGateway } from './gateways.ts';
-import type { InjectedFaults, InjectedGatewayFaults } from './inject-faults.ts';
+import type { InjectedGatewayFaults } from './inject-faults.ts';
 import type { Observations } from './observations.ts';
 import type { OrderDelays } from './order-delays.ts';
 import { pauseGateway } from './pause-gateway.ts';
 import type { PlannedGroupFault } from './plan-group-faults.ts';
 import { GroupFaultKind } from './plan-group-faults.ts';
 import { restartGateway } from './restart-gateway.ts';
+import type { InjectedFaults } from './schedule-faults.ts';
+import { scheduleFaults } from './schedule-faults.ts';
 import type { SoakEnvironment } from './soak-environment.ts';
 
 /** The planned faults and the parts of the system that they act on. */
@@ -78,13 +80,5 @@
     }
   };
 
-  const running = options.faults.map(async (fault) => {
-    await timers.waitFor(fault.atMs);
-    await runFault(fault);
-  });
-  return {
-    async finish() {
-      await Promise.all(running);
-    },
-  };
+  return scheduleFaults(timers, options.faults, runFault);
 }
--- a/src/stand-ins/soak/inject-peer-faults.ts
+++ b/src/stand-ins/soak/inject-peer-faults.ts
@@ -3,9 +3,10 @@
 import type { TimerService } from '../../core/timers/index.ts';
 import { BulkHeader } from './bulk-targets.ts';
 import type { SoakGateway } from './gateways.ts';
-import type { InjectedFaults } from './inject-faults.ts';
 import type { PlannedPeerFault } from './plan-peer-faults.ts';
 import { PeerFaultKind } from './plan-peer-faults.ts';
+import type { InjectedFaults } from './schedule-faults.ts';
+import { scheduleFaults } from './schedule-faults.ts';
 import type { Pace, SlowCallers, SlowRequest } from './slow-callers.ts';
 
 /** The planned loads and the parts of the system that they act on. */
@@ -182,13 +183,5 @@
     await runLoad(kind, { address: gateway.callersAddress, size, signal: controller.signal });
   };
 
-  const running = options.faults.map(async (fault) => {
-    await timers.waitFor(fault.atMs);
-    await runFault(fault);
-  });
-  return {
-    async finish() {
-      await Promise.all(running);
-    },
-  };
+  return scheduleFaults(timers, options.faults, runFault);
 }
