--- a/review/stand-ins-3/run-case.mjs
+++ b/review/stand-ins-3/run-case.mjs
@@ -16,11 +16,11 @@
 };
 
 /**
- * Runs a case: `run` gets a temporary folder, a list for parts that need to be closed, a function that
- * adds a line to `record.txt`, and whether the disruption is wanted. It returns the breaches of the
+ * Runs a case, with the disruption if `hasTrouble`: `run` gets a temporary folder, a list for parts that
+ * need to be closed and a function that adds a line to `record.txt`. It returns the breaches of the
  * rule. The status of the process is 1 if there are some, 0 if there are none, 2 if the case failed.
  */
-export async function runCase(caseFolder, run) {
+export async function runCase(caseFolder, hasTrouble, run) {
   const folder = mkdtempSync(join(tmpdir(), 'review-3-'));
   const startMs = Date.now();
   const lines = [];
@@ -28,7 +28,6 @@
   const addLine = (text) => {
     lines.push(`${String(Date.now() - startMs).padStart(6)} ms  ${text}`);
   };
-  const hasTrouble = process.env.TROUBLE !== '0';
   let status = STATUS_NOT_RUN;
   const finish = () => {
     closers.reverse().forEach((close) => close());
@@ -48,7 +47,7 @@
   });
   try {
     addLine(`the case starts ${hasTrouble ? 'with' : 'without'} the disruption`);
-    const breaches = await run({ folder, closers, addLine, hasTrouble });
+    const breaches = await run({ folder, closers, addLine });
     breaches.forEach((breach) => addLine(`BROKEN: ${breach}`));
     status = breaches.length > 0 ? STATUS_BROKEN : STATUS_HELD;
     addLine(breaches.length > 0 ? 'the rule was broken' : 'the rule held');
