--- a/review/stand-ins-3/engine.mjs
+++ b/review/stand-ins-3/engine.mjs
@@ -12,6 +12,7 @@
   service,
   zone,
   slots = 6,
+  maxConnections = undefined,
   respond,
   runs = [],
 }) {
@@ -42,6 +43,8 @@
     respond(request, response, run);
   });
   server.on('connection', (socket) => socket.on('error', () => undefined));
+  // Further connections are closed at once.
+  if (maxConnections !== undefined) server.maxConnections = maxConnections;
   await new Promise((resolve) => {
     server.listen({ port: 0, host: '127.0.0.1', backlog: 4_096 }, resolve);
   });
